--- /dev/null
+++ b/crates/billing/src/ledger.rs
@@ -0,0 +1,142 @@
+//! One ledger object: the requests of one entry that have been counted, and their sums.
+
+use crate::IdSet;
+use ibissail_core::{Incarnation, OrganisationId, RequestId, Target, Tokens};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, fmt};
+
+/// Requests of one entry that share a ledger object.
+pub const CHUNK_REQUESTS: u64 = 1 << 16;
+
+/// Usage of one answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageRecord {
+    /// The request, which is counted once.
+    pub request: RequestId,
+    /// Who pays.
+    pub organisation: OrganisationId,
+    /// What ran.
+    pub target: Target,
+    /// Tokens of the prompt.
+    pub input: Tokens,
+    /// Tokens of the answer.
+    pub output: Tokens,
+}
+
+/// Sums over requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of their prompts.
+    pub input: Tokens,
+    /// Tokens of their answers.
+    pub output: Tokens,
+}
+
+impl Usage {
+    /// Adds other sums.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.input.0 += other.input.0;
+        self.output.0 += other.output.0;
+    }
+}
+
+/// Name of a ledger object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LedgerKey {
+    /// The entry that took the requests.
+    pub entry: Incarnation,
+    /// Which part of its sequence.
+    pub chunk: u64,
+}
+
+impl LedgerKey {
+    /// Prefix of all ledger objects.
+    pub const PREFIX: &'static str = "ledger/";
+
+    /// The ledger that counts a request.
+    #[must_use]
+    pub fn of(request: RequestId) -> Self {
+        Self {
+            entry: request.entry,
+            chunk: request.sequence / CHUNK_REQUESTS,
+        }
+    }
+}
+
+impl fmt::Display for LedgerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}/{}", Self::PREFIX, self.entry, self.chunk)
+    }
+}
+
+/// A ledger object.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    counted: IdSet,
+    totals: BTreeMap<OrganisationId, BTreeMap<String, Usage>>,
+}
+
+impl Ledger {
+    /// Counts a record; `false` when it had been counted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_billing::{Ledger, UsageRecord};
+    /// use ibissail_core::{Incarnation, RequestId, Tokens};
+    /// let record = UsageRecord {
+    ///     request: RequestId { entry: Incarnation(1), sequence: 0 },
+    ///     organisation: "huts".parse()?,
+    ///     target: "swift@1".parse()?,
+    ///     input: Tokens(3),
+    ///     output: Tokens(4),
+    /// };
+    /// let mut ledger = Ledger::default();
+    /// assert!(ledger.count(&record));
+    /// assert!(!ledger.count(&record));
+    /// assert_eq!(ledger.sum().requests, 1);
+    /// # Ok::<(), ibissail_core::UnitError>(())
+    /// ```
+    pub fn count(&mut self, record: &UsageRecord) -> bool {
+        if !self.counted.insert(record.request.sequence) {
+            return false;
+        }
+        let by_target = self.totals.entry(record.organisation.clone()).or_default();
+        let usage = Usage {
+            requests: 1,
+            input: record.input,
+            output: record.output,
+        };
+        by_target
+            .entry(record.target.to_string())
+            .or_default()
+            .add(usage);
+        true
+    }
+
+    /// Whether a request has been counted.
+    #[must_use]
+    pub fn has(&self, request: RequestId) -> bool {
+        self.counted.contains(request.sequence)
+    }
+
+    /// Sums of all organisations.
+    #[must_use]
+    pub fn sum(&self) -> Usage {
+        let mut sum = Usage::default();
+        self.totals
+            .values()
+            .flat_map(BTreeMap::values)
+            .for_each(|usage| sum.add(*usage));
+        sum
+    }
+
+    /// Sums by organisation and target.
+    #[must_use]
+    pub fn totals(&self) -> &BTreeMap<OrganisationId, BTreeMap<String, Usage>> {
+        &self.totals
+    }
+}
--- /dev/null
+++ b/crates/cascade/src/choice.rs
@@ -0,0 +1,91 @@
+//! Orders models for a class, and picks a version by weight.
+
+use ibissail_catalogue::{Catalogue, Member};
+use ibissail_core::{ClassId, ModelId, ModelVersion, Ratio};
+use std::cmp::Ordering;
+
+/// A model that an organisation may use, with what is expected of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Offer {
+    /// The model.
+    pub model: ModelId,
+    /// Price of prompt and answer together, in millionths per thousand tokens.
+    pub price: u64,
+    /// Expected quality of an answer.
+    pub quality: f64,
+}
+
+/// The models that an organisation may use for new work, as offers for a class.
+#[must_use]
+pub fn offers(catalogue: &Catalogue, member: &Member, class: &ClassId) -> Vec<Offer> {
+    let Some(root) = catalogue.root() else {
+        return Vec::new();
+    };
+    let mut offers = Vec::new();
+    for (name, model) in &root.models {
+        let versions = catalogue.versions(member, name);
+        let prices = versions
+            .iter()
+            .filter_map(|(version, _)| model.versions.get(&version.version));
+        let Some(price) = prices.map(|v| v.input_price.0 + v.output_price.0).max() else {
+            continue;
+        };
+        let quality = model.quality.get(class).copied().unwrap_or_default().get();
+        offers.push(Offer {
+            model: name.clone(),
+            price,
+            quality,
+        });
+    }
+    offers
+}
+
+/// Models in the order in which they should be tried.
+///
+/// First those that meet the target, cheapest first; then the others, best first.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_cascade::{Offer, order_models};
+/// let offer = |model: &str, price, quality| Offer {
+///     model: model.parse().unwrap(),
+///     price,
+///     quality,
+/// };
+/// let offers = vec![offer("strong", 90, 0.95), offer("swift", 10, 0.7)];
+/// let order = order_models(offers, "0.6".parse()?);
+/// assert_eq!(order[0].as_str(), "swift");
+/// # Ok::<(), ibissail_core::UnitError>(())
+/// ```
+#[must_use]
+pub fn order_models(mut offers: Vec<Offer>, target: Ratio) -> Vec<ModelId> {
+    let meets = |offer: &Offer| offer.quality >= target.get();
+    offers.sort_by(|a, b| match (meets(a), meets(b)) {
+        (true, true) => a.price.cmp(&b.price),
+        (true, false) => Ordering::Less,
+        (false, true) => Ordering::Greater,
+        (false, false) => b.quality.total_cmp(&a.quality),
+    });
+    offers.into_iter().map(|offer| offer.model).collect()
+}
+
+/// The version that a number falls to, when versions share the numbers by weight.
+///
+/// Every entry that hashes the same session or request takes the same version.
+#[must_use]
+pub fn pick_version(versions: &[(ModelVersion, u32)], number: u64) -> Option<&ModelVersion> {
+    let total: u64 = versions.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return versions.first().map(|(version, _)| version);
+    }
+    let mut place = number % total;
+    for (version, weight) in versions {
+        let weight = u64::from(*weight);
+        if place < weight {
+            return Some(version);
+        }
+        place -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/cascade/src/lib.rs
@@ -0,0 +1,5 @@
+//! Which model takes a request, at the lowest cost that meets the quality target.
+
+mod choice;
+
+pub use choice::{Offer, offers, order_models, pick_version};
--- /dev/null
+++ b/crates/catalogue/src/catalogue.rs
@@ -0,0 +1,287 @@
+//! The resolved settings: what an organisation may use at this moment.
+
+use crate::{
+    BRANCH_PREFIX, Document, Documents, Grade, Stamp, WITHDRAWALS_KEY, Withdrawals, branch_key,
+};
+use ibissail_core::{
+    BranchPath, ClassId, ErrorKind, Fault, ModelId, ModelVersion, OrganisationId, Revision, Target,
+};
+use ibissail_settings::{Branch, Class, KeyHash, ModelRef, Organisation, parse_branch};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// What a request is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request on its own, or the first of a session.
+    New,
+    /// A request of a session that has begun.
+    Session,
+}
+
+/// An organisation with the branches that bound it, nearest first.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its name.
+    pub id: OrganisationId,
+    /// Its settings.
+    pub organisation: Organisation,
+    /// Its branch and those above.
+    pub branches: Vec<Arc<Branch>>,
+    /// Versions of all documents that decide for it.
+    pub stamps: Vec<Stamp>,
+}
+
+impl Member {
+    /// A class as the nearest branch defines it.
+    #[must_use]
+    pub fn class(&self, id: &ClassId) -> Option<Class> {
+        self.branches
+            .iter()
+            .find_map(|branch| branch.classes.get(id))
+            .copied()
+    }
+
+    fn allows(&self, target: &Target) -> bool {
+        let covers = |entry: &ModelRef| entry.covers_target(target);
+        self.organisation.allow.iter().any(covers)
+            && self
+                .branches
+                .iter()
+                .all(|branch| branch.allow.iter().any(covers))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Source {
+    revision: Revision,
+    branch: Arc<Branch>,
+}
+
+/// The resolved settings of all branches, and the withdrawals.
+#[derive(Debug, Clone, Default)]
+pub struct Catalogue {
+    sources: BTreeMap<BranchPath, Source>,
+    members: BTreeMap<OrganisationId, Arc<Member>>,
+    by_key: BTreeMap<KeyHash, OrganisationId>,
+    withdrawals: Withdrawals,
+}
+
+impl Catalogue {
+    /// Resolves documents.
+    ///
+    /// Withdrawals of the previous catalogue are kept. A document that cannot be read leaves its
+    /// branch as it was; the texts say which.
+    #[must_use]
+    pub fn build(documents: &Documents, previous: &Self) -> (Self, Vec<String>) {
+        let mut next = Self {
+            withdrawals: previous.withdrawals.clone(),
+            ..Self::default()
+        };
+        let mut unreadable = Vec::new();
+        for document in documents.iter() {
+            if let Err(reason) = next.take(document, previous) {
+                unreadable.push(reason);
+            }
+        }
+        next.index(documents);
+        (next, unreadable)
+    }
+
+    fn take(&mut self, document: &Document, previous: &Self) -> Result<(), String> {
+        let Some(text) = &document.value else {
+            return Ok(());
+        };
+        if document.key == WITHDRAWALS_KEY {
+            let news: Withdrawals =
+                serde_json::from_str(text).map_err(|error| format!("{}: {error}", document.key))?;
+            self.withdrawals.merge(&news);
+            return Ok(());
+        }
+        let Some(path) = document.key.strip_prefix(BRANCH_PREFIX) else {
+            return Ok(());
+        };
+        let path: BranchPath = path
+            .parse()
+            .map_err(|error| format!("{}: {error}", document.key))?;
+        let known = previous.sources.get(&path);
+        if let Some(known) = known.filter(|known| known.revision == document.revision) {
+            self.sources.insert(path, known.clone());
+            return Ok(());
+        }
+        let parsed = parse_branch(&document.key, text);
+        let (branch, result) = match (parsed, known) {
+            (Ok(branch), _) => (Arc::new(branch), Ok(())),
+            (Err(mistakes), Some(known)) => (Arc::clone(&known.branch), Err(mistakes.to_string())),
+            (Err(mistakes), None) => return Err(mistakes.to_string()),
+        };
+        self.sources.insert(
+            path,
+            Source {
+                revision: document.revision,
+                branch,
+            },
+        );
+        result
+    }
+
+    fn index(&mut self, documents: &Documents) {
+        let mut members = BTreeMap::new();
+        for (path, source) in &self.sources {
+            let chain = path.chain();
+            let found: Option<Vec<Arc<Branch>>> = chain
+                .iter()
+                .map(|path| {
+                    self.sources
+                        .get(path)
+                        .map(|source| Arc::clone(&source.branch))
+                })
+                .collect();
+            // A branch whose parents have not arrived allows nothing yet.
+            let Some(branches) = found else { continue };
+            let stamps = stamps(&chain, documents);
+            for (id, organisation) in &source.branch.organisations {
+                let member = Member {
+                    id: id.clone(),
+                    organisation: organisation.clone(),
+                    branches: branches.clone(),
+                    stamps: stamps.clone(),
+                };
+                members.insert(id.clone(), Arc::new(member));
+            }
+        }
+        for (id, member) in &members {
+            let keys = member.organisation.keys.iter().cloned();
+            self.by_key.extend(keys.map(|key| (key, id.clone())));
+        }
+        self.members = members;
+    }
+
+    /// The organisation of a bearer key.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthorized` when the key belongs to none.
+    pub fn authenticate(&self, key: &str) -> Result<Arc<Member>, Fault> {
+        let id = self.by_key.get(&KeyHash::of(key));
+        let member = id.and_then(|id| self.members.get(id));
+        member
+            .cloned()
+            .ok_or_else(|| ErrorKind::Unauthorized.into())
+    }
+
+    /// An organisation by its name.
+    ///
+    /// # Errors
+    ///
+    /// `NotAllowed` when no branch has it.
+    pub fn member(&self, id: &OrganisationId) -> Result<Arc<Member>, Fault> {
+        let member = self.members.get(id).cloned();
+        member.ok_or_else(|| Fault::new(ErrorKind::NotAllowed, format!("`{id}` is unknown")))
+    }
+
+    /// Whether an organisation may run a target now.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownModel`, `NotAllowed` or `VersionWithdrawn`.
+    pub fn permit(&self, member: &Member, target: &Target, purpose: Purpose) -> Result<(), Fault> {
+        self.check_declared(target)?;
+        if !member.allows(target) {
+            return Err(Fault::new(ErrorKind::NotAllowed, format!("`{target}`")));
+        }
+        match target {
+            Target::Model(version) => self.check_standing(version, purpose),
+            Target::Service(_) => Ok(()),
+        }
+    }
+
+    fn check_declared(&self, target: &Target) -> Result<(), Fault> {
+        let declared = match target {
+            Target::Model(version) => self
+                .root()
+                .and_then(|root| root.models.get(&version.model))
+                .is_some_and(|model| model.versions.contains_key(&version.version)),
+            Target::Service(service) => self
+                .root()
+                .is_some_and(|root| root.services.contains_key(service)),
+        };
+        if declared {
+            return Ok(());
+        }
+        Err(Fault::new(ErrorKind::UnknownModel, format!("`{target}`")))
+    }
+
+    fn check_standing(&self, version: &ModelVersion, purpose: Purpose) -> Result<(), Fault> {
+        let standing = self.withdrawals.standing(version);
+        let refused = match purpose {
+            Purpose::New => standing.grade > Grade::Active,
+            Purpose::Session => standing.grade > Grade::Retiring,
+        };
+        if refused {
+            return Err(Fault::new(
+                ErrorKind::VersionWithdrawn,
+                format!("`{version}` is {standing}"),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Versions of a model that an organisation may use for new work, with their weights.
+    #[must_use]
+    pub fn versions(&self, member: &Member, model: &ModelId) -> Vec<(ModelVersion, u32)> {
+        let Some(model_settings) = self.root().and_then(|root| root.models.get(model)) else {
+            return Vec::new();
+        };
+        let mut versions = Vec::new();
+        for (name, version) in &model_settings.versions {
+            let named = ModelVersion {
+                model: model.clone(),
+                version: name.clone(),
+            };
+            let target = Target::Model(named.clone());
+            if self.permit(member, &target, Purpose::New).is_ok() {
+                versions.push((named, version.weight));
+            }
+        }
+        versions
+    }
+
+    /// All model versions that an organisation may use for new work.
+    #[must_use]
+    pub fn visible(&self, member: &Member) -> Vec<(ModelVersion, u32)> {
+        let models = self
+            .root()
+            .map(|root| root.models.keys())
+            .into_iter()
+            .flatten();
+        models
+            .flat_map(|model| self.versions(member, model))
+            .collect()
+    }
+
+    /// The root branch, once it has arrived.
+    #[must_use]
+    pub fn root(&self) -> Option<&Branch> {
+        self.sources
+            .get(&BranchPath::root())
+            .map(|source| &*source.branch)
+    }
+
+    /// All withdrawals.
+    #[must_use]
+    pub fn withdrawals(&self) -> &Withdrawals {
+        &self.withdrawals
+    }
+}
+
+fn stamps(chain: &[BranchPath], documents: &Documents) -> Vec<Stamp> {
+    let keys = chain
+        .iter()
+        .map(branch_key)
+        .chain([WITHDRAWALS_KEY.to_owned()]);
+    keys.filter_map(|key| {
+        let revision = documents.revision(&key)?;
+        Some(Stamp { key, revision })
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line `ibissail`.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/dev.rs
@@ -0,0 +1,175 @@
+//! The whole path in one process on loopback, with stand-ins.
+
+use crate::{
+    StartError,
+    entry::Entry,
+    process::{listen, wait_for_stop_signal},
+    sidecar::Sidecar,
+};
+use async_std::task;
+use ibissail_catalogue::branch_key;
+use ibissail_core::{BranchPath, Target, VmId, ZoneId};
+use ibissail_platform::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
+use ibissail_settings::{LocalSettings, Mistakes, parse_branch, parse_local};
+use ibissail_standin::{EngineOptions, run_engine, run_platform, run_service};
+use ibissail_transport::{Pool, PoolOptions, Stop, stop_pair};
+use slog::Logger;
+use std::{net::SocketAddr, time::Duration};
+
+const ROOT: &str = include_str!("../../../examples/settings/root.yaml");
+const GUIDES: &str = include_str!("../../../examples/settings/guides.yaml");
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+const READY_CHECKS: u32 = 500;
+
+/// What stands behind each sidecar, with its times to the first token and between tokens in ms.
+const UPSTREAMS: [(&str, &str, u64, u64); 5] = [
+    ("swift-1", "swift@1", 20, 5),
+    ("swift-2", "swift@2", 20, 5),
+    ("strong-1", "strong@1", 80, 20),
+    ("payouts-1", "service:payouts", 0, 0),
+    ("routes-1", "service:routes", 0, 0),
+];
+
+/// Runs until a stop signal.
+pub(crate) async fn run(port: u16, log: Logger) -> Result<(), StartError> {
+    let (stop_standins, stop) = stop_pair();
+    let platform = start_platform(&stop).await?;
+    let admin = HttpPlatform::new(platform, PLATFORM_TIMEOUT);
+    put_settings(&admin).await?;
+    let mut sidecars = Vec::new();
+    for upstream in UPSTREAMS {
+        let settings = start_upstream(upstream, platform, &stop).await?;
+        register(platform, &settings, VmRole::Upstream).await;
+        let Some(upstream) = settings.upstream.clone() else {
+            continue;
+        };
+        sidecars.push(Sidecar::start(settings, upstream, log.clone()).await?);
+    }
+    let settings = entry_settings(port, platform).await?;
+    register(platform, &settings, VmRole::Entry).await;
+    let address = settings.listen;
+    let entry = Entry::start(settings, log).await?;
+    wait_until_ready(&entry).await;
+    print_usage(address, platform);
+    wait_for_stop_signal().await?;
+    entry.stop().await;
+    for sidecar in sidecars {
+        sidecar.stop().await;
+    }
+    stop_standins.stop();
+    Ok(())
+}
+
+fn print_usage(address: SocketAddr, platform: SocketAddr) {
+    println!("entry     http://{address}");
+    println!("platform  http://{platform}");
+    println!("keys      demo-key (editors), shop-key (volunteers)");
+    println!();
+    println!(
+        "curl -s http://{address}/v1/chat/completions -H 'Authorization: Bearer demo-key' \
+         -d '{{\"model\":\"auto\",\"messages\":[{{\"role\":\"user\",\"content\":\"Describe the north ridge\"}}]}}'"
+    );
+}
+
+async fn start_platform(stop: &Stop) -> Result<SocketAddr, StartError> {
+    let (listener, address) = listen_anywhere().await?;
+    task::spawn(run_platform(listener, stop.clone()));
+    Ok(address)
+}
+
+async fn listen_anywhere() -> Result<(async_std::net::TcpListener, SocketAddr), StartError> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = listen(any).await?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| StartError::Listen(any, error.to_string()))?;
+    Ok((listener, address))
+}
+
+async fn free_address() -> Result<SocketAddr, StartError> {
+    listen_anywhere().await.map(|(_listener, address)| address)
+}
+
+async fn put_settings(admin: &HttpPlatform) -> Result<(), StartError> {
+    for (file, text) in [("root.yaml", ROOT), ("guides.yaml", GUIDES)] {
+        let path: BranchPath = parse_branch(file, text)?.path;
+        let written = admin.create(&branch_key(&path), text).await;
+        written.map_err(|error| StartError::Platform(error.to_string()))?;
+    }
+    Ok(())
+}
+
+async fn start_upstream(
+    (vm, offers, first_token_ms, between_tokens_ms): (&str, &str, u64, u64),
+    platform: SocketAddr,
+    stop: &Stop,
+) -> Result<LocalSettings, StartError> {
+    let (listener, address) = listen_anywhere().await?;
+    if offers.starts_with("service:") {
+        task::spawn(run_service(listener, stop.clone()));
+    } else {
+        let options = EngineOptions {
+            model: offers.to_owned(),
+            first_token: Duration::from_millis(first_token_ms),
+            between_tokens: Duration::from_millis(between_tokens_ms),
+        };
+        task::spawn(run_engine(listener, options, stop.clone()));
+    }
+    let upstream = format!("upstream: {{address: \"{address}\", offers: \"{offers}\"}}\n");
+    local_settings(vm, free_address().await?, platform, &upstream).await
+}
+
+async fn entry_settings(port: u16, platform: SocketAddr) -> Result<LocalSettings, StartError> {
+    let address = match port {
+        0 => free_address().await?,
+        port => SocketAddr::from(([127, 0, 0, 1], port)),
+    };
+    local_settings("entry-1", address, platform, "").await
+}
+
+async fn local_settings(
+    vm: &str,
+    address: SocketAddr,
+    platform: SocketAddr,
+    rest: &str,
+) -> Result<LocalSettings, StartError> {
+    let peer = free_address().await?;
+    let text = format!(
+        "vm: {vm}\nzone: az-1\nlisten: {address}\npeer_listen: {peer}\nplatform: {platform}\n\
+         peer_keys: [{{id: dev, secret: \"only-for-development\"}}]\n{rest}"
+    );
+    let settings: Result<LocalSettings, Mistakes> = parse_local("(dev)", &text);
+    Ok(settings?)
+}
+
+async fn register(platform: SocketAddr, settings: &LocalSettings, role: VmRole) {
+    let vm: VmId = settings.identity.vm.clone();
+    let zone: ZoneId = settings.identity.zone.clone();
+    let offers: Option<Target> = settings.upstream.as_ref().map(|u| u.offers.clone());
+    let address = settings.peer_listen;
+    let record = VmRecord {
+        vm,
+        zone,
+        role,
+        address,
+        state: VmState::Live,
+        offers,
+    };
+    let pool = Pool::new(PoolOptions::default());
+    let url = format!("http://{platform}/control/vms");
+    if let Ok(url) = http_types::Url::parse(&url) {
+        let mut req = http_types::Request::new(http_types::Method::Put, url);
+        req.set_body(serde_json::to_vec(&record).unwrap_or_default());
+        let _registered = pool.send(platform, req, PLATFORM_TIMEOUT).await;
+    }
+}
+
+async fn wait_until_ready(entry: &Entry) {
+    for _ in 0..READY_CHECKS {
+        if entry.can_serve(UPSTREAMS.len()) {
+            return;
+        }
+        task::sleep(READY_CHECK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/billing.rs
@@ -0,0 +1,133 @@
+//! Usage records of this entry: confirmed to sidecars, written to ledgers, then settled.
+
+use crate::{entry::Shared, ledger};
+use async_std::task;
+use ibissail_billing::{Outbox, UsageRecord};
+use ibissail_core::{Fault, Millis, RequestId};
+use ibissail_execution::{ConfirmRequest, RunKey, SettleRequest, paths};
+use ibissail_transport::{CallError, call};
+use slog::debug;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+const FLUSH_INTERVAL: Duration = Duration::from_millis(500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+struct State {
+    outbox: Outbox,
+    holders: BTreeMap<RequestId, SocketAddr>,
+}
+
+/// Records that are not durable yet, with the sidecars that hold them too.
+#[derive(Debug, Default)]
+pub(crate) struct Records {
+    state: Mutex<State>,
+}
+
+impl Records {
+    pub(crate) fn len(&self) -> usize {
+        self.lock().outbox.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().outbox.is_empty()
+    }
+
+    fn hold(&self, record: UsageRecord, holder: SocketAddr) {
+        let mut state = self.lock();
+        state.holders.insert(record.request, holder);
+        state.outbox.hold(record, Millis(0));
+    }
+
+    /// Forgets durable records; returns the sidecars to be told.
+    fn settle(&self, requests: &[RequestId]) -> BTreeMap<SocketAddr, Vec<RequestId>> {
+        let mut state = self.lock();
+        state.outbox.settle(requests.iter().copied());
+        let mut holders: BTreeMap<SocketAddr, Vec<RequestId>> = BTreeMap::new();
+        for request in requests {
+            if let Some(holder) = state.holders.remove(request) {
+                holders.entry(holder).or_default().push(*request);
+            }
+        }
+        holders
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Holds a record here and at the sidecar, before the caller gets the last byte.
+pub(crate) async fn confirm(
+    shared: &Shared,
+    sidecar: SocketAddr,
+    key: &RunKey,
+    record: UsageRecord,
+) {
+    shared.records.hold(record.clone(), sidecar);
+    let message = ConfirmRequest {
+        key: key.clone(),
+        record,
+    };
+    let node = &shared.node;
+    let path = paths::CONFIRM;
+    let confirmed: Result<Result<(), Fault>, CallError> = call(
+        &node.pool,
+        &node.keyring,
+        sidecar,
+        path,
+        &message,
+        CALL_TIMEOUT,
+    )
+    .await;
+    if let Err(error) = confirmed {
+        debug!(node.log, "billing: this entry alone holds a record"; "error" => %error);
+    }
+}
+
+/// Writes records until the process stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    while !shared.node.is_stopping() {
+        flush(&shared).await;
+        task::sleep(FLUSH_INTERVAL).await;
+    }
+}
+
+/// Writes all records that wait, and tells the sidecars that hold them.
+pub(crate) async fn flush(shared: &Shared) {
+    let due = shared.records.lock().outbox.due(shared.node.now());
+    for (key, records) in due {
+        if !ledger::write(&shared.node, key, &records).await {
+            continue;
+        }
+        let requests: Vec<RequestId> = records.iter().map(|record| record.request).collect();
+        for (holder, requests) in shared.records.settle(&requests) {
+            settle(shared, holder, requests).await;
+        }
+    }
+    let waiting = i64::try_from(shared.records.len()).unwrap_or(i64::MAX);
+    shared.node.metrics.unsettled_records.set(waiting);
+}
+
+/// Tells a sidecar; if that fails it writes the records itself, which changes nothing.
+async fn settle(shared: &Shared, holder: SocketAddr, requests: Vec<RequestId>) {
+    let node = &shared.node;
+    let message = SettleRequest { requests };
+    let told: Result<Result<(), Fault>, CallError> = call(
+        &node.pool,
+        &node.keyring,
+        holder,
+        paths::SETTLE,
+        &message,
+        CALL_TIMEOUT,
+    )
+    .await;
+    if let Err(error) = told {
+        debug!(node.log, "billing: a sidecar was not told"; "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -0,0 +1,201 @@
+//! Finds a replica for a request and opens the run there.
+
+use crate::entry::{
+    Shared,
+    call::Call,
+    relay::{Place, Relay},
+};
+use ibissail_catalogue::Document;
+use ibissail_core::{ErrorKind, Fault, Millis, Target, VmId};
+use ibissail_execution::{HeldClaim, Refusal, RunKey, RunRequest, paths};
+use ibissail_routing::choose;
+use ibissail_transport::{CallError, SendError, StreamReply, open_stream};
+use slog::info;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+/// A sidecar answers at once whether it takes a run.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What to run, whatever the replica.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) session: bool,
+    pub(crate) fingerprint: u64,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Why a run was not opened.
+#[derive(Debug)]
+pub(crate) enum NotOpened {
+    /// The run has not taken place there, and another replica may be tried.
+    NotRun(Fault),
+    /// The request was sent, and it is not known what became of it.
+    Unknown(Fault),
+    /// No replica may run it.
+    Refused(Fault),
+}
+
+/// A replica for a target, by expected wait.
+pub(crate) fn pick(
+    shared: &Shared,
+    target: &Target,
+    tried: &BTreeSet<VmId>,
+) -> Option<PickedPlace> {
+    let zone = &shared.node.local.identity.zone;
+    let now = shared.node.now();
+    let membership = shared.membership();
+    let replica = choose(&membership, target, zone, tried, now, &mut rand::rng())?;
+    let place = Place {
+        vm: replica.vm.clone(),
+        address: replica.address,
+        incarnation: replica.incarnation?,
+    };
+    Some(PickedPlace {
+        place,
+        ticket: replica.ticket,
+    })
+}
+
+/// A replica with the ticket that its sidecar wants back.
+#[derive(Debug, Clone)]
+pub(crate) struct PickedPlace {
+    pub(crate) place: Place,
+    pub(crate) ticket: Millis,
+}
+
+/// Opens a run at one replica, and gives the sidecar the settings that it lacks.
+pub(crate) async fn open(
+    shared: &Arc<Shared>,
+    call: &Call,
+    job: &Job,
+    key: RunKey,
+    target: &Target,
+    picked: &PickedPlace,
+    claim: Option<HeldClaim>,
+) -> Result<Relay, NotOpened> {
+    let mut documents = Vec::new();
+    loop {
+        let req = request(
+            shared,
+            call,
+            job,
+            key.clone(),
+            target,
+            picked,
+            documents,
+            claim.clone(),
+        )?;
+        let may_send_settings = req.documents.is_empty();
+        match send(shared, picked, &req).await? {
+            Ok(stream) => {
+                let place = picked.place.clone();
+                return Ok(Relay::new(shared, key, place, Some(stream)));
+            }
+            Err(refusal)
+                if refusal.fault.kind == ErrorKind::SettingsBehind && may_send_settings =>
+            {
+                documents = shared.node.settings.documents(&refusal.wanted);
+            }
+            Err(refusal) => return Err(refused(shared, call, picked, refusal)),
+        }
+    }
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "each is one field of the message"
+)]
+fn request(
+    shared: &Shared,
+    call: &Call,
+    job: &Job,
+    key: RunKey,
+    target: &Target,
+    picked: &PickedPlace,
+    documents: Vec<Document>,
+    claim: Option<HeldClaim>,
+) -> Result<RunRequest, NotOpened> {
+    let member = call
+        .member_now(&shared.node.catalogue())
+        .map_err(NotOpened::Refused)?;
+    let time_left = call.time_left(shared);
+    if time_left.0 == 0 {
+        return Err(NotOpened::Refused(ErrorKind::DeadlineUnmet.into()));
+    }
+    Ok(RunRequest {
+        key,
+        incarnation: picked.place.incarnation,
+        ticket: picked.ticket,
+        organisation: member.id.clone(),
+        target: target.clone(),
+        session: job.session,
+        time_left,
+        fingerprint: job.fingerprint,
+        method: job.method.clone(),
+        path: job.path.clone(),
+        content_type: job.content_type.clone(),
+        body: job.body.clone(),
+        stamps: member.stamps.clone(),
+        documents,
+        claim,
+    })
+}
+
+type Sent = Result<StreamReply, Refusal>;
+
+async fn send(shared: &Shared, picked: &PickedPlace, req: &RunRequest) -> Result<Sent, NotOpened> {
+    let node = &shared.node;
+    let address = picked.place.address;
+    let sent: Result<Sent, CallError> = open_stream(
+        &node.pool,
+        &node.keyring,
+        address,
+        paths::RUN,
+        req,
+        OPEN_TIMEOUT,
+    )
+    .await;
+    sent.map_err(|error| {
+        info!(node.log, "dispatch: not opened"; "run" => %req.key, "error" => %error);
+        let now = node.now();
+        shared.membership().on_unreachable(&picked.place.vm, now);
+        match error {
+            CallError::Send(SendError::NotSent(..)) => {
+                NotOpened::NotRun(Fault::new(ErrorKind::NoReplica, error.to_string()))
+            }
+            _ => NotOpened::Unknown(Fault::new(ErrorKind::OutcomeUnknown, error.to_string())),
+        }
+    })
+}
+
+fn refused(shared: &Arc<Shared>, call: &Call, picked: &PickedPlace, refusal: Refusal) -> NotOpened {
+    let Place {
+        vm, incarnation, ..
+    } = &picked.place;
+    let Refusal { fault, newer, .. } = refusal;
+    info!(call.log, "dispatch: refused"; "vm" => %vm, "error" => %fault);
+    let had_news = !newer.is_empty();
+    shared.node.learn(newer);
+    match fault.kind {
+        ErrorKind::Draining => shared.membership().on_draining(vm, *incarnation),
+        ErrorKind::NoReplica => shared.membership().on_full(vm),
+        ErrorKind::StaleTicket => {
+            let now = shared.node.now();
+            shared.membership().on_unreachable(vm, now);
+        }
+        _ => {}
+    }
+    // With newer settings the request may still have an allowed version.
+    let again = fault.kind.may_reroute()
+        || fault.kind == ErrorKind::SettingsBehind
+        || fault.kind == ErrorKind::UnknownRun
+        || had_news;
+    if again {
+        NotOpened::NotRun(fault)
+    } else {
+        NotOpened::Refused(fault)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/probing.rs
@@ -0,0 +1,57 @@
+//! Keeps the membership fresh: the list of VMs, and probes of sidecars.
+
+use crate::entry::Shared;
+use async_std::task;
+use ibissail_core::{Fault, VmId};
+use ibissail_execution::{Probe, ProbeReply, paths};
+use ibissail_transport::{CallError, call};
+use slog::debug;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Probes of one interval; bounds the probes a second whatever the number of replicas.
+const PROBES_PER_INTERVAL: usize = 16;
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Runs until the process stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    while !shared.node.is_stopping() {
+        let listed = shared.node.peers.listed();
+        shared.membership().on_list(&listed);
+        let chosen = shared
+            .membership()
+            .to_probe(PROBES_PER_INTERVAL, &mut rand::rng());
+        for (vm, address) in chosen {
+            task::spawn(probe(Arc::clone(&shared), vm, address));
+        }
+        task::sleep(pace(&shared)).await;
+    }
+}
+
+/// A shorter pause while there is nothing to route to.
+fn pace(shared: &Shared) -> Duration {
+    let known = !shared.membership().is_empty();
+    if known { INTERVAL } else { INTERVAL / 10 }
+}
+
+async fn probe(shared: Arc<Shared>, vm: VmId, address: SocketAddr) {
+    let node = &shared.node;
+    let answered: Result<Result<ProbeReply, Fault>, CallError> = call(
+        &node.pool,
+        &node.keyring,
+        address,
+        paths::PROBE,
+        &Probe {},
+        TIMEOUT,
+    )
+    .await;
+    let now = node.now();
+    match answered {
+        Ok(Ok(reply)) => shared.membership().on_probe(&reply, now),
+        Ok(Err(fault)) => debug!(node.log, "probe: refused"; "vm" => %vm, "error" => %fault),
+        Err(error) => {
+            debug!(node.log, "probe: no answer"; "vm" => %vm, "error" => %error);
+            shared.membership().on_unreachable(&vm, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/relay.rs
@@ -0,0 +1,281 @@
+//! Reads a run's answer from a sidecar, over a new connection when one breaks or goes silent.
+
+use crate::entry::{Shared, call::Call};
+use async_std::{future::timeout, task};
+use ibissail_core::{ErrorKind, Fault, Incarnation, Ran, VmId};
+use ibissail_execution::{
+    Assembly, AttachRequest, CancelRequest, Ending, Frame, FrameKind, Refusal, RunKey, TokenCounts,
+    paths,
+};
+use ibissail_routing::Fate;
+use ibissail_transport::{CallError, StreamReply, call, open_stream};
+use slog::{debug, info};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// A sidecar that sends nothing for so long is asked again over a new connection.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+const ATTACH_TIMEOUT: Duration = Duration::from_secs(1);
+const ATTACH_PAUSE: Duration = Duration::from_millis(100);
+/// Failures to attach in a row after which the sidecar counts as gone.
+const MAX_ATTACH_FAILURES: u32 = 4;
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where a run takes place.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) vm: VmId,
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// What a run has sent.
+#[derive(Debug)]
+pub(crate) enum Item {
+    /// The next bytes of the answer.
+    Piece(Vec<u8>),
+    /// The answer was whole.
+    End(Whole),
+}
+
+/// What is known of a whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Whole {
+    pub(crate) status: u16,
+    pub(crate) content_type: String,
+    pub(crate) tokens: TokenCounts,
+}
+
+/// The answer of one run, as it arrives.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    pub(crate) key: RunKey,
+    pub(crate) place: Place,
+    assembly: Assembly,
+    stream: Option<StreamReply>,
+    ended: bool,
+    fate: Fate,
+}
+
+enum Received {
+    Frame(Frame),
+    Broken(String),
+}
+
+impl Relay {
+    /// A relay of a run that has just been opened.
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        key: RunKey,
+        place: Place,
+        stream: Option<StreamReply>,
+    ) -> Self {
+        shared.membership().on_start(&place.vm);
+        let shared = Arc::clone(shared);
+        Self {
+            shared,
+            key,
+            place,
+            assembly: Assembly::default(),
+            stream,
+            ended: false,
+            fate: Fate::Left,
+        }
+    }
+
+    /// The next bytes, or the end.
+    pub(crate) async fn next(&mut self, call: &Call) -> Result<Item, Fault> {
+        loop {
+            if call.time_left(&self.shared).0 == 0 {
+                return Err(ErrorKind::Timeout.into());
+            }
+            let Some(stream) = &mut self.stream else {
+                self.attach(call, false).await?;
+                continue;
+            };
+            match receive(stream).await {
+                Received::Frame(frame) if frame.key != self.key => {
+                    self.shared.node.metrics.crossed_frames.inc();
+                }
+                Received::Frame(frame) => {
+                    if let Some(item) = self.take(frame.kind)? {
+                        return Ok(item);
+                    }
+                }
+                Received::Broken(reason) => {
+                    info!(call.log, "relay: a connection broke"; "reason" => reason);
+                    self.drop_stream();
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, kind: FrameKind) -> Result<Option<Item>, Fault> {
+        match kind {
+            FrameKind::Alive => Ok(None),
+            FrameKind::Piece { offset, bytes } => match self.assembly.accept(offset, &bytes) {
+                Ok([]) => Ok(None),
+                Ok(fresh) => Ok(Some(Item::Piece(fresh.to_vec()))),
+                Err(gap) => {
+                    debug!(self.shared.node.log, "relay: a piece is missing"; "gap" => %gap);
+                    self.drop_stream();
+                    Ok(None)
+                }
+            },
+            FrameKind::End(Ending::Failed(fault)) => {
+                self.ended = true;
+                self.fate = if fault.ran == Ran::No {
+                    Fate::Left
+                } else {
+                    Fate::Failed
+                };
+                Err(fault)
+            }
+            FrameKind::End(Ending::Whole {
+                status,
+                content_type,
+                length,
+                digest,
+                tokens,
+            }) => {
+                if let Err(error) = self.assembly.check(length, digest) {
+                    debug!(self.shared.node.log, "relay: not whole"; "error" => %error);
+                    self.drop_stream();
+                    return Ok(None);
+                }
+                self.ended = true;
+                self.fate = Fate::Answered;
+                Ok(Some(Item::End(Whole {
+                    status,
+                    content_type,
+                    tokens,
+                })))
+            }
+        }
+    }
+
+    /// The rest of the answer, from an item that has been received.
+    pub(crate) async fn collect(
+        &mut self,
+        call: &Call,
+        first: Item,
+    ) -> Result<(Vec<u8>, Whole), Fault> {
+        let mut bytes = Vec::new();
+        let mut item = first;
+        loop {
+            match item {
+                Item::Piece(piece) => bytes.extend_from_slice(&piece),
+                Item::End(whole) => return Ok((bytes, whole)),
+            }
+            item = self.next(call).await?;
+        }
+    }
+
+    /// Gives the connection back once the run has ended, so that the next request may use it.
+    pub(crate) async fn finish(&mut self) {
+        let Some(mut stream) = self.stream.take() else {
+            return;
+        };
+        let rest = timeout(ATTACH_PAUSE, stream.frames.next::<Frame>()).await;
+        if let Ok(Ok(None)) = rest {
+            stream.release();
+        }
+    }
+
+    fn drop_stream(&mut self) {
+        self.stream = None;
+        self.shared.node.pool.forget(self.place.address);
+    }
+
+    /// Asks for the rest of the answer; with `bar`, a keyed run that has not begun never will.
+    pub(crate) async fn attach(&mut self, call: &Call, bar: bool) -> Result<(), Fault> {
+        self.shared.node.metrics.reattachments.inc();
+        let mut failures = 0;
+        loop {
+            let message = AttachRequest {
+                key: self.key.clone(),
+                incarnation: self.place.incarnation,
+                from: self.assembly.length(),
+                refuse_if_absent: bar,
+            };
+            let node = &self.shared.node;
+            let address = self.place.address;
+            let opened: Result<Result<StreamReply, Refusal>, CallError> = open_stream(
+                &node.pool,
+                &node.keyring,
+                address,
+                paths::ATTACH,
+                &message,
+                ATTACH_TIMEOUT,
+            )
+            .await;
+            match opened {
+                Ok(Ok(stream)) => {
+                    self.stream = Some(stream);
+                    return Ok(());
+                }
+                Ok(Err(refusal)) => {
+                    self.ended = true;
+                    return Err(refusal.fault);
+                }
+                Err(error) => {
+                    info!(call.log, "relay: cannot attach"; "error" => %error);
+                    failures += 1;
+                }
+            }
+            if failures >= MAX_ATTACH_FAILURES || call.time_left(&self.shared).0 == 0 {
+                self.fate = Fate::Failed;
+                return Err(self.lost());
+            }
+            task::sleep(ATTACH_PAUSE).await;
+        }
+    }
+
+    fn lost(&self) -> Fault {
+        let detail = format!("the sidecar on `{}` does not answer", self.place.vm);
+        match self.key.is_keyed() {
+            true => Fault::new(ErrorKind::OutcomeUnknown, detail),
+            false => Fault {
+                ran: Ran::Unknown,
+                ..Fault::new(ErrorKind::Incomplete, detail)
+            },
+        }
+    }
+}
+
+async fn receive(stream: &mut StreamReply) -> Received {
+    match timeout(SILENCE_LIMIT, stream.frames.next::<Frame>()).await {
+        Ok(Ok(Some(frame))) => Received::Frame(frame),
+        Ok(Ok(None)) => Received::Broken("the answer stopped".to_owned()),
+        Ok(Err(error)) => Received::Broken(error.to_string()),
+        Err(_elapsed) => Received::Broken("the connection is silent".to_owned()),
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let now = self.shared.node.now();
+        self.shared
+            .membership()
+            .on_end(&self.place.vm, self.fate, now);
+        if self.ended || self.key.is_keyed() {
+            return;
+        }
+        let (shared, address) = (Arc::clone(&self.shared), self.place.address);
+        let message = CancelRequest {
+            key: self.key.clone(),
+        };
+        task::spawn(async move {
+            let node = &shared.node;
+            let _gone: Result<Result<(), Fault>, CallError> = call(
+                &node.pool,
+                &node.keyring,
+                address,
+                paths::CANCEL,
+                &message,
+                CANCEL_TIMEOUT,
+            )
+            .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,69 @@
+//! Why a daemon does not start, and its exit codes.
+
+use ibissail_settings::Mistakes;
+use quick_error::quick_error;
+use std::net::SocketAddr;
+
+quick_error! {
+    /// Why a daemon does not start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// The settings cannot be read.
+        Unreadable(file: String, detail: String) {
+            display("{}: cannot be read: {}", file, detail)
+        }
+        /// The settings have mistakes.
+        Settings(mistakes: Mistakes) {
+            from()
+            display("the settings have mistakes:\n{}", mistakes)
+        }
+        /// A sidecar needs an upstream.
+        NoUpstream(file: String) {
+            display("{}: the key `upstream` is missing; a sidecar needs it", file)
+        }
+        /// The address is taken or not of this VM.
+        Listen(address: SocketAddr, detail: String) {
+            display("cannot listen on {}: {}", address, detail)
+        }
+        /// The platform does not take the first settings.
+        Platform(detail: String) {
+            display("the platform does not take the settings: {}", detail)
+        }
+        /// Signals cannot be received.
+        Signals(detail: String) {
+            display("cannot receive signals: {}", detail)
+        }
+    }
+}
+
+/// Exit codes of the daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitCode {
+    /// A planned stop.
+    Success,
+    /// A failure at run time.
+    Failure,
+    /// Bad arguments or settings.
+    Settings,
+}
+
+impl From<ExitCode> for i32 {
+    fn from(code: ExitCode) -> Self {
+        match code {
+            ExitCode::Success => 0,
+            ExitCode::Failure => 1,
+            ExitCode::Settings => 2,
+        }
+    }
+}
+
+impl StartError {
+    /// The exit code for this error.
+    #[must_use]
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Unreadable(..) | Self::Settings(_) | Self::NoUpstream(_) => ExitCode::Settings,
+            Self::Listen(..) | Self::Platform(_) | Self::Signals(_) => ExitCode::Failure,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ledger.rs
@@ -0,0 +1,52 @@
+//! Writes usage records to ledgers in the platform, each counted once.
+
+use crate::node::Node;
+use ibissail_billing::{Ledger, LedgerKey, UsageRecord, counted};
+use ibissail_platform::{Object, PlatformError};
+use slog::{debug, error};
+
+/// Writers of the same ledger that may come in between before this one tries again later.
+const MAX_CONFLICTS: u32 = 8;
+
+/// Counts records in their ledger; `true` once that is durable.
+///
+/// Each try reads the ledger first, so a write whose answer was lost is found and not repeated.
+pub(crate) async fn write(node: &Node, key: LedgerKey, records: &[UsageRecord]) -> bool {
+    let path = key.to_string();
+    for _ in 0..MAX_CONFLICTS {
+        match try_write(node, &path, records).await {
+            Ok(()) => return true,
+            Err(PlatformError::Conflict(..)) => {}
+            Err(reason) => {
+                debug!(node.log, "ledger: not written yet"; "ledger" => &path, "error" => %reason);
+                return false;
+            }
+        }
+    }
+    false
+}
+
+async fn try_write(node: &Node, path: &str, records: &[UsageRecord]) -> Result<(), PlatformError> {
+    let current = node.platform.get(path).await?;
+    let ledger = match &current {
+        Some(object) => parse(node, object)?,
+        None => Ledger::default(),
+    };
+    let Some(next) = counted(&ledger, records) else {
+        return Ok(());
+    };
+    let value =
+        serde_json::to_string(&next).map_err(|error| PlatformError::NotDone(error.to_string()))?;
+    match current {
+        Some(object) => node.platform.update(path, object.revision, &value).await?,
+        None => node.platform.create(path, &value).await?,
+    };
+    Ok(())
+}
+
+fn parse(node: &Node, object: &Object) -> Result<Ledger, PlatformError> {
+    serde_json::from_str(&object.value).map_err(|reason| {
+        error!(node.log, "ledger: cannot be read"; "ledger" => &object.key, "error" => %reason);
+        PlatformError::NotDone(reason.to_string())
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! The daemons of ibissail: entry, sidecar and the development mode.
+
+mod answer;
+pub mod cli;
+mod clock;
+mod dev;
+mod entry;
+mod error;
+mod ledger;
+mod log;
+mod metrics;
+mod node;
+mod options;
+mod process;
+mod sidecar;
+mod standin;
+
+pub use error::{ExitCode, StartError};
+pub use options::Options;
+pub use process::run;
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,138 @@
+//! What entries and sidecars have in common: settings, peers, and their spread.
+
+mod gossip;
+mod peers;
+mod replica;
+mod watching;
+
+pub(crate) use replica::SettingsReplica;
+
+use crate::{clock::Clock, metrics::Metrics, node::peers::Peers};
+use async_std::task;
+use http_types::{Request, Response};
+use ibissail_catalogue::{Catalogue, Document, Exchange};
+use ibissail_core::{Fault, Incarnation, Millis};
+use ibissail_platform::{HttpPlatform, ObjectApi};
+use ibissail_settings::LocalSettings;
+use ibissail_transport::{Envelope, Keyring, Pool, PoolOptions, Stop};
+use slog::{Logger, info, o};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a new process looks for peers before one answer is enough.
+const SYNC_PATIENCE: Millis = Millis(5_000);
+/// Peers that must have answered a new process while the platform is down.
+const SYNC_PEERS: usize = 3;
+
+/// A process among the others.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) local: LocalSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Pool,
+    pub(crate) keyring: Keyring,
+    pub(crate) platform: Arc<dyn ObjectApi>,
+    pub(crate) settings: SettingsReplica,
+    pub(crate) peers: Peers,
+    sequence: AtomicU64,
+    stop: Stop,
+}
+
+impl Node {
+    /// Starts the tasks that keep the settings new.
+    pub(crate) fn start(local: LocalSettings, log: &Logger, stop: Stop) -> Arc<Self> {
+        let platform = HttpPlatform::new(local.platform, PLATFORM_TIMEOUT);
+        let incarnation = Incarnation(rand::random());
+        let log = log.new(o!("vm" => local.identity.vm.to_string()));
+        info!(log, "node: started"; "incarnation" => %incarnation);
+        let node = Arc::new(Self {
+            incarnation,
+            clock: Clock::new(),
+            log,
+            metrics: Metrics::new(),
+            pool: Pool::new(PoolOptions::default()),
+            keyring: Keyring::new(local.peer_keys.clone()),
+            platform: Arc::new(platform),
+            settings: SettingsReplica::default(),
+            peers: Peers::new(&local),
+            sequence: AtomicU64::new(0),
+            local,
+            stop,
+        });
+        task::spawn(peers::follow_list(Arc::clone(&node)));
+        task::spawn(watching::follow_platform(Arc::clone(&node)));
+        task::spawn(gossip::run(Arc::clone(&node)));
+        node
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop.is_stopping()
+    }
+
+    pub(crate) fn catalogue(&self) -> Arc<Catalogue> {
+        self.settings.catalogue()
+    }
+
+    /// Whether the settings are known to be as new as can be learned.
+    pub(crate) fn is_synced(&self) -> bool {
+        if self.catalogue().root().is_none() {
+            return false;
+        }
+        let answered = self.peers.answered();
+        let enough = SYNC_PEERS.min(self.peers.len()).max(1);
+        self.settings.is_platform_read()
+            || answered >= enough
+            || (answered > 0 && self.now() > SYNC_PATIENCE)
+    }
+
+    /// Takes documents in and pushes what was new to a few peers.
+    pub(crate) fn learn(self: &Arc<Self>, documents: Vec<Document>) {
+        let news = self.settings.learn(documents, &self.log);
+        self.spread(news);
+    }
+
+    fn spread(self: &Arc<Self>, news: Vec<Document>) {
+        if news.is_empty() {
+            return;
+        }
+        self.metrics.documents_learned.inc_by(news.len() as u64);
+        for document in &news {
+            info!(self.log, "settings: learned";
+                "key" => &document.key, "revision" => %document.revision);
+        }
+        task::spawn(gossip::push(Arc::clone(self), news));
+    }
+
+    /// Answers a peer that compares or sends settings.
+    pub(crate) async fn answer_exchange(self: &Arc<Self>, req: &mut Request) -> Response {
+        match self.take_exchange(req).await {
+            Ok(res) => res,
+            Err(fault) => Response::new(fault.kind.answer().status),
+        }
+    }
+
+    async fn take_exchange(self: &Arc<Self>, req: &mut Request) -> Result<Response, Fault> {
+        let envelope = Envelope::receive(&self.keyring, req).await?;
+        let message: Exchange = envelope.message()?;
+        let (news, reply) = self.settings.exchange(message, &self.log);
+        self.spread(news);
+        Ok(envelope.answer(&reply))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/peers.rs
@@ -0,0 +1,109 @@
+//! The other processes, from the settings and the platform's list of VMs.
+
+use crate::node::Node;
+use async_std::task;
+use ibissail_core::VmId;
+use ibissail_platform::VmRecord;
+use ibissail_settings::LocalSettings;
+use slog::debug;
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+/// Time between two reads of the list in a small fleet.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Reads of the list a second that all processes together may make.
+const LIST_READS_PER_SECOND: u64 = 500;
+
+#[derive(Debug, Default)]
+struct State {
+    configured: BTreeSet<SocketAddr>,
+    listed: Vec<VmRecord>,
+    answered: BTreeSet<SocketAddr>,
+}
+
+/// The other processes.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    own: SocketAddr,
+    state: Mutex<State>,
+}
+
+impl Peers {
+    pub(crate) fn new(local: &LocalSettings) -> Self {
+        let configured = local
+            .peers
+            .iter()
+            .copied()
+            .filter(|peer| *peer != local.peer_listen);
+        let state = State {
+            configured: configured.collect(),
+            ..State::default()
+        };
+        Self {
+            own: local.peer_listen,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Addresses of all other processes.
+    pub(crate) fn addresses(&self) -> BTreeSet<SocketAddr> {
+        let state = self.lock();
+        let listed = state.listed.iter().map(|record| record.address);
+        let mut addresses: BTreeSet<SocketAddr> = listed.collect();
+        addresses.extend(&state.configured);
+        addresses.remove(&self.own);
+        addresses
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.addresses().len()
+    }
+
+    /// How many peers have compared settings with this process.
+    pub(crate) fn answered(&self) -> usize {
+        self.lock().answered.len()
+    }
+
+    pub(crate) fn set_answered(&self, peer: SocketAddr) {
+        self.lock().answered.insert(peer);
+    }
+
+    pub(crate) fn listed(&self) -> Vec<VmRecord> {
+        self.lock().listed.clone()
+    }
+
+    /// VMs of this process's zone, by the list.
+    pub(crate) fn zone(&self, local: &LocalSettings) -> Vec<VmId> {
+        let state = self.lock();
+        let same = state
+            .listed
+            .iter()
+            .filter(|record| record.zone == local.identity.zone);
+        same.map(|record| record.vm.clone()).collect()
+    }
+
+    fn set_listed(&self, listed: Vec<VmRecord>) {
+        self.lock().listed = listed;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads the list of VMs, less often in a large fleet.
+pub(crate) async fn follow_list(node: Arc<Node>) {
+    while !node.is_stopping() {
+        match node.platform.vms().await {
+            Ok(vms) => node.peers.set_listed(vms),
+            Err(error) => debug!(node.log, "peers: no list of VMs"; "error" => %error),
+        }
+        let fleet = node.peers.len() as u64;
+        let share = Duration::from_secs(fleet / LIST_READS_PER_SECOND);
+        task::sleep(LIST_INTERVAL.max(share)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/replica.rs
@@ -0,0 +1,118 @@
+//! This process's copy of the settings, and the catalogue that follows from it.
+
+use ibissail_catalogue::{
+    Catalogue, Document, Documents, Exchange, ExchangeReply, Stamp, WITHDRAWALS_KEY, answer, learn,
+    opening,
+};
+use slog::{Logger, error};
+use std::sync::{
+    Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
+    atomic::{AtomicBool, Ordering},
+};
+
+#[derive(Debug, Default)]
+struct State {
+    documents: Documents,
+    catalogue: Arc<Catalogue>,
+}
+
+impl State {
+    fn rebuild(&mut self, log: &Logger) {
+        let (catalogue, unreadable) = Catalogue::build(&self.documents, &self.catalogue);
+        for reason in unreadable {
+            error!(log, "settings: a document cannot be read"; "reason" => reason);
+        }
+        self.catalogue = Arc::new(catalogue);
+    }
+}
+
+/// The newest settings that this process has seen.
+#[derive(Debug, Default)]
+pub(crate) struct SettingsReplica {
+    state: RwLock<State>,
+    platform_read: AtomicBool,
+}
+
+impl SettingsReplica {
+    pub(crate) fn catalogue(&self) -> Arc<Catalogue> {
+        Arc::clone(&self.read().catalogue)
+    }
+
+    pub(crate) fn set_platform_read(&self) {
+        self.platform_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the platform itself has been read since the start.
+    pub(crate) fn is_platform_read(&self) -> bool {
+        self.platform_read.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.read().documents.digest()
+    }
+
+    pub(crate) fn stamps(&self) -> Vec<Stamp> {
+        self.read().documents.stamps()
+    }
+
+    pub(crate) fn documents(&self, keys: &[String]) -> Vec<Document> {
+        let state = self.read();
+        keys.iter()
+            .filter_map(|key| state.documents.get(key))
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn opening(&self, push: Vec<Document>) -> Exchange {
+        opening(&self.read().documents, push)
+    }
+
+    /// Takes documents in; returns those that were new.
+    pub(crate) fn learn(&self, offered: Vec<Document>, log: &Logger) -> Vec<Document> {
+        if offered.is_empty() {
+            return Vec::new();
+        }
+        let mut state = self.write();
+        let news = learn(&mut state.documents, offered);
+        if !news.is_empty() {
+            state.rebuild(log);
+        }
+        news
+    }
+
+    pub(crate) fn exchange(
+        &self,
+        message: Exchange,
+        log: &Logger,
+    ) -> (Vec<Document>, ExchangeReply) {
+        let mut state = self.write();
+        let (news, reply) = answer(&mut state.documents, message);
+        if !news.is_empty() {
+            state.rebuild(log);
+        }
+        (news, reply)
+    }
+
+    /// Keys of which the sender of these stamps has newer documents.
+    pub(crate) fn behind(&self, stamps: &[Stamp]) -> Vec<String> {
+        self.read().documents.behind(stamps)
+    }
+
+    /// Documents, of those that the stamps are about, that are newer here.
+    pub(crate) fn newer(&self, stamps: &[Stamp]) -> Vec<Document> {
+        let state = self.read();
+        let newer = state.documents.newer_than(stamps).into_iter();
+        let concerned = |document: &Document| {
+            document.key == WITHDRAWALS_KEY || stamps.iter().any(|s| s.key == document.key)
+        };
+        newer.filter(concerned).collect()
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,52 @@
+//! Starts what the options ask for, and stops it on a signal.
+
+use crate::{
+    Options, StartError, dev, entry::Entry, log, options::Role, sidecar::Sidecar, standin,
+};
+use async_signal::{Signal, Signals};
+use async_std::{net::TcpListener, stream::StreamExt, task};
+use std::net::SocketAddr;
+
+/// Runs a daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub fn run(options: Options) -> Result<(), StartError> {
+    let log = log::root(options.log_format, options.log_level);
+    task::block_on(async move {
+        match options.role {
+            Role::Entry(settings) => {
+                let entry = Entry::start(*settings, log).await?;
+                wait_for_stop_signal().await?;
+                entry.stop().await;
+                Ok(())
+            }
+            Role::Sidecar(settings, upstream) => {
+                let sidecar = Sidecar::start(*settings, upstream, log).await?;
+                wait_for_stop_signal().await?;
+                sidecar.stop().await;
+                Ok(())
+            }
+            Role::Dev(port) => dev::run(port, log).await,
+            Role::Platform(address) => standin::platform(address).await,
+            Role::Engine(address, options) => standin::engine(address, options).await,
+            Role::Service(address) => standin::service(address).await,
+        }
+    })
+}
+
+/// Listens on an address.
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Listen(address, error.kind().to_string()))
+}
+
+/// Resolves at SIGTERM or SIGINT.
+pub(crate) async fn wait_for_stop_signal() -> Result<(), StartError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])
+        .map_err(|error| StartError::Signals(error.to_string()))?;
+    let _signal = signals.next().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/housekeeping.rs
@@ -0,0 +1,58 @@
+//! Regular work of a sidecar: withdrawals, abandoned runs, expiry, ledgers.
+
+use crate::sidecar::{Shared, records, runs};
+use async_std::task;
+use ibissail_catalogue::Purpose;
+use ibissail_core::{ErrorKind, Millis};
+use ibissail_execution::{RunKey, RunRequest};
+use ibissail_settings::OnWithdrawal;
+use std::{sync::Arc, time::Duration};
+
+const INTERVAL: Duration = Duration::from_millis(200);
+/// How long an attempt runs on without a reader, so that its entry may come back for it.
+const ABANDONED_AFTER: Millis = Millis(5_000);
+
+/// Runs until the process stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    while !shared.node.is_stopping() {
+        cancel_withdrawn(&shared);
+        cancel_abandoned(&shared);
+        let now = shared.node.now();
+        shared.table().expire(now);
+        records::flush(&shared, now).await;
+        task::sleep(INTERVAL).await;
+    }
+}
+
+fn cancel_withdrawn(shared: &Shared) {
+    let requests: Vec<Arc<RunRequest>> = shared
+        .active()
+        .values()
+        .map(|active| Arc::clone(&active.request))
+        .collect();
+    for req in requests {
+        if must_cancel(shared, &req) {
+            runs::cancel(shared, &req.key, "the version has been withdrawn");
+        }
+    }
+}
+
+fn must_cancel(shared: &Shared, req: &RunRequest) -> bool {
+    let catalogue = shared.node.catalogue();
+    let Ok(member) = catalogue.member(&req.organisation) else {
+        return false;
+    };
+    if member.organisation.on_withdrawal != OnWithdrawal::Cancel {
+        return false;
+    }
+    let permit = catalogue.permit(&member, &req.target, Purpose::Session);
+    permit.is_err_and(|fault| fault.kind == ErrorKind::VersionWithdrawn)
+}
+
+fn cancel_abandoned(shared: &Shared) {
+    let now = shared.node.now();
+    let abandoned: Vec<RunKey> = shared.table().abandoned(ABANDONED_AFTER, now);
+    for key in abandoned {
+        runs::cancel(shared, &key, "nobody reads it");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -0,0 +1,149 @@
+//! The sidecar: the last check before an upstream, and the only process that gives it work.
+
+mod claims;
+mod housekeeping;
+mod protocol;
+mod records;
+mod runs;
+mod sse;
+mod upstream;
+
+use crate::{StartError, answer, node::Node, process::listen};
+use async_std::task::{self, JoinHandle};
+use ibissail_billing::Outbox;
+use ibissail_core::Millis;
+use ibissail_execution::{Bounds, RunKey, RunTable};
+use ibissail_settings::{LocalSettings, UpstreamSettings};
+use ibissail_transport::{Pool, PoolOptions, ServerOptions, StopHandle, serve, stop_pair};
+use runs::Active;
+use slog::{Logger, info, warn};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+/// Greatest age of the ticket in a run request.
+const TICKET_AGE: Millis = Millis(60_000);
+/// How long an attempt that nobody confirms is kept.
+const ATTEMPT_RETENTION: Millis = Millis(30_000);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// State of a sidecar that its tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    node: Arc<Node>,
+    upstream: UpstreamSettings,
+    upstream_pool: Pool,
+    table: Mutex<RunTable>,
+    active: Mutex<BTreeMap<RunKey, Active>>,
+    outbox: Mutex<Outbox>,
+}
+
+impl Shared {
+    fn table(&self) -> MutexGuard<'_, RunTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn active(&self) -> MutexGuard<'_, BTreeMap<RunKey, Active>> {
+        self.active.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn outbox(&self) -> MutexGuard<'_, Outbox> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running sidecar.
+#[derive(Debug)]
+pub(crate) struct Sidecar {
+    shared: Arc<Shared>,
+    servers: Vec<JoinHandle<()>>,
+    stop: StopHandle,
+}
+
+impl Sidecar {
+    /// Listens and starts all tasks.
+    pub(crate) async fn start(
+        local: LocalSettings,
+        upstream: UpstreamSettings,
+        log: Logger,
+    ) -> Result<Self, StartError> {
+        let public = listen(local.listen).await?;
+        let own = listen(local.peer_listen).await?;
+        let (handle, stop) = stop_pair();
+        let bounds = Bounds {
+            concurrency: upstream.concurrency,
+            memory: local.memory,
+            retention: upstream.retention,
+            attempt_retention: ATTEMPT_RETENTION,
+            ticket_age: TICKET_AGE,
+        };
+        let node = Node::start(local, &log, stop.clone());
+        let shared = Arc::new(Shared {
+            table: Mutex::new(RunTable::new(node.incarnation, bounds)),
+            node,
+            upstream,
+            upstream_pool: Pool::new(PoolOptions::default()),
+            active: Mutex::default(),
+            outbox: Mutex::default(),
+        });
+        task::spawn(housekeeping::run(Arc::clone(&shared)));
+        let options = ServerOptions::default();
+        let peer = Arc::clone(&shared);
+        let peer_server = serve(own, options, stop.clone(), move |req, _caller| {
+            protocol::answer(Arc::clone(&peer), req)
+        });
+        let status = Arc::clone(&shared);
+        let status_server = serve(public, options, stop, move |req, _caller| {
+            let shared = Arc::clone(&status);
+            async move {
+                let ready = shared.node.is_synced() && !shared.table().is_draining();
+                answer::status(&req, &shared.node, ready)
+            }
+        });
+        let servers = vec![task::spawn(peer_server), task::spawn(status_server)];
+        Ok(Self {
+            shared,
+            servers,
+            stop: handle,
+        })
+    }
+
+    /// Takes nothing new, finishes what runs, hands over what must last, and stops.
+    pub(crate) async fn stop(self) {
+        let log = &self.shared.node.log;
+        info!(log, "sidecar: draining");
+        self.shared.table().drain();
+        let limit = self
+            .shared
+            .node
+            .now()
+            .plus(self.shared.node.local.stop_timeout);
+        while !self.is_finished() && self.shared.node.now() < limit {
+            records::flush(&self.shared, Millis(u64::MAX)).await;
+            task::sleep(STOP_CHECK_INTERVAL).await;
+        }
+        if !self.is_finished() {
+            warn!(log, "sidecar: stopped with work left";
+                "runs" => self.shared.table().running(), "records" => self.shared.outbox().len());
+        }
+        self.stop.stop();
+        let rest = limit
+            .since(self.shared.node.now())
+            .duration()
+            .max(STOP_CHECK_INTERVAL);
+        for server in self.servers {
+            let _late = async_std::future::timeout(rest, server).await;
+        }
+        info!(log, "sidecar: stopped");
+    }
+
+    fn is_finished(&self) -> bool {
+        let table = self.shared.table();
+        table.running() == 0
+            && !table.has_readers()
+            && !table.has_unsettled()
+            && self.shared.outbox().is_empty()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -0,0 +1,153 @@
+//! The sidecar's side of the protocol between processes.
+
+use crate::sidecar::{Shared, runs};
+use http_types::{Request, Response};
+use ibissail_catalogue::Purpose;
+use ibissail_core::{ErrorKind, Fault, Millis};
+use ibissail_execution::{
+    Admission, AttachRequest, CancelRequest, ConfirmRequest, Load, Probe, ProbeReply, Refusal,
+    RunRequest, SettleRequest, SidecarState, paths,
+};
+use ibissail_transport::Envelope;
+use slog::{info, warn};
+use std::sync::Arc;
+
+/// Time for the entry to write a record before the sidecar does.
+const RECORD_GRACE: Millis = Millis(10_000);
+
+/// Answers one message.
+pub(crate) async fn answer(shared: Arc<Shared>, mut req: Request) -> Response {
+    let path = req.url().path().to_owned();
+    if path == paths::EXCHANGE {
+        return shared.node.answer_exchange(&mut req).await;
+    }
+    let envelope = match Envelope::receive(&shared.node.keyring, &mut req).await {
+        Ok(envelope) => envelope,
+        Err(fault) => {
+            warn!(shared.node.log, "protocol: a message is not accepted"; "error" => %fault);
+            return Response::new(fault.kind.answer().status);
+        }
+    };
+    let answered = match path.as_str() {
+        paths::RUN => run(&shared, &envelope),
+        paths::ATTACH => attach(&shared, &envelope),
+        paths::CANCEL => cancel(&shared, &envelope),
+        paths::CONFIRM => confirm(&shared, &envelope),
+        paths::SETTLE => settle(&shared, &envelope),
+        paths::PROBE => probe(&shared, &envelope),
+        _ => Err(Refusal::from(Fault::from(ErrorKind::NotFound))),
+    };
+    answered.unwrap_or_else(|refusal| envelope.refuse(&refusal))
+}
+
+type Answered = Result<Response, Refusal>;
+
+fn run(shared: &Arc<Shared>, envelope: &Envelope) -> Answered {
+    let mut req: RunRequest = envelope.message()?;
+    shared.node.learn(std::mem::take(&mut req.documents));
+    check_settings(shared, &req)?;
+    check_permission(shared, &req)?;
+    let key = req.key.clone();
+    let now = shared.node.now();
+    let admission = shared.table().admit(&req, now);
+    match admission {
+        Admission::Start => runs::start(shared, req),
+        Admission::Attach => {}
+        Admission::Refuse(fault) => return Err(fault.into()),
+    }
+    Ok(envelope.stream(runs::read(shared, key, 0)))
+}
+
+/// The sidecar decides only by settings at least as new as the sender's.
+fn check_settings(shared: &Shared, req: &RunRequest) -> Result<(), Refusal> {
+    if !shared.node.is_synced() {
+        return Err(Refusal::from(Fault::from(ErrorKind::SettingsMissing)));
+    }
+    let wanted = shared.node.settings.behind(&req.stamps);
+    if wanted.is_empty() {
+        return Ok(());
+    }
+    Err(Refusal {
+        fault: ErrorKind::SettingsBehind.into(),
+        wanted,
+        newer: Vec::new(),
+    })
+}
+
+fn check_permission(shared: &Shared, req: &RunRequest) -> Result<(), Refusal> {
+    let refuse = |fault: Fault| {
+        info!(shared.node.log, "run: refused"; "run" => %req.key, "error" => %fault);
+        let newer = shared.node.settings.newer(&req.stamps);
+        Refusal {
+            fault,
+            wanted: Vec::new(),
+            newer,
+        }
+    };
+    if req.target != shared.upstream.offers {
+        let detail = format!("`{}` is not here", req.target);
+        return Err(refuse(Fault::new(ErrorKind::StaleTicket, detail)));
+    }
+    let catalogue = shared.node.catalogue();
+    let member = catalogue.member(&req.organisation).map_err(refuse)?;
+    let purpose = if req.session {
+        Purpose::Session
+    } else {
+        Purpose::New
+    };
+    catalogue
+        .permit(&member, &req.target, purpose)
+        .map_err(refuse)
+}
+
+fn attach(shared: &Arc<Shared>, envelope: &Envelope) -> Answered {
+    let req: AttachRequest = envelope.message()?;
+    let now = shared.node.now();
+    shared
+        .table()
+        .find(&req.key, req.incarnation, req.refuse_if_absent, now)?;
+    Ok(envelope.stream(runs::read(shared, req.key, req.from)))
+}
+
+fn cancel(shared: &Shared, envelope: &Envelope) -> Answered {
+    let req: CancelRequest = envelope.message()?;
+    runs::cancel(shared, &req.key, "its caller has gone");
+    Ok(envelope.answer(&()))
+}
+
+fn confirm(shared: &Shared, envelope: &Envelope) -> Answered {
+    let req: ConfirmRequest = envelope.message()?;
+    let due = shared.node.now().plus(RECORD_GRACE);
+    shared.outbox().hold(req.record, due);
+    shared.table().delivered(&req.key);
+    Ok(envelope.answer(&()))
+}
+
+fn settle(shared: &Shared, envelope: &Envelope) -> Answered {
+    let req: SettleRequest = envelope.message()?;
+    shared.outbox().settle(req.requests);
+    Ok(envelope.answer(&()))
+}
+
+fn probe(shared: &Shared, envelope: &Envelope) -> Answered {
+    let Probe {} = envelope.message()?;
+    let table = shared.table();
+    let state = match (shared.node.is_synced(), table.is_draining()) {
+        (_, true) => SidecarState::Draining,
+        (false, false) => SidecarState::Starting,
+        (true, false) => SidecarState::Ready,
+    };
+    let load = Load {
+        in_flight: table.running(),
+        concurrency: shared.upstream.concurrency,
+    };
+    Ok(envelope.answer(&ProbeReply {
+        vm: shared.node.local.identity.vm.clone(),
+        incarnation: shared.node.incarnation,
+        offers: shared.upstream.offers.clone(),
+        state,
+        load,
+        ticket: shared.node.now(),
+        digest: shared.node.settings.digest(),
+    }))
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -0,0 +1,162 @@
+//! Starts runs, feeds their answers to readers, and cancels them.
+
+use crate::sidecar::{
+    Shared, claims,
+    upstream::{self, Verdict},
+};
+use async_std::{future::timeout, task};
+use event_listener::Event;
+use http_types::Body;
+use ibissail_core::{ErrorKind, Fault};
+use ibissail_execution::{Ending, Frame, FrameKind, RunKey, RunRequest, View};
+use ibissail_transport::{BodySender, Stop, StopHandle, body_channel, encode_frame, stop_pair};
+use slog::{debug, info};
+use std::{sync::Arc, time::Duration};
+
+/// Time after which a reader with nothing to read gets a sign of life.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Bytes of one frame.
+const MAX_PIECE_BYTES: usize = 256 << 10;
+
+/// What a run in progress, or its readers, wait on.
+#[derive(Debug, Clone)]
+pub(crate) struct Active {
+    /// Notified when the run has more bytes or has ended.
+    pub(crate) progress: Arc<Event>,
+    /// Ends the run early.
+    pub(crate) cancel: StopHandle,
+    /// What it is for.
+    pub(crate) request: Arc<RunRequest>,
+}
+
+/// Starts an admitted run as a task of its own.
+pub(crate) fn start(shared: &Arc<Shared>, req: RunRequest) {
+    let (cancel, stop) = stop_pair();
+    let request = Arc::new(req);
+    let active = Active {
+        progress: Arc::new(Event::new()),
+        cancel,
+        request: Arc::clone(&request),
+    };
+    shared.active().insert(request.key.clone(), active.clone());
+    task::spawn(execute(Arc::clone(shared), active, stop));
+}
+
+async fn execute(shared: Arc<Shared>, active: Active, stop: Stop) {
+    let req = &active.request;
+    debug!(shared.node.log, "run: started"; "run" => %req.key, "target" => %req.target);
+    let sink = Sink {
+        shared: &shared,
+        active: &active,
+    };
+    let work = upstream::run(&shared, req, &sink);
+    let cancelled = async {
+        stop.wait().await;
+        let fault = Fault::new(ErrorKind::Incomplete, "the run was cancelled");
+        Verdict::Ended(Ending::Failed(fault))
+    };
+    let late = async {
+        task::sleep(req.time_left.duration()).await;
+        Verdict::Ended(Ending::Failed(ErrorKind::Timeout.into()))
+    };
+    let verdict = match req.key.is_keyed() {
+        // A run that may happen only once is not given up half-way.
+        true => work.await,
+        false => futures_lite::future::or(work, futures_lite::future::or(cancelled, late)).await,
+    };
+    let now = shared.node.now();
+    let was_sent = matches!(verdict, Verdict::Ended(_));
+    match verdict {
+        Verdict::Ended(ending) => shared.table().end(&req.key, ending, now),
+        Verdict::NotSent(fault) => shared.table().bar(&req.key, fault, now),
+    }
+    debug!(shared.node.log, "run: ended"; "run" => %req.key);
+    shared.active().remove(&req.key);
+    active.progress.notify(usize::MAX);
+    if was_sent && req.key.is_keyed() {
+        claims::settle(&shared, req).await;
+    }
+}
+
+/// Where an upstream's bytes go.
+#[derive(Debug)]
+pub(crate) struct Sink<'a> {
+    shared: &'a Shared,
+    active: &'a Active,
+}
+
+impl Sink<'_> {
+    /// Adds bytes to the run's answer; `false` when there is no room.
+    pub(crate) fn append(&self, bytes: &[u8]) -> bool {
+        let added = self.shared.table().append(&self.active.request.key, bytes);
+        self.active.progress.notify(usize::MAX);
+        added
+    }
+}
+
+/// Cancels a run that may be cancelled.
+pub(crate) fn cancel(shared: &Shared, key: &RunKey, reason: &str) {
+    let active = shared.active().get(key).cloned();
+    if let Some(active) = active.filter(|_| !key.is_keyed()) {
+        info!(shared.node.log, "run: cancelled"; "run" => %key, "reason" => reason);
+        active.cancel.stop();
+    }
+}
+
+/// A body that carries a run's answer from an offset to its end.
+pub(crate) fn read(shared: &Arc<Shared>, key: RunKey, from: u64) -> Body {
+    let (sender, body) = body_channel();
+    let shared = Arc::clone(shared);
+    shared.table().reader_came(&key);
+    task::spawn(async move {
+        feed(&shared, &key, from, &sender).await;
+        let now = shared.node.now();
+        shared.table().reader_left(&key, now);
+    });
+    body
+}
+
+async fn feed(shared: &Shared, key: &RunKey, mut offset: u64, sender: &BodySender) {
+    if !send(sender, key, FrameKind::Alive).await {
+        return;
+    }
+    loop {
+        let progress = shared
+            .active()
+            .get(key)
+            .map(|active| Arc::clone(&active.progress));
+        // Listening begins before the look, so that no progress is missed.
+        let listener = progress.map(|progress| progress.listen());
+        let Some(View { bytes, ending }) = shared.table().view(key, offset) else {
+            return;
+        };
+        for piece in bytes.chunks(MAX_PIECE_BYTES) {
+            let kind = FrameKind::Piece {
+                offset,
+                bytes: piece.to_vec(),
+            };
+            if !send(sender, key, kind).await {
+                return;
+            }
+            offset += piece.len() as u64;
+        }
+        if let Some(ending) = ending {
+            let _last = send(sender, key, FrameKind::End(ending)).await;
+            return;
+        }
+        let Some(listener) = listener else { continue };
+        let idle = timeout(HEARTBEAT_INTERVAL, listener).await.is_err();
+        if idle && !send(sender, key, FrameKind::Alive).await {
+            return;
+        }
+    }
+}
+
+async fn send(sender: &BodySender, key: &RunKey, kind: FrameKind) -> bool {
+    sender
+        .send(encode_frame(&Frame {
+            key: key.clone(),
+            kind,
+        }))
+        .await
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -0,0 +1,109 @@
+//! Splits server-sent events, to count tokens and to see a stream's end.
+
+use ibissail_core::Tokens;
+use ibissail_execution::TokenCounts;
+use serde::Deserialize;
+
+const DONE: &[u8] = b"data: [DONE]";
+
+/// Reads an engine's stream of events.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    buf: Vec<u8>,
+    keep_usage: bool,
+    tokens: Option<TokenCounts>,
+    chunks: u64,
+    done: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<serde::de::IgnoredAny>,
+    usage: Option<Usage>,
+}
+
+/// Token counts as engines report them.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub(crate) struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+impl From<Usage> for TokenCounts {
+    fn from(usage: Usage) -> Self {
+        Self {
+            input: Tokens(usage.prompt_tokens),
+            output: Tokens(usage.completion_tokens),
+        }
+    }
+}
+
+impl EventStream {
+    /// A stream whose usage event is passed on only when the caller asked for it.
+    pub(crate) fn new(keep_usage: bool) -> Self {
+        Self {
+            buf: Vec::new(),
+            keep_usage,
+            tokens: None,
+            chunks: 0,
+            done: false,
+        }
+    }
+
+    /// Takes bytes in; returns the whole events to pass on.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.buf.extend_from_slice(bytes);
+        let mut passed = Vec::new();
+        while let Some(end) = event_end(&self.buf) {
+            let event: Vec<u8> = self.buf.drain(..end).collect();
+            if self.passes(&event) {
+                passed.extend_from_slice(&event);
+            }
+        }
+        passed
+    }
+
+    fn passes(&mut self, event: &[u8]) -> bool {
+        if event.starts_with(DONE) {
+            self.done = true;
+            return true;
+        }
+        self.chunks += 1;
+        let has_usage = event.windows(7).any(|window| window == b"\"usage\"");
+        if !has_usage {
+            return true;
+        }
+        let json = event.strip_prefix(b"data: ").unwrap_or(event);
+        let Ok(chunk) = serde_json::from_slice::<Chunk>(json) else {
+            return true;
+        };
+        let Some(usage) = chunk.usage else {
+            return true;
+        };
+        self.tokens = Some(usage.into());
+        self.keep_usage || !chunk.choices.is_empty()
+    }
+
+    /// Whether the event that ends a stream has been seen.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Tokens as the engine reported them, or the number of its events.
+    pub(crate) fn tokens(&self) -> TokenCounts {
+        let counted = TokenCounts {
+            input: Tokens(0),
+            output: Tokens(self.chunks),
+        };
+        self.tokens.unwrap_or(counted)
+    }
+}
+
+fn event_end(buf: &[u8]) -> Option<usize> {
+    buf.windows(2)
+        .position(|window| window == b"\n\n")
+        .map(|place| place + 2)
+}
--- /dev/null
+++ b/crates/daemon/src/standin.rs
@@ -0,0 +1,34 @@
+//! Runs one stand-in as a process of its own.
+
+use crate::{StartError, process::listen, process::wait_for_stop_signal};
+use async_std::task;
+use ibissail_standin::{EngineOptions, run_engine, run_platform, run_service};
+use ibissail_transport::stop_pair;
+use std::net::SocketAddr;
+
+pub(crate) async fn platform(address: SocketAddr) -> Result<(), StartError> {
+    let (handle, stop) = stop_pair();
+    let server = task::spawn(run_platform(listen(address).await?, stop));
+    wait_for_stop_signal().await?;
+    handle.stop();
+    server.await;
+    Ok(())
+}
+
+pub(crate) async fn engine(address: SocketAddr, options: EngineOptions) -> Result<(), StartError> {
+    let (handle, stop) = stop_pair();
+    let server = task::spawn(run_engine(listen(address).await?, options, stop));
+    wait_for_stop_signal().await?;
+    handle.stop();
+    server.await;
+    Ok(())
+}
+
+pub(crate) async fn service(address: SocketAddr) -> Result<(), StartError> {
+    let (handle, stop) = stop_pair();
+    let server = task::spawn(run_service(listen(address).await?, stop));
+    wait_for_stop_signal().await?;
+    handle.stop();
+    server.await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/wire.rs
@@ -0,0 +1,213 @@
+//! The HTTP form of the object API: the only place that knows paths, headers and bodies.
+
+use crate::{Change, Listing, Object, ObjectApi, PlatformCall, PlatformError, VmRecord, Watched};
+use http_types::{
+    Method, Request, StatusCode, Url,
+    headers::{IF_MATCH, IF_NONE_MATCH},
+};
+use ibissail_core::{ByteSize, Revision};
+use ibissail_transport::{Pool, PoolOptions, SendError};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, time::Duration};
+
+/// Path of objects; a key follows.
+pub const OBJECTS_PATH: &str = "/v1/objects";
+/// Path of watches.
+pub const WATCH_PATH: &str = "/v1/watch";
+/// Path of the list of VMs.
+pub const VMS_PATH: &str = "/v1/vms";
+
+/// Longest answer, in bytes.
+const MAX_ANSWER: ByteSize = ByteSize(64 << 20);
+/// Time allowed beyond a watch's own wait.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// Body of an object.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ObjectBody {
+    /// The object, or none where a condition met no object.
+    pub object: Option<Object>,
+}
+
+/// Body of a listing.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListingBody {
+    /// The objects.
+    pub objects: Vec<Object>,
+    /// Version of the store.
+    pub at: Revision,
+}
+
+/// Body of a watch's answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChangesBody {
+    /// The writes.
+    pub changes: Vec<Change>,
+    /// Version of the store.
+    pub at: Revision,
+}
+
+/// The platform over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+    pool: Pool,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// A client of the platform at an address; each call takes at most `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            address,
+            pool: Pool::new(PoolOptions::default()),
+            timeout,
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> Result<Request, PlatformError> {
+        let url = Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|error| PlatformError::NotDone(error.to_string()))?;
+        Ok(Request::new(method, url))
+    }
+
+    async fn read<T>(&self, path: &str, limit: Duration) -> Result<Option<T>, PlatformError>
+    where
+        T: DeserializeOwned,
+    {
+        let req = self.request(Method::Get, path)?;
+        let not_done = |error: SendError| PlatformError::NotDone(error.to_string());
+        let reply = self
+            .pool
+            .send(self.address, req, limit)
+            .await
+            .map_err(not_done)?;
+        let status = reply.response.status();
+        let body = reply.bytes(MAX_ANSWER, limit).await.map_err(not_done)?;
+        match status {
+            StatusCode::Ok => parse(&body).map(Some).map_err(PlatformError::NotDone),
+            StatusCode::NotFound => Ok(None),
+            other => Err(PlatformError::NotDone(format!("status {other}"))),
+        }
+    }
+
+    async fn write(&self, key: &str, mut req: Request) -> Result<Revision, PlatformError> {
+        req.insert_header("content-type", "text/plain; charset=utf-8");
+        let reply = match self.pool.send(self.address, req, self.timeout).await {
+            Ok(reply) => reply,
+            Err(SendError::NotSent(_, detail)) => return Err(PlatformError::NotDone(detail)),
+            Err(error) => return Err(PlatformError::MaybeDone(error.to_string())),
+        };
+        let status = reply.response.status();
+        let body = match reply.bytes(MAX_ANSWER, self.timeout).await {
+            Ok(body) => body,
+            Err(error) => return Err(PlatformError::MaybeDone(error.to_string())),
+        };
+        let body: ObjectBody = match status {
+            StatusCode::Ok | StatusCode::PreconditionFailed => {
+                parse(&body).map_err(PlatformError::MaybeDone)?
+            }
+            StatusCode::ServiceUnavailable | StatusCode::TooManyRequests => {
+                return Err(PlatformError::NotDone(format!("status {status}")));
+            }
+            other => return Err(PlatformError::MaybeDone(format!("status {other}"))),
+        };
+        match (status, body.object) {
+            (StatusCode::Ok, Some(object)) => Ok(object.revision),
+            (_, current) => Err(PlatformError::Conflict(key.to_owned(), current)),
+        }
+    }
+}
+
+fn parse<T>(body: &[u8]) -> Result<T, String>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
+fn object_path(key: &str) -> String {
+    format!("{OBJECTS_PATH}/{key}")
+}
+
+impl ObjectApi for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformCall<'a, Option<Object>> {
+        Box::pin(async move {
+            let body = self
+                .read::<ObjectBody>(&object_path(key), self.timeout)
+                .await?;
+            Ok(body.and_then(|body| body.object))
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> PlatformCall<'a, Listing> {
+        Box::pin(async move {
+            let path = format!("{OBJECTS_PATH}?prefix={prefix}");
+            let body: Option<ListingBody> = self.read(&path, self.timeout).await?;
+            let body = body.ok_or_else(|| PlatformError::NotDone("no list".to_owned()))?;
+            Ok(Listing {
+                objects: body.objects,
+                at: body.at,
+            })
+        })
+    }
+
+    fn create<'a>(&'a self, key: &'a str, value: &'a str) -> PlatformCall<'a, Revision> {
+        Box::pin(async move {
+            let mut req = self.request(Method::Put, &object_path(key))?;
+            req.insert_header(IF_NONE_MATCH, "*");
+            req.set_body(value);
+            self.write(key, req).await
+        })
+    }
+
+    fn update<'a>(
+        &'a self,
+        key: &'a str,
+        base: Revision,
+        value: &'a str,
+    ) -> PlatformCall<'a, Revision> {
+        Box::pin(async move {
+            let mut req = self.request(Method::Put, &object_path(key))?;
+            req.insert_header(IF_MATCH, base.to_string());
+            req.set_body(value);
+            self.write(key, req).await
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, base: Revision) -> PlatformCall<'a, Revision> {
+        Box::pin(async move {
+            let mut req = self.request(Method::Delete, &object_path(key))?;
+            req.insert_header(IF_MATCH, base.to_string());
+            self.write(key, req).await
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        from: Revision,
+        wait: Duration,
+    ) -> PlatformCall<'a, Watched> {
+        Box::pin(async move {
+            let path = format!(
+                "{WATCH_PATH}?prefix={prefix}&from={from}&wait_ms={}",
+                wait.as_millis()
+            );
+            let body: Option<ChangesBody> = self.read(&path, wait + WATCH_GRACE).await?;
+            let body = body.ok_or_else(|| PlatformError::NotDone("no watch".to_owned()))?;
+            Ok(Watched {
+                changes: body.changes,
+                at: body.at,
+            })
+        })
+    }
+
+    fn vms(&self) -> PlatformCall<'_, Vec<VmRecord>> {
+        Box::pin(async move {
+            let body = self.read(VMS_PATH, self.timeout).await?;
+            body.ok_or_else(|| PlatformError::NotDone("no list of VMs".to_owned()))
+        })
+    }
+}
--- /dev/null
+++ b/crates/routing/src/membership.rs
@@ -0,0 +1,257 @@
+//! What an entry knows of the replicas, from the list of VMs, probes and refusals.
+
+use ibissail_core::{Incarnation, Millis, Target, VmId, ZoneId};
+use ibissail_execution::{Load, ProbeReply, SidecarState};
+use ibissail_platform::{VmRecord, VmRole, VmState};
+use rand::{Rng, seq::IteratorRandom};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// First time for which a failing replica gets no work.
+const FIRST_EJECTION: Millis = Millis(500);
+/// Longest time for which a failing replica gets no work.
+const LONGEST_EJECTION: Millis = Millis(16_000);
+/// Failures in a row that eject a replica that still answers.
+const EJECTION_FAILURES: u32 = 3;
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Whether a replica may be given work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// Not probed yet.
+    Unknown,
+    /// It takes work.
+    Ready,
+    /// It takes no work and will go.
+    Draining,
+}
+
+/// How a request ended, as far as its replica is to blame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// The answer was whole.
+    Answered,
+    /// The replica failed.
+    Failed,
+    /// The caller left, or the request was refused before it ran.
+    Left,
+}
+
+/// One upstream with its sidecar.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Replica {
+    /// Its VM.
+    pub vm: VmId,
+    /// The VM's availability zone.
+    pub zone: ZoneId,
+    /// Where the sidecar listens.
+    pub address: SocketAddr,
+    /// What the upstream offers.
+    pub offers: Option<Target>,
+    /// The sidecar's start, once probed.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it takes work.
+    pub health: Health,
+    /// Load at the last probe.
+    pub load: Load,
+    /// The sidecar's clock at the last probe.
+    pub ticket: Millis,
+    /// Own clock at the last probe.
+    pub probed_at: Millis,
+    /// Requests of this entry in progress there.
+    pub own: u32,
+    /// Requests of this entry begun there since the last probe.
+    pub since_probe: u32,
+    /// Failures in a row.
+    pub failures: u32,
+    /// No work before this instant of the own clock.
+    pub ejected_until: Millis,
+}
+
+impl Replica {
+    fn new(record: &VmRecord) -> Self {
+        Self {
+            vm: record.vm.clone(),
+            zone: record.zone.clone(),
+            address: record.address,
+            offers: record.offers.clone(),
+            incarnation: None,
+            health: Health::Unknown,
+            load: Load::default(),
+            ticket: Millis(0),
+            probed_at: Millis(0),
+            own: 0,
+            since_probe: 0,
+            failures: 0,
+            ejected_until: Millis(0),
+        }
+    }
+
+    fn fail(&mut self, now: Millis) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= EJECTION_FAILURES {
+            let doublings = (self.failures - EJECTION_FAILURES).min(MAX_DOUBLINGS);
+            let ejection = Millis(FIRST_EJECTION.0 << doublings).min(LONGEST_EJECTION);
+            self.ejected_until = now.plus(ejection);
+        }
+    }
+}
+
+/// All replicas that an entry knows.
+#[derive(Debug, Clone, Default)]
+pub struct Membership {
+    replicas: BTreeMap<VmId, Replica>,
+}
+
+impl Membership {
+    /// Takes in the list of VMs, which lags.
+    ///
+    /// The list may add, drain and remove; it never revives what has been drained.
+    pub fn on_list(&mut self, records: &[VmRecord]) {
+        let upstreams: BTreeMap<&VmId, &VmRecord> = records
+            .iter()
+            .filter(|record| record.role == VmRole::Upstream)
+            .map(|record| (&record.vm, record))
+            .collect();
+        self.replicas
+            .retain(|vm, replica| replica.own > 0 || upstreams.contains_key(vm));
+        for (vm, record) in upstreams {
+            let replica = self
+                .replicas
+                .entry(vm.clone())
+                .or_insert_with(|| Replica::new(record));
+            if replica.address != record.address {
+                *replica = Replica::new(record);
+            }
+            if record.state == VmState::Leaving {
+                replica.health = Health::Draining;
+            }
+        }
+    }
+
+    /// Takes in a sidecar's own word.
+    pub fn on_probe(&mut self, reply: &ProbeReply, now: Millis) {
+        let Some(replica) = self.replicas.get_mut(&reply.vm) else {
+            return;
+        };
+        let same_start = replica.incarnation == Some(reply.incarnation);
+        if same_start && reply.ticket < replica.ticket {
+            return;
+        }
+        if !same_start {
+            replica.failures = 0;
+            replica.ejected_until = Millis(0);
+        }
+        let drained = same_start && replica.health == Health::Draining;
+        replica.health = match reply.state {
+            SidecarState::Ready if !drained => Health::Ready,
+            SidecarState::Starting => Health::Unknown,
+            SidecarState::Ready | SidecarState::Draining => Health::Draining,
+        };
+        replica.incarnation = Some(reply.incarnation);
+        replica.offers = Some(reply.offers.clone());
+        replica.load = reply.load;
+        replica.ticket = reply.ticket;
+        replica.probed_at = now;
+        replica.since_probe = 0;
+    }
+
+    /// Notes that a sidecar's start takes no more work.
+    pub fn on_draining(&mut self, vm: &VmId, incarnation: Incarnation) {
+        if let Some(replica) = self.replicas.get_mut(vm)
+            && replica.incarnation == Some(incarnation)
+        {
+            replica.health = Health::Draining;
+        }
+    }
+
+    /// Notes that a sidecar has no room now.
+    pub fn on_full(&mut self, vm: &VmId) {
+        if let Some(replica) = self.replicas.get_mut(vm) {
+            replica.load.in_flight = replica.load.in_flight.max(replica.load.concurrency);
+        }
+    }
+
+    /// Notes that a request has been sent.
+    pub fn on_start(&mut self, vm: &VmId) {
+        if let Some(replica) = self.replicas.get_mut(vm) {
+            replica.own += 1;
+            replica.since_probe += 1;
+        }
+    }
+
+    /// Notes that a request has ended.
+    pub fn on_end(&mut self, vm: &VmId, fate: Fate, now: Millis) {
+        let Some(replica) = self.replicas.get_mut(vm) else {
+            return;
+        };
+        replica.own = replica.own.saturating_sub(1);
+        match fate {
+            Fate::Answered => replica.failures = 0,
+            Fate::Failed => replica.fail(now),
+            Fate::Left => {}
+        }
+    }
+
+    /// Notes that a sidecar could not be reached: it needs a probe before it gets work again.
+    pub fn on_unreachable(&mut self, vm: &VmId, now: Millis) {
+        let Some(replica) = self.replicas.get_mut(vm) else {
+            return;
+        };
+        replica.fail(now);
+        if replica.health == Health::Ready {
+            replica.health = Health::Unknown;
+        }
+    }
+
+    /// Up to `count` replicas to probe: those not yet known first, then at random.
+    pub fn to_probe<R>(&self, count: usize, rng: &mut R) -> Vec<(VmId, SocketAddr)>
+    where
+        R: Rng,
+    {
+        let named = |replica: &Replica| (replica.vm.clone(), replica.address);
+        let (unknown, known): (Vec<&Replica>, Vec<&Replica>) = self
+            .replicas
+            .values()
+            .partition(|replica| replica.health == Health::Unknown);
+        let mut chosen = unknown.into_iter().choose_multiple(rng, count);
+        let rest = count - chosen.len();
+        chosen.extend(known.into_iter().choose_multiple(rng, rest));
+        chosen.into_iter().map(named).collect()
+    }
+
+    /// Replicas that may be given work for a target now.
+    pub fn candidates<'a>(
+        &'a self,
+        target: &'a Target,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Replica> + 'a {
+        self.replicas.values().filter(move |replica| {
+            replica.health == Health::Ready
+                && replica.ejected_until <= now
+                && replica.offers.as_ref() == Some(target)
+        })
+    }
+
+    /// A replica by its VM.
+    #[must_use]
+    pub fn get(&self, vm: &VmId) -> Option<&Replica> {
+        self.replicas.get(vm)
+    }
+
+    /// All replicas.
+    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+
+    /// How many replicas are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Whether no replica is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/branch.rs
@@ -0,0 +1,209 @@
+//! Reads one branch from YAML.
+
+use crate::{
+    Branch, Class, Limits, Mistakes, Model, OnWithdrawal, Organisation, Service, Version,
+    key::read_signing_keys,
+    reader::{Document, Fields, Node},
+};
+use ibissail_core::{BranchPath, ByteSize, Millis};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Display,
+    str::FromStr,
+};
+
+const TOP_KEYS: [&str; 9] = [
+    "branch",
+    "allow",
+    "limits",
+    "classes",
+    "organisations",
+    "models",
+    "services",
+    "session_keys",
+    "session_ttl",
+];
+const ROOT_ONLY: [&str; 4] = ["models", "services", "session_keys", "session_ttl"];
+const DEFAULT_LIMITS: Limits = Limits {
+    concurrency: 64,
+    body: ByteSize(1 << 20),
+};
+const DEFAULT_DEADLINE: Millis = Millis(60_000);
+const DEFAULT_SESSION_TTL: Millis = Millis(12 * 3_600_000);
+
+/// Reads and checks one branch on its own.
+///
+/// # Errors
+///
+/// Every mistake of the document, each with file, line, key path, value and what is valid.
+///
+/// # Examples
+///
+/// ```
+/// let text = "branch: root/alpen\nallow: [swift]\n";
+/// let branch = ibissail_settings::parse_branch("alpen.yaml", text)?;
+/// assert_eq!(branch.path.to_string(), "root/alpen");
+/// # Ok::<(), ibissail_settings::Mistakes>(())
+/// ```
+pub fn parse_branch(file: &str, text: &str) -> Result<Branch, Mistakes> {
+    let document = Document::new(file);
+    let yaml = document.load(text)?;
+    let branch = read_branch(&Node::top(&document, &yaml));
+    match branch {
+        Some(branch) if !document.has_mistakes() => Ok(branch),
+        _ => Err(document.finish()),
+    }
+}
+
+fn read_branch(top: &Node<'_>) -> Option<Branch> {
+    let fields = top.fields(&TOP_KEYS);
+    let path = fields.required::<BranchPath>("branch");
+    if path
+        .as_ref()
+        .is_some_and(|path| *path != BranchPath::root())
+    {
+        check_root_only(&fields);
+    }
+    let limits = fields.get("limits").map_or(DEFAULT_LIMITS, read_limits);
+    Some(Branch {
+        path: path?,
+        allow: read_set(&fields, "allow"),
+        limits,
+        classes: read_map(&fields, "classes", read_class),
+        organisations: read_map(&fields, "organisations", |node| {
+            read_organisation(node, limits)
+        }),
+        models: read_map(&fields, "models", read_model),
+        services: read_map(&fields, "services", read_service),
+        session_keys: fields
+            .get("session_keys")
+            .map(read_signing_keys)
+            .unwrap_or_default(),
+        session_ttl: fields
+            .optional("session_ttl")
+            .unwrap_or(DEFAULT_SESSION_TTL),
+    })
+}
+
+fn check_root_only(fields: &Fields<'_>) {
+    for name in ROOT_ONLY {
+        if let Some(node) = fields.get(name) {
+            node.mistake("only the branch `root` may have this key");
+        }
+    }
+}
+
+fn read_set<T>(fields: &Fields<'_>, name: &str) -> BTreeSet<T>
+where
+    T: FromStr + Ord,
+    T::Err: Display,
+{
+    fields
+        .get(name)
+        .map(|node| node.list().into_iter().collect())
+        .unwrap_or_default()
+}
+
+fn read_map<K, V, R>(fields: &Fields<'_>, name: &str, read: R) -> BTreeMap<K, V>
+where
+    K: FromStr + Ord,
+    K::Err: Display,
+    R: Fn(&Node<'_>) -> Option<V>,
+{
+    let mut map = BTreeMap::new();
+    for (key, node) in fields.entries(name) {
+        let value = read(&node);
+        match key.parse::<K>() {
+            Ok(key) => {
+                if let Some(value) = value {
+                    map.insert(key, value);
+                }
+            }
+            Err(error) => node.mistake(error.to_string()),
+        }
+    }
+    map
+}
+
+fn read_limits(node: &Node<'_>) -> Limits {
+    let fields = node.fields(&["concurrency", "body"]);
+    Limits {
+        concurrency: fields
+            .optional("concurrency")
+            .unwrap_or(DEFAULT_LIMITS.concurrency),
+        body: fields.optional("body").unwrap_or(DEFAULT_LIMITS.body),
+    }
+}
+
+fn read_class(node: &Node<'_>) -> Option<Class> {
+    let fields = node.fields(&["quality", "deadline"]);
+    let quality = fields.required("quality");
+    let deadline = fields.optional("deadline").unwrap_or(DEFAULT_DEADLINE);
+    Some(Class {
+        quality: quality?,
+        deadline,
+    })
+}
+
+fn read_organisation(node: &Node<'_>, limits: Limits) -> Option<Organisation> {
+    let fields = node.fields(&[
+        "keys",
+        "allow",
+        "concurrency",
+        "default_class",
+        "on_withdrawal",
+    ]);
+    for name in ["keys", "allow"] {
+        if fields.get(name).is_none() {
+            node.mistake(format!("the key `{name}` is missing"));
+        }
+    }
+    let default_class = fields.required("default_class");
+    let concurrency = fields.optional("concurrency").unwrap_or(limits.concurrency);
+    if concurrency > limits.concurrency {
+        let place = fields.get("concurrency").unwrap_or(node);
+        place.mistake(format!(
+            "`{concurrency}` is above the branch's limit; valid: 0 to {}",
+            limits.concurrency
+        ));
+    }
+    Some(Organisation {
+        keys: read_set(&fields, "keys"),
+        allow: read_set(&fields, "allow"),
+        concurrency,
+        default_class: default_class?,
+        on_withdrawal: fields
+            .optional("on_withdrawal")
+            .unwrap_or(OnWithdrawal::Finish),
+    })
+}
+
+fn read_model(node: &Node<'_>) -> Option<Model> {
+    let fields = node.fields(&["quality", "versions"]);
+    if fields.entries("versions").is_empty() {
+        node.mistake("a model needs at least one entry below `versions`");
+    }
+    Some(Model {
+        quality: read_map(&fields, "quality", |node| node.parse()),
+        versions: read_map(&fields, "versions", read_version),
+    })
+}
+
+fn read_version(node: &Node<'_>) -> Option<Version> {
+    let fields = node.fields(&["input_price", "output_price", "weight"]);
+    let input_price = fields.required("input_price");
+    let output_price = fields.required("output_price");
+    let weight = fields.optional("weight").unwrap_or(1);
+    Some(Version {
+        input_price: input_price?,
+        output_price: output_price?,
+        weight,
+    })
+}
+
+fn read_service(node: &Node<'_>) -> Option<Service> {
+    let fields = node.fields(&["idempotent"]);
+    fields
+        .required("idempotent")
+        .map(|idempotent| Service { idempotent })
+}
--- /dev/null
+++ b/crates/settings/src/mistake.rs
@@ -0,0 +1,44 @@
+//! Mistakes found in settings, each with its place.
+
+use std::{error::Error, fmt};
+
+/// One mistake: where it stands, the value, and what would be valid.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mistake {
+    /// Name of the file.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Path of keys from the top of the document.
+    pub path: String,
+    /// What is wrong with the value, and what would be valid.
+    pub message: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}:{}: {}: {}",
+            self.file, self.line, self.path, self.message
+        )
+    }
+}
+
+/// All mistakes of one or more documents, in the order of their places.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Mistakes(pub Vec<Mistake>);
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, mistake) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{mistake}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Mistakes {}
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,243 @@
+//! Reads typed values from a YAML tree and collects every mistake with its place.
+
+use crate::{Mistake, Mistakes};
+use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Display, str::FromStr};
+
+/// One document being read.
+#[derive(Debug)]
+pub(crate) struct Document {
+    file: String,
+    mistakes: RefCell<Vec<Mistake>>,
+}
+
+impl Document {
+    pub(crate) fn new(file: &str) -> Self {
+        Self {
+            file: file.to_owned(),
+            mistakes: RefCell::default(),
+        }
+    }
+
+    /// Parses the text; a syntax error becomes the only mistake.
+    pub(crate) fn load<'a>(&self, text: &'a str) -> Result<MarkedYaml<'a>, Mistakes> {
+        match MarkedYaml::load_from_str(text) {
+            Ok(mut documents) if documents.len() == 1 => Ok(documents.remove(0)),
+            Ok(documents) => {
+                let message = format!("found {} documents; valid: one", documents.len());
+                self.note(1, "(document)", message);
+                Err(self.finish())
+            }
+            Err(error) => {
+                self.note(error.marker().line(), "(syntax)", error.info().to_owned());
+                Err(self.finish())
+            }
+        }
+    }
+
+    pub(crate) fn note(&self, line: usize, path: &str, message: String) {
+        self.mistakes.borrow_mut().push(Mistake {
+            file: self.file.clone(),
+            line,
+            path: path.to_owned(),
+            message,
+        });
+    }
+
+    /// All mistakes so far, sorted by line.
+    pub(crate) fn finish(&self) -> Mistakes {
+        let mut mistakes = self.mistakes.take();
+        mistakes.sort_by(|a, b| (a.line, &a.path).cmp(&(b.line, &b.path)));
+        Mistakes(mistakes)
+    }
+
+    pub(crate) fn has_mistakes(&self) -> bool {
+        !self.mistakes.borrow().is_empty()
+    }
+}
+
+/// A node with its path, which reports mistakes to its document.
+#[derive(Debug, Clone)]
+pub(crate) struct Node<'d> {
+    document: &'d Document,
+    yaml: &'d MarkedYaml<'d>,
+    line: usize,
+    path: String,
+}
+
+impl<'d> Node<'d> {
+    pub(crate) fn top(document: &'d Document, yaml: &'d MarkedYaml<'d>) -> Self {
+        Self {
+            document,
+            yaml,
+            line: yaml.span.start.line().max(1),
+            path: String::new(),
+        }
+    }
+
+    pub(crate) fn path(&self) -> &str {
+        if self.path.is_empty() {
+            "(document)"
+        } else {
+            &self.path
+        }
+    }
+
+    pub(crate) fn mistake<M>(&self, message: M)
+    where
+        M: Into<String>,
+    {
+        self.document.note(self.line, self.path(), message.into());
+    }
+
+    fn child(&self, name: &str, line: usize, yaml: &'d MarkedYaml<'d>) -> Self {
+        let path = if self.path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.path)
+        };
+        Self {
+            document: self.document,
+            yaml,
+            line,
+            path,
+        }
+    }
+
+    /// The entries of a mapping, in the document's order.
+    pub(crate) fn entries(&self) -> Vec<(String, Self)> {
+        let YamlData::Mapping(mapping) = &self.yaml.data else {
+            self.mistake(format!("found {}; valid: a mapping", self.describe()));
+            return Vec::new();
+        };
+        let mut entries = Vec::new();
+        for (key, value) in mapping {
+            let line = key.span.start.line();
+            match scalar_text(key) {
+                Some(name) => entries.push((name.clone(), self.child(&name, line, value))),
+                None => self
+                    .document
+                    .note(line, self.path(), "a key is not a text".to_owned()),
+            }
+        }
+        entries
+    }
+
+    /// A mapping with known keys only; unknown ones are noted.
+    pub(crate) fn fields(&self, valid: &[&str]) -> Fields<'d> {
+        let mut found = BTreeMap::new();
+        for (name, node) in self.entries() {
+            if !valid.contains(&name.as_str()) {
+                node.mistake(format!("unknown key; valid: {}", valid.join(", ")));
+            }
+            found.insert(name, node);
+        }
+        Fields {
+            parent: self.clone(),
+            found,
+        }
+    }
+
+    /// The items of a sequence.
+    pub(crate) fn items(&self) -> Vec<Self> {
+        let YamlData::Sequence(items) = &self.yaml.data else {
+            self.mistake(format!("found {}; valid: a list", self.describe()));
+            return Vec::new();
+        };
+        let item = |(index, yaml): (usize, &'d MarkedYaml<'d>)| Self {
+            document: self.document,
+            yaml,
+            line: yaml.span.start.line(),
+            path: format!("{}[{index}]", self.path),
+        };
+        items.iter().enumerate().map(item).collect()
+    }
+
+    /// A scalar parsed as a type whose error says what is valid.
+    pub(crate) fn parse<T>(&self) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(text) = scalar_text(self.yaml) else {
+            self.mistake(format!("found {}; valid: a single value", self.describe()));
+            return None;
+        };
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.mistake(error.to_string());
+                None
+            }
+        }
+    }
+
+    /// A sequence of scalars.
+    pub(crate) fn list<T>(&self) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.items().iter().filter_map(Self::parse).collect()
+    }
+
+    fn describe(&self) -> String {
+        match &self.yaml.data {
+            YamlData::Mapping(_) => "a mapping".to_owned(),
+            YamlData::Sequence(_) => "a list".to_owned(),
+            _ => match scalar_text(self.yaml) {
+                Some(text) => format!("`{text}`"),
+                None => "nothing".to_owned(),
+            },
+        }
+    }
+}
+
+/// The entries of a mapping with known keys.
+#[derive(Debug)]
+pub(crate) struct Fields<'d> {
+    parent: Node<'d>,
+    found: BTreeMap<String, Node<'d>>,
+}
+
+impl<'d> Fields<'d> {
+    pub(crate) fn get(&self, name: &str) -> Option<&Node<'d>> {
+        self.found.get(name)
+    }
+
+    /// A value that may be absent.
+    pub(crate) fn optional<T>(&self, name: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.get(name).and_then(Node::parse)
+    }
+
+    /// A value that must be there.
+    pub(crate) fn required<T>(&self, name: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        if self.get(name).is_none() {
+            self.parent.mistake(format!("the key `{name}` is missing"));
+        }
+        self.optional(name)
+    }
+
+    /// The entries below a key, or none.
+    pub(crate) fn entries(&self, name: &str) -> Vec<(String, Node<'d>)> {
+        self.get(name).map(Node::entries).unwrap_or_default()
+    }
+}
+
+fn scalar_text(yaml: &MarkedYaml<'_>) -> Option<String> {
+    match &yaml.data {
+        YamlData::Value(Scalar::String(text)) => Some(text.to_string()),
+        YamlData::Value(Scalar::Integer(number)) => Some(number.to_string()),
+        YamlData::Value(Scalar::FloatingPoint(number)) => Some(number.to_string()),
+        YamlData::Value(Scalar::Boolean(value)) => Some(value.to_string()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for the platform, model engines and plain services.
+//!
+//! Each serves HTTP on a listener and takes faults through paths below `/control`.
+
+mod control;
+mod engine;
+mod platform;
+mod service;
+mod store;
+
+pub use engine::{EngineCounts, EngineFaults, EngineOptions, run_engine};
+pub use platform::{PlatformCounts, PlatformFaults, run_platform};
+pub use service::{ServiceCounts, ServiceFaults, run_service};
