--- a/crates/daemon/src/node/watching.rs
+++ b/crates/daemon/src/node/watching.rs
@@ -13,6 +13,8 @@
 const WATCHERS_PER_ZONE: usize = 2;
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pause before looking again whether the list of VMs has come.
+const FIRST_LIST_PAUSE: Duration = Duration::from_millis(50);
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Mean time between two reads of the settings by any process that does not watch.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,6 +61,10 @@
 
 /// Reads all settings with a chance that keeps the reads of the whole fleet at a constant rate.
 async fn check_rarely(node: &Arc<Node>) -> Result<(), PlatformError> {
+    if node.peers.listed().is_empty() {
+        task::sleep(FIRST_LIST_PAUSE).await;
+        return Ok(());
+    }
     task::sleep(ROLE_CHECK_INTERVAL).await;
     let fleet = u32::try_from(node.peers.len().max(1)).unwrap_or(u32::MAX);
     let share = ROLE_CHECK_INTERVAL.as_secs_f64() / CHECK_INTERVAL.as_secs_f64();
--- a/crates/daemon/src/sidecar/housekeeping.rs
+++ b/crates/daemon/src/sidecar/housekeeping.rs
@@ -3,7 +3,7 @@
 use crate::sidecar::{Shared, records, runs};
 use async_std::task;
 use ibissail_catalogue::Purpose;
-use ibissail_core::{ErrorKind, Millis};
+use ibissail_core::{ErrorKind, Fault, Millis, Ran};
 use ibissail_execution::{RunKey, RunRequest};
 use ibissail_settings::OnWithdrawal;
 use std::{sync::Arc, time::Duration};
@@ -28,28 +28,28 @@
     let requests: Vec<Arc<RunRequest>> =
         shared.active().values().map(|active| Arc::clone(&active.request)).collect();
     for req in requests {
-        if must_cancel(shared, &req) {
-            runs::cancel(shared, &req.key, "the version has been withdrawn");
+        if let Some(fault) = withdrawal_of(shared, &req) {
+            runs::cancel(shared, &req.key, fault);
         }
     }
 }
 
-fn must_cancel(shared: &Shared, req: &RunRequest) -> bool {
+/// Why a run may not go on, where its organisation wants it cancelled.
+fn withdrawal_of(shared: &Shared, req: &RunRequest) -> Option<Fault> {
     let catalogue = shared.node.catalogue();
-    let Ok(member) = catalogue.member(&req.organisation) else {
-        return false;
-    };
+    let member = catalogue.member(&req.organisation).ok()?;
     if member.organisation.on_withdrawal != OnWithdrawal::Cancel {
-        return false;
+        return None;
     }
-    let permit = catalogue.permit(&member, &req.target, Purpose::Session);
-    permit.is_err_and(|fault| fault.kind == ErrorKind::VersionWithdrawn)
+    let fault = catalogue.permit(&member, &req.target, Purpose::Session).err()?;
+    let withdrawn = fault.kind == ErrorKind::VersionWithdrawn;
+    withdrawn.then_some(Fault { ran: Ran::Yes, ..fault })
 }
 
 fn cancel_abandoned(shared: &Shared) {
     let now = shared.node.now();
     let abandoned: Vec<RunKey> = shared.table().abandoned(ABANDONED_AFTER, now);
     for key in abandoned {
-        runs::cancel(shared, &key, "nobody reads it");
+        runs::cancel(shared, &key, Fault::new(ErrorKind::Incomplete, "nobody reads it"));
     }
 }
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -95,7 +95,8 @@
 
 fn cancel(shared: &Shared, envelope: &Envelope) -> Answered {
     let req: CancelRequest = envelope.message()?;
-    runs::cancel(shared, &req.key, "its caller has gone");
+    let reason = Fault::new(ErrorKind::Incomplete, "the caller has gone");
+    runs::cancel(shared, &req.key, reason);
     Ok(envelope.answer(&()))
 }
 
--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -4,13 +4,14 @@
     Shared, claims,
     upstream::{self, Verdict},
 };
+use async_channel::{Receiver, Sender};
 use async_std::{future::timeout, task};
 use event_listener::Event;
 use futures_lite::future::or;
 use http_types::Body;
 use ibissail_core::{ErrorKind, Fault};
 use ibissail_execution::{Ending, Frame, FrameKind, RunKey, RunRequest, View};
-use ibissail_transport::{BodySender, Stop, StopHandle, body_channel, encode_frame, stop_pair};
+use ibissail_transport::{BodySender, body_channel, encode_frame};
 use slog::{debug, info};
 use std::{sync::Arc, time::Duration};
 
@@ -24,30 +25,29 @@
 pub(crate) struct Active {
     /// Notified when the run has more bytes or has ended.
     pub(crate) progress: Arc<Event>,
-    /// Ends the run early.
-    pub(crate) cancel: StopHandle,
+    /// Ends the run early, with this fault.
+    pub(crate) cancel: Sender<Fault>,
     /// What it is for.
     pub(crate) request: Arc<RunRequest>,
 }
 
 /// Starts an admitted run as a task of its own.
 pub(crate) fn start(shared: &Arc<Shared>, req: RunRequest) {
-    let (cancel, stop) = stop_pair();
+    let (cancel, cancelled) = async_channel::bounded(1);
     let request = Arc::new(req);
     let active = Active { progress: Arc::new(Event::new()), cancel, request: Arc::clone(&request) };
     shared.active().insert(request.key.clone(), active.clone());
-    task::spawn(execute(Arc::clone(shared), active, stop));
+    task::spawn(execute(Arc::clone(shared), active, cancelled));
 }
 
-async fn execute(shared: Arc<Shared>, active: Active, stop: Stop) {
+async fn execute(shared: Arc<Shared>, active: Active, cancelled: Receiver<Fault>) {
     let req = &active.request;
     debug!(shared.node.log, "run: started"; "run" => %req.key, "target" => %req.target);
     let sink = Sink { shared: &shared, active: &active };
     let work = upstream::run(&shared, req, &sink);
-    let cancelled = async {
-        stop.wait().await;
-        let fault = Fault::new(ErrorKind::Incomplete, "the run was cancelled");
-        Verdict::Ended(Ending::Failed(fault))
+    let cancel = async {
+        let fault = cancelled.recv().await;
+        Verdict::Ended(Ending::Failed(fault.unwrap_or_else(|_| ErrorKind::Incomplete.into())))
     };
     let late = async {
         task::sleep(req.time_left.duration()).await;
@@ -57,7 +57,7 @@
         // A run that may happen only once is not given up half-way.
         work.await
     } else {
-        or(work, or(cancelled, late)).await
+        or(work, or(cancel, late)).await
     };
     let now = shared.node.now();
     let was_sent = matches!(verdict, Verdict::Ended(_));
@@ -90,11 +90,11 @@
 }
 
 /// Cancels a run that may be cancelled.
-pub(crate) fn cancel(shared: &Shared, key: &RunKey, reason: &str) {
+pub(crate) fn cancel(shared: &Shared, key: &RunKey, reason: Fault) {
     let active = shared.active().get(key).cloned();
     if let Some(active) = active.filter(|_| !key.is_keyed()) {
-        info!(shared.node.log, "run: cancelled"; "run" => %key, "reason" => reason);
-        active.cancel.stop();
+        info!(shared.node.log, "run: cancelled"; "run" => %key, "reason" => %reason);
+        let _cancelled_before = active.cancel.try_send(reason);
     }
 }
 
