Withdraw at a process while the platform is down

Cause: while the platform is down no withdrawal can be accepted, which is when a bad version hurts most.

Reinstating still needs the platform.

--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     BRANCH_PREFIX, Document, Documents, Grade, Stamp, WITHDRAWALS_KEY, Withdrawals, branch_key,
+    pending::{parse_pending, pending_document},
 };
 use ibissail_core::{
     BranchPath, ClassId, ErrorKind, Fault, ModelId, ModelVersion, OrganisationId, Revision, Target,
@@ -57,6 +58,11 @@
     sources: BTreeMap<BranchPath, Source>,
     members: BTreeMap<OrganisationId, Arc<Member>>,
     by_key: BTreeMap<KeyHash, OrganisationId>,
+    /// What the platform has accepted.
+    accepted: Withdrawals,
+    /// What operators have given to processes while the platform was down.
+    pending: Withdrawals,
+    /// Both together, which is in force.
     withdrawals: Withdrawals,
 }
 
@@ -67,13 +73,18 @@
     /// branch as it was; the texts say which.
     #[must_use]
     pub fn build(documents: &Documents, previous: &Self) -> (Self, Vec<String>) {
-        let mut next = Self { withdrawals: previous.withdrawals.clone(), ..Self::default() };
+        let mut next = Self {
+            accepted: previous.accepted.clone(),
+            withdrawals: previous.withdrawals.clone(),
+            ..Self::default()
+        };
         let mut unreadable = Vec::new();
         for document in documents.iter() {
             if let Err(reason) = next.take(document, previous) {
                 unreadable.push(reason);
             }
         }
+        next.take_pending(documents);
         next.index(documents);
         (next, unreadable)
     }
@@ -85,7 +96,7 @@
         if document.key == WITHDRAWALS_KEY {
             let news: Withdrawals =
                 serde_json::from_str(text).map_err(|error| format!("{}: {error}", document.key))?;
-            self.withdrawals.merge(&news);
+            self.accepted.merge(&news);
             return Ok(());
         }
         let Some(path) = document.key.strip_prefix(BRANCH_PREFIX) else {
@@ -108,6 +119,17 @@
         result
     }
 
+    /// Takes withdrawals that the platform's own document does not have yet.
+    fn take_pending(&mut self, documents: &Documents) {
+        for (version, standing) in documents.iter().filter_map(parse_pending) {
+            if standing > self.accepted.standing(&version) {
+                self.pending.raise(&version, standing);
+            }
+        }
+        self.withdrawals.merge(&self.accepted);
+        self.withdrawals.merge(&self.pending);
+    }
+
     fn index(&mut self, documents: &Documents) {
         let mut members = BTreeMap::new();
         for (path, source) in &self.sources {
@@ -118,7 +140,7 @@
                 .collect();
             // A branch whose parents have not arrived allows nothing yet.
             let Some(branches) = found else { continue };
-            let stamps = stamps(&chain, documents);
+            let stamps = self.stamps(&chain, documents);
             for (id, organisation) in &source.branch.organisations {
                 let member = Member {
                     id: id.clone(),
@@ -234,18 +256,27 @@
         self.sources.get(&BranchPath::root()).map(|source| &*source.branch)
     }
 
+    /// Withdrawals that are not in the platform yet.
+    #[must_use]
+    pub fn pending(&self) -> &Withdrawals {
+        &self.pending
+    }
+
+    fn stamps(&self, chain: &[BranchPath], documents: &Documents) -> Vec<Stamp> {
+        let pending = self.pending.iter();
+        let pending = pending.map(|(version, standing)| pending_document(version, *standing).key);
+        let keys = chain.iter().map(branch_key).chain([WITHDRAWALS_KEY.to_owned()]);
+        keys.chain(pending)
+            .filter_map(|key| {
+                let revision = documents.revision(&key)?;
+                Some(Stamp { key, revision })
+            })
+            .collect()
+    }
+
     /// All withdrawals.
     #[must_use]
     pub fn withdrawals(&self) -> &Withdrawals {
         &self.withdrawals
     }
 }
-
-fn stamps(chain: &[BranchPath], documents: &Documents) -> Vec<Stamp> {
-    let keys = chain.iter().map(branch_key).chain([WITHDRAWALS_KEY.to_owned()]);
-    keys.filter_map(|key| {
-        let revision = documents.revision(&key)?;
-        Some(Stamp { key, revision })
-    })
-    .collect()
-}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -3,12 +3,14 @@
 mod catalogue;
 mod document;
 mod exchange;
+mod pending;
 mod spread;
 mod withdrawal;
 
 pub use catalogue::{Catalogue, Member, Purpose};
 pub use document::{Document, Documents, Merged, Stamp};
 pub use exchange::{Exchange, ExchangeReply, answer, learn, opening};
+pub use pending::{PENDING_PREFIX, pending_document};
 pub use spread::{PUSH_FANOUT, choose_peers, is_watcher};
 pub use withdrawal::{Generation, Grade, Standing, Withdrawals};
 
--- a/crates/catalogue/src/withdrawal.rs
+++ b/crates/catalogue/src/withdrawal.rs
@@ -121,11 +121,16 @@
         self.standings.insert(version.clone(), standing);
     }
 
+    /// Takes the later standing of one version.
+    pub fn raise(&mut self, version: &ModelVersion, standing: Standing) {
+        let mine = self.standings.entry(version.clone()).or_default();
+        *mine = (*mine).max(standing);
+    }
+
     /// Takes the later standing of each version.
     pub fn merge(&mut self, other: &Self) {
         for (version, standing) in &other.standings {
-            let mine = self.standings.entry(version.clone()).or_default();
-            *mine = (*mine).max(*standing);
+            self.raise(version, *standing);
         }
     }
 
--- a/crates/catalogue/tests/withdrawal_merge.rs
+++ b/crates/catalogue/tests/withdrawal_merge.rs
@@ -1,7 +1,10 @@
 //! Withdrawals merge the same in any order, and an old message cannot undo one.
 
-use ibissail_catalogue::{Grade, Standing, Withdrawals};
-use ibissail_core::ModelVersion;
+use ibissail_catalogue::{
+    Catalogue, Document, Documents, Generation, Grade, Standing, WITHDRAWALS_KEY, Withdrawals,
+    pending_document,
+};
+use ibissail_core::{ModelVersion, Revision};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 #[derive(Debug, Clone, Copy)]
@@ -82,3 +85,28 @@
         }
     }
 }
+
+/// A withdrawal given to processes directly counts at once, and a later reinstating ends it.
+#[test]
+fn pending_withdrawals_count_until_the_platform_has_them() {
+    let bad = version(2);
+    let standing = Standing { generation: Generation(0), grade: Grade::Withdrawn };
+    let mut documents = Documents::default();
+    documents.merge(pending_document(&bad, standing));
+    let (catalogue, unreadable) = Catalogue::build(&documents, &Catalogue::default());
+    assert_eq!(unreadable, Vec::<String>::new());
+    assert_eq!(catalogue.withdrawals().standing(&bad), standing);
+    assert_eq!(catalogue.pending().standing(&bad), standing);
+
+    let mut accepted = Withdrawals::default();
+    accepted.lower(&bad, Grade::Withdrawn);
+    accepted.reinstate(&bad);
+    documents.merge(Document {
+        key: WITHDRAWALS_KEY.to_owned(),
+        revision: Revision(9),
+        value: Some(serde_json::to_string(&accepted).expect("JSON")),
+    });
+    let (catalogue, _) = Catalogue::build(&documents, &catalogue);
+    assert_eq!(catalogue.withdrawals().standing(&bad).grade, Grade::Active);
+    assert_eq!(catalogue.pending().iter().count(), 0);
+}
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -66,6 +66,12 @@
         /// Let running sessions go on.
         #[arg(long)]
         retiring: bool,
+        /// Give it to this process instead of the platform, as while the platform is down.
+        #[arg(long, requires = "peer_settings")]
+        direct: Option<SocketAddr>,
+        /// Settings of any process, for the key that authenticates messages.
+        #[arg(long)]
+        peer_settings: Option<PathBuf>,
     },
     /// Let a withdrawn version take work again.
     Reinstate {
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -3,6 +3,7 @@
 use crate::{
     call,
     cli::{Cli, Command},
+    direct,
     error::CommandError,
     settings, status, withdrawal,
 };
@@ -28,9 +29,14 @@
             Command::Get { branch, to } => {
                 settings::get(&platform, &branch, to.as_deref(), output).await
             }
-            Command::Withdraw { version, retiring } => {
+            Command::Withdraw { version, retiring, direct, peer_settings } => {
                 let grade = if retiring { Grade::Retiring } else { Grade::Withdrawn };
-                withdrawal::withdraw(&platform, &version, grade, output).await
+                match (direct, peer_settings) {
+                    (Some(process), Some(file)) => {
+                        direct::withdraw(process, &file, &version, grade, output).await
+                    }
+                    _ => withdrawal::withdraw(&platform, &version, grade, output).await,
+                }
             }
             Command::Reinstate { version, generation } => {
                 let generation = Generation(generation);
--- /dev/null
+++ b/crates/cli/src/direct.rs
@@ -0,0 +1,67 @@
+//! Withdraws a version at a process itself, while the platform is down.
+
+use crate::{cli::Output, error::CommandError, output::print};
+use ibissail_catalogue::{
+    Documents, Exchange, ExchangeReply, Grade, Standing, WITHDRAWALS_KEY, Withdrawals, learn,
+    pending_document,
+};
+use ibissail_core::{Fault, ModelVersion};
+use ibissail_settings::parse_local;
+use ibissail_transport::{Keyring, Pool, PoolOptions, call};
+use serde_json::json;
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const EXCHANGE_PATH: &str = "/v0/exchange";
+
+/// Lowers a version in the generation that the process knows; the process tells the others.
+pub(crate) async fn withdraw(
+    process: SocketAddr,
+    settings: &Path,
+    version: &ModelVersion,
+    grade: Grade,
+    output: Output,
+) -> Result<(), CommandError> {
+    let keyring = read_keyring(settings)?;
+    let pool = Pool::new(PoolOptions::default());
+    let everything = Exchange { stamps: Some(Vec::new()), ..Exchange::default() };
+    let reply = exchange(&pool, &keyring, process, &everything).await?;
+    let mut documents = Documents::default();
+    learn(&mut documents, reply.documents);
+    let generation = known(&documents)?.standing(version).generation;
+    let standing = Standing { generation, grade };
+    let documents = vec![pending_document(version, standing)];
+    exchange(&pool, &keyring, process, &Exchange { documents, ..Exchange::default() }).await?;
+    let value = json!({"version": version.to_string(), "standing": standing, "pending": true});
+    print(output, &value, |_| {
+        format!("{version} is {standing} at {process}, which tells the others and the platform\n")
+    });
+    Ok(())
+}
+
+fn read_keyring(settings: &Path) -> Result<Keyring, CommandError> {
+    let name = settings.display().to_string();
+    let text = fs::read_to_string(settings)
+        .map_err(|error| CommandError::File(name.clone(), error.to_string()))?;
+    Ok(Keyring::new(parse_local(&name, &text)?.peer_keys))
+}
+
+fn known(documents: &Documents) -> Result<Withdrawals, CommandError> {
+    match documents.get(WITHDRAWALS_KEY).and_then(|document| document.value.as_ref()) {
+        Some(text) => serde_json::from_str(text)
+            .map_err(|error| CommandError::Request(format!("{WITHDRAWALS_KEY}: {error}"))),
+        None => Ok(Withdrawals::default()),
+    }
+}
+
+async fn exchange(
+    pool: &Pool,
+    keyring: &Keyring,
+    process: SocketAddr,
+    message: &Exchange,
+) -> Result<ExchangeReply, CommandError> {
+    let answered: Result<Result<ExchangeReply, Fault>, _> =
+        call(pool, keyring, process, EXCHANGE_PATH, message, TIMEOUT).await;
+    let answered = answered.map_err(|error| CommandError::Request(error.to_string()))?;
+    answered.map_err(|fault| CommandError::Request(fault.to_string()))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod call;
 mod cli;
 mod command;
+mod direct;
 mod error;
 mod output;
 mod settings;
--- /dev/null
+++ b/crates/cli/tests/operator_commands.rs
@@ -0,0 +1,201 @@
+//! What operators can expect of `ibissail`, against a stand-in of the platform.
+
+use async_std::{net::TcpListener, task};
+use ibissail_standin::{PlatformFaults, run_platform};
+use ibissail_transport::{Pool, PoolOptions, StopHandle, stop_pair};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    thread,
+    time::Duration,
+};
+
+const ROOT: &str = include_str!("../../../examples/settings/root.yaml");
+const GUIDES: &str = include_str!("../../../examples/settings/guides.yaml");
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Operator {
+    dir: PathBuf,
+    platform: SocketAddr,
+    _stop: StopHandle,
+}
+
+/// A platform and a folder of an operator's files.
+fn operator(test: &str) -> Operator {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _absent = fs::remove_dir_all(&dir);
+    fs::create_dir_all(&dir).expect("the folder can be created");
+    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let platform = listener.local_addr().expect("an address");
+    let (handle, stop) = stop_pair();
+    task::spawn(run_platform(listener, stop));
+    let operator = Operator { dir, platform, _stop: handle };
+    operator.write("root.yaml", ROOT);
+    operator.write("guides.yaml", GUIDES);
+    operator
+}
+
+impl Operator {
+    fn write(&self, file: &str, text: &str) {
+        fs::write(self.dir.join(file), text).expect("the file can be written");
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_ibissail"))
+            .args(["--platform", &self.platform.to_string()])
+            .args(args)
+            .current_dir(&self.dir)
+            .output()
+            .expect("ibissail runs")
+    }
+
+    /// Runs a command that must succeed; gives what it prints.
+    fn ok(&self, args: &[&str]) -> String {
+        let output = self.run(args);
+        assert!(output.status.success(), "{args:?}: {}", text(&output.stderr));
+        text(&output.stdout)
+    }
+
+    /// Runs a command that must fail; gives exit code and message.
+    fn fails(&self, args: &[&str]) -> (i32, String) {
+        let output = self.run(args);
+        assert!(!output.status.success(), "{args:?} succeeds");
+        (output.status.code().unwrap_or_default(), text(&output.stderr))
+    }
+
+    fn applied(self) -> Self {
+        self.ok(&["apply", "root.yaml"]);
+        self.ok(&["apply", "guides.yaml"]);
+        self
+    }
+
+    fn faults(&self, faults: &PlatformFaults) {
+        let url = format!("http://{}/control/faults", self.platform);
+        let url = http_types::Url::parse(&url).expect("a URL");
+        let mut req = http_types::Request::new(http_types::Method::Put, url);
+        req.set_body(serde_json::to_vec(faults).expect("JSON"));
+        let pool = Pool::new(PoolOptions::default());
+        task::block_on(pool.send(self.platform, req, PATIENCE)).expect("the platform answers");
+    }
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn check_accepts_the_examples_and_names_mistakes() {
+    let operator = operator("check");
+    assert_eq!(operator.ok(&["check", "root.yaml", "guides.yaml"]), "2 branches are valid\n");
+    operator.write("guides.yaml", "branch: root/guides\nalow: [swift]\n");
+    let (code, message) = operator.fails(&["check", "root.yaml", "guides.yaml"]);
+    assert_eq!(code, 2);
+    assert!(message.contains("guides.yaml:2: alow: unknown key"), "{message}");
+}
+
+#[test]
+fn conflicting_change_shows_both_sides_and_changes_nothing() {
+    let operator = operator("conflict").applied();
+    operator.ok(&["get", "root/guides", "--to", "mine.yaml"]);
+    operator.ok(&["get", "root/guides", "--to", "theirs.yaml"]);
+    operator.write("theirs.yaml", &GUIDES.replace("concurrency: 32", "concurrency: 16"));
+    operator.write("mine.yaml", &GUIDES.replace("deadline: 60s", "deadline: 30s"));
+    operator.ok(&["apply", "theirs.yaml"]);
+    let (code, message) = operator.fails(&["apply", "mine.yaml"]);
+    assert_eq!(code, 3);
+    assert!(message.contains("+    concurrency: 16"), "{message}");
+    assert!(message.contains("+  draft: {quality: 0.9, deadline: 30s}"), "{message}");
+    let in_force = operator.ok(&["get", "root/guides"]);
+    assert!(in_force.contains("concurrency: 16") && in_force.contains("deadline: 60s"));
+    operator.ok(&["apply", "theirs.yaml"]);
+}
+
+#[test]
+fn branch_that_widens_its_parent_is_not_applied() {
+    let operator = operator("widen").applied();
+    operator.ok(&["get", "root/guides", "--to", "guides.yaml"]);
+    operator.write("guides.yaml", &GUIDES.replace("concurrency: 128", "concurrency: 999"));
+    let (code, message) = operator.fails(&["apply", "guides.yaml"]);
+    assert_eq!(code, 2);
+    assert!(message.contains("limits.concurrency: `999` widens"), "{message}");
+}
+
+#[test]
+fn write_whose_answer_is_lost_is_found_again() {
+    let operator = operator("lost_answer").applied();
+    operator.ok(&["get", "root/guides", "--to", "guides.yaml"]);
+    operator.write("guides.yaml", &GUIDES.replace("deadline: 60s", "deadline: 30s"));
+    operator.faults(&PlatformFaults { lose_answers: 1, ..PlatformFaults::default() });
+    let applied = operator.ok(&["apply", "guides.yaml"]);
+    assert!(applied.contains("in force at revision 3"), "{applied}");
+    operator.faults(&PlatformFaults { lose_answers: 1, ..PlatformFaults::default() });
+    assert_eq!(operator.ok(&["withdraw", "swift@2"]), "swift@2 is withdrawn (generation 0)\n");
+}
+
+#[test]
+fn reinstating_needs_the_generation_that_was_seen() {
+    let operator = operator("reinstate").applied();
+    operator.ok(&["withdraw", "swift@2"]);
+    let (code, message) = operator.fails(&["reinstate", "swift@2", "--generation", "1"]);
+    assert_eq!(code, 3);
+    assert!(message.contains("is withdrawn (generation 0) now"), "{message}");
+    operator.ok(&["reinstate", "swift@2", "--generation", "0"]);
+    let (code, _) = operator.fails(&["reinstate", "swift@2", "--generation", "0"]);
+    assert_eq!(code, 3);
+    assert!(operator.ok(&["status"]).contains("active (generation 1)"));
+}
+
+/// Each reinstating that was accepted ends exactly one generation, whoever else was writing.
+#[test]
+fn operators_withdraw_and_reinstate_at_once() {
+    let operator = operator("race").applied();
+    let operator = &operator;
+    let reinstated: usize = thread::scope(|scope| {
+        let writers: Vec<_> = (0..3)
+            .map(|_| {
+                scope.spawn(move || {
+                    let mut accepted = 0;
+                    for generation in 0..4 {
+                        operator.ok(&["withdraw", "swift@2"]);
+                        let generation = generation.to_string();
+                        let args = ["reinstate", "swift@2", "--generation", &generation];
+                        if operator.run(&args).status.success() {
+                            accepted += 1;
+                        }
+                    }
+                    accepted
+                })
+            })
+            .collect();
+        writers.into_iter().map(|writer| writer.join().expect("no panic")).sum()
+    });
+    operator.ok(&["withdraw", "swift@2"]);
+    let expected = format!("withdrawn (generation {reinstated})");
+    assert!(operator.ok(&["status"]).contains(&expected), "{}", operator.ok(&["status"]));
+}
+
+#[test]
+fn nothing_is_changed_while_the_platform_is_down() {
+    let operator = operator("down").applied();
+    operator.faults(&PlatformFaults { down: true, ..PlatformFaults::default() });
+    let (code, message) = operator.fails(&["withdraw", "swift@2"]);
+    assert_eq!(code, 1);
+    assert!(message.contains("the platform did not act"), "{message}");
+}
+
+#[test]
+fn error_table_in_the_docs_is_printed_from_the_code() {
+    let docs = include_str!("../../../docs/ERRORS.md");
+    let table = operator("errors").ok(&["errors"]);
+    assert!(docs.ends_with(&table), "run `ibissail errors` and put its table into docs/ERRORS.md");
+}
+
+#[test]
+fn json_output_is_for_programs() {
+    let operator = operator("json").applied();
+    let printed = operator.ok(&["--output", "json", "withdraw", "swift@2"]);
+    let value: serde_json::Value = serde_json::from_str(&printed).expect("JSON");
+    assert_eq!(value["standing"]["grade"], "withdrawn");
+}
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod gossip;
 mod peers;
+mod promotion;
 mod replica;
 mod watching;
 
@@ -72,6 +73,7 @@
         task::spawn(peers::follow_list(Arc::clone(&node)));
         task::spawn(watching::follow_platform(Arc::clone(&node)));
         task::spawn(gossip::run(Arc::clone(&node)));
+        task::spawn(promotion::run(Arc::clone(&node)));
         node
     }
 
@@ -112,6 +114,7 @@
             "ready": ready,
             "settings": self.settings.stamps(),
             "withdrawals": self.catalogue().withdrawals(),
+            "pending": self.catalogue().pending(),
             "peers": self.peers.len(),
         })
     }
