Run tasks on two threads by default

Cause: each process started a thread for each core; with three processes on one machine they woke each other, and each thread's heap took memory.

--- /dev/null
+++ b/crates/daemon/benches/measure/mod.rs
@@ -0,0 +1,78 @@
+//! Samples, and what the operating system says of a process.
+#![allow(dead_code, reason = "each benchmark uses a part of this module")]
+
+use std::{fs, time::Duration};
+
+/// Clock ticks a second in the process accounting of Linux.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Durations of one kind.
+#[derive(Debug, Default)]
+pub struct Samples(Vec<Duration>);
+
+impl Samples {
+    pub fn add(&mut self, sample: Duration) {
+        self.0.push(sample);
+    }
+
+    /// A percentile; 100 is the greatest.
+    pub fn percentile(&mut self, percent: usize) -> Duration {
+        self.0.sort_unstable();
+        let last = self.0.len().saturating_sub(1);
+        self.0.get(last * percent / 100).copied().unwrap_or_default()
+    }
+
+    pub fn micros(&mut self, percent: usize) -> u128 {
+        self.percentile(percent).as_micros()
+    }
+}
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy)]
+pub struct Usage {
+    pub cpu: Duration,
+    pub resident_kb: u32,
+}
+
+impl Usage {
+    pub fn of(pid: u32) -> Self {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let fields = stat.rsplit(") ").next().unwrap_or_default();
+        let field = |index| fields.split(' ').nth(index).and_then(|text| text.parse::<u64>().ok());
+        let ticks = field(11).unwrap_or(0) + field(12).unwrap_or(0);
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        Self {
+            cpu: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
+            resident_kb: resident.unwrap_or(0),
+        }
+    }
+
+    pub fn resident_mb(self) -> f64 {
+        f64::from(self.resident_kb) / 1024.0
+    }
+}
+
+/// Bytes that have passed over loopback.
+pub fn loopback_bytes() -> f64 {
+    let table = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = table.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
+}
+
+/// Prints one row of a table.
+pub fn row(cells: &[&str]) {
+    let cells: Vec<String> = cells.iter().map(|cell| format!("{cell:>26}")).collect();
+    println!("{}", cells.join(" "));
+}
+
+/// Slope and intercept of the least-squares line.
+pub fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count: f64 = points.iter().map(|_| 1.0).sum();
+    let x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|point| (point.0 - x) * (point.0 - x)).sum();
+    let slope = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum::<f64>() / spread;
+    (slope, y - slope * x)
+}
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,7 +1,7 @@
 //! Arguments of `ibissaild`.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, num::NonZeroUsize, path::PathBuf};
 
 /// Routes requests to versions of models, and withdraws bad versions everywhere at once.
 #[derive(Debug, Parser)]
@@ -13,6 +13,9 @@
     /// Least level of the logs.
     #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
     pub log_level: LogLevel,
+    /// Threads that run tasks.
+    #[arg(long, global = true, default_value = "2")]
+    pub threads: NonZeroUsize,
     /// What to run.
     #[command(subcommand)]
     pub command: Command,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -6,7 +6,7 @@
 };
 use ibissail_settings::{LocalSettings, UpstreamSettings, parse_local};
 use ibissail_standin::EngineOptions;
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{fs, net::SocketAddr, num::NonZeroUsize, path::Path, time::Duration};
 
 /// Checked options of the daemon.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     pub log_format: LogFormat,
     /// Least level of the logs.
     pub log_level: LogLevel,
+    /// Threads that run tasks.
+    pub threads: NonZeroUsize,
     /// What to run.
     pub role: Role,
 }
@@ -49,7 +51,12 @@
             Command::Dev { port } => Role::Dev(port),
             Command::Standin { kind } => standin(kind),
         };
-        Ok(Self { log_format: cli.log_format, log_level: cli.log_level, role })
+        Ok(Self {
+            log_format: cli.log_format,
+            log_level: cli.log_level,
+            threads: cli.threads,
+            role,
+        })
     }
 }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -3,6 +3,7 @@
 use crate::{
     Options, StartError, dev, entry::Entry, log, options::Role, sidecar::Sidecar, standin,
 };
+use async_global_executor::{GlobalExecutorConfig, init_with_config};
 use async_signal::{Signal, Signals};
 use async_std::{net::TcpListener, stream::StreamExt, task};
 use std::net::SocketAddr;
@@ -13,6 +14,9 @@
 ///
 /// When it cannot start.
 pub fn run(options: Options) -> Result<(), StartError> {
+    let threads = options.threads.get();
+    let executor = GlobalExecutorConfig::default();
+    init_with_config(executor.with_min_threads(threads).with_max_threads(threads));
     let log = log::root(options.log_format, options.log_level);
     task::block_on(async move {
         match options.role {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -84,10 +84,10 @@
 }
 
 impl Process {
-    fn start(dir: &Path, name: &str, args: &[String]) -> Self {
+    fn start(dir: &Path, name: &str, level: &str, args: &[String]) -> Self {
         let log = File::create(dir.join(format!("{name}.log"))).expect("the log can be created");
         let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
-            .args(["--log-level", "debug"])
+            .args(["--log-level", level])
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -97,6 +97,10 @@
         Self { name: name.to_owned(), child }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: &str) {
         let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.expect("kill runs").success(), "{} takes {signal}", self.name);
@@ -155,6 +159,10 @@
     pub members: BTreeMap<String, Member>,
     /// Addresses of the platform that single processes use instead.
     pub platform_for: BTreeMap<String, SocketAddr>,
+    /// Least level of the logs of processes started from now on.
+    pub log_level: &'static str,
+    /// Runs in progress that each sidecar takes.
+    pub upstream_concurrency: u32,
     /// Extra lines of single processes' settings.
     pub extra: BTreeMap<String, String>,
 }
@@ -173,6 +181,8 @@
             processes: BTreeMap::new(),
             members: BTreeMap::new(),
             platform_for: BTreeMap::new(),
+            log_level: "debug",
+            upstream_concurrency: 16,
             extra: BTreeMap::new(),
         };
         cluster.spawn("platform", &["standin", "platform", "--listen", &platform.to_string()]);
@@ -184,7 +194,7 @@
 
     pub fn spawn(&mut self, name: &str, args: &[&str]) {
         let args: Vec<String> = args.iter().map(ToString::to_string).collect();
-        let process = Process::start(&self.dir, name, &args);
+        let process = Process::start(&self.dir, name, self.log_level, &args);
         self.processes.insert(name.to_owned(), process);
     }
 
@@ -208,6 +218,12 @@
         self.add(name, Some((address, offers.to_owned())));
     }
 
+    /// Adds a sidecar whose upstream is not there.
+    pub fn add_unserved(&mut self, name: &str, offers: &str) {
+        let address = self.addresses.next();
+        self.add(name, Some((address, offers.to_owned())));
+    }
+
     fn add(&mut self, name: &str, upstream: Option<(SocketAddr, String)>) {
         let peer = self.addresses.next();
         let zone = format!("az-{}", self.members.len() % 3 + 1);
@@ -245,7 +261,10 @@
             peers.join(", "),
         );
         if let Some((address, offers)) = &member.upstream {
-            let upstream = format!("upstream: {{address: \"{address}\", offers: \"{offers}\"}}\n");
+            let concurrency = self.upstream_concurrency;
+            let upstream = format!(
+                "upstream: {{address: \"{address}\", offers: \"{offers}\", concurrency: {concurrency}}}\n"
+            );
             text.push_str(&upstream);
         }
         text.push_str(self.extra.get(&member.name).map(String::as_str).unwrap_or_default());
