Send the frames of a run that are ready together in one write

Cause: a short answer went out as three chunks (sign of life, piece, end), each a write and a wake-up on both sides.

--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -83,10 +83,15 @@
 impl Sink<'_> {
     /// Adds bytes to the run's answer; `false` when there is no room.
     pub(crate) fn append(&self, bytes: &[u8]) -> bool {
-        let added = self.shared.table().append(&self.active.request.key, bytes);
+        let added = self.append_last(bytes);
         self.active.progress.notify(usize::MAX);
         added
     }
+
+    /// The same for the last bytes, which readers see together with the end.
+    pub(crate) fn append_last(&self, bytes: &[u8]) -> bool {
+        self.shared.table().append(&self.active.request.key, bytes)
+    }
 }
 
 /// Cancels a run that may be cancelled.
@@ -112,9 +117,6 @@
 }
 
 async fn feed(shared: &Shared, key: &RunKey, mut offset: u64, sender: &BodySender) {
-    if !send(sender, key, FrameKind::Alive).await {
-        return;
-    }
     loop {
         let progress = shared.active().get(key).map(|active| Arc::clone(&active.progress));
         // Listening begins before the look, so that no progress is missed.
@@ -122,25 +124,25 @@
         let Some(View { bytes, ending }) = shared.table().view(key, offset) else {
             return;
         };
+        let is_last = ending.is_some();
+        // Frames that are ready together go out in one write.
+        let mut buf = Vec::new();
         for piece in bytes.chunks(MAX_PIECE_BYTES) {
-            let kind = FrameKind::Piece { offset, bytes: piece.to_vec() };
-            if !send(sender, key, kind).await {
-                return;
-            }
+            buf.extend(frame(key, FrameKind::Piece { offset, bytes: piece.to_vec() }));
             offset += piece.len() as u64;
         }
-        if let Some(ending) = ending {
-            let _last = send(sender, key, FrameKind::End(ending)).await;
+        buf.extend(ending.map(|ending| frame(key, FrameKind::End(ending))).unwrap_or_default());
+        if !sender.send(buf).await || is_last {
             return;
         }
         let Some(listener) = listener else { continue };
         let idle = timeout(HEARTBEAT_INTERVAL, listener).await.is_err();
-        if idle && !send(sender, key, FrameKind::Alive).await {
+        if idle && !sender.send(frame(key, FrameKind::Alive)).await {
             return;
         }
     }
 }
 
-async fn send(sender: &BodySender, key: &RunKey, kind: FrameKind) -> bool {
-    sender.send(encode_frame(&Frame { key: key.clone(), kind })).await
+fn frame(key: &RunKey, kind: FrameKind) -> Vec<u8> {
+    encode_frame(&Frame { key: key.clone(), kind })
 }
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -166,7 +166,7 @@
     let content_type = reply.response.content_type().map(|mime| mime.to_string());
     let limit = req.time_left.duration();
     let bytes = reply.bytes(MAX_ANSWER, limit).await.map_err(|error| lost(req, &error))?;
-    if !bytes.is_empty() && !sink.append(&bytes) {
+    if !bytes.is_empty() && !sink.append_last(&bytes) {
         return Err(Fault::new(ErrorKind::UpstreamFailed, "no room for the answer"));
     }
     let tokens = match req.target {
