--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -84,8 +84,8 @@
     }
     if model == AUTO_MODEL {
         let order = order_models(offers(&catalogue, &member, &call.class), call.quality);
-        let picked = order.iter().filter_map(|model| pick(&catalogue, &member, model, call));
-        return Ok(picked.collect());
+        let versions = order.iter().flat_map(|model| pick(&catalogue, &member, model, call));
+        return Ok(versions.collect());
     }
     if model.contains('@') {
         let version: ModelVersion = parse(model)?;
@@ -93,10 +93,11 @@
         return Ok(vec![version]);
     }
     let model: ModelId = parse(model)?;
-    match pick(&catalogue, &member, &model, call) {
-        Some(version) => Ok(vec![version]),
-        None => Err(no_version(&catalogue, &member, &model)),
+    let versions = pick(&catalogue, &member, &model, call);
+    if versions.is_empty() {
+        return Err(no_version(&catalogue, &member, &model));
     }
+    Ok(versions)
 }
 
 fn plan_session(
@@ -115,14 +116,13 @@
     Ok(vec![version.clone()])
 }
 
-fn pick(
-    catalogue: &Catalogue,
-    member: &Member,
-    model: &ModelId,
-    call: &Call,
-) -> Option<ModelVersion> {
+/// The version that the request falls to, then the others that take new work.
+fn pick(catalogue: &Catalogue, member: &Member, model: &ModelId, call: &Call) -> Vec<ModelVersion> {
     let versions = catalogue.versions(member, model);
-    pick_version(&versions, call.spread()).cloned()
+    let Some(first) = pick_version(&versions, call.spread()).cloned() else { return Vec::new() };
+    let others = versions.into_iter().filter(|(version, weight)| *weight > 0 && *version != first);
+    let others: Vec<ModelVersion> = others.map(|(version, _)| version).collect();
+    [vec![first], others].concat()
 }
 
 fn parse<T>(text: &str) -> Result<T, Fault>
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -7,15 +7,20 @@
     relay::{Place, Relay, Whole},
     services,
 };
+use async_std::task;
 use http_types::Response;
 use ibissail_core::{ErrorKind, Fault, Ran, Revision, Target, VmId};
 use ibissail_execution::{
-    Claim, ClaimStep, ClaimView, HeldClaim, Outcome, RunKey, TokenCounts, claim_key, next_step,
+    Claim, ClaimNumber, ClaimStep, ClaimView, HeldClaim, Outcome, RunKey, TokenCounts, claim_key,
+    next_step,
 };
 use ibissail_platform::{Object, PlatformError};
 use slog::info;
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+/// Looks for a run whose claim stands, before the run is barred.
+const CLAIM_LOOKS: u32 = 10;
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// Steps taken for one call before it is given up.
 const MAX_STEPS: u32 = 8;
 
@@ -100,7 +105,7 @@
             vm: picked.place.vm.clone(),
             address: picked.place.address,
             incarnation: picked.place.incarnation,
-            number: barred.map_or(0, |claim| claim.number + 1),
+            number: barred.map(|claim| claim.number.next()).unwrap_or_default(),
             outcome: None,
         }
     }
@@ -152,7 +157,7 @@
         let place =
             Place { vm: claim.vm.clone(), address: claim.address, incarnation: claim.incarnation };
         let mut relay = Relay::new(self.shared, self.run_key.clone(), place, None);
-        match relay.attach(self.call, true).await {
+        match self.attach(&mut relay, claim.number).await {
             Ok(()) => self.finish(claim, revision, relay).await,
             Err(fault) if fault.kind == ErrorKind::UnknownRun => {
                 self.tried.insert(claim.vm.clone());
@@ -162,6 +167,17 @@
         }
     }
 
+    /// Waits a little for a run whose claim may just have been made, and then bars it.
+    async fn attach(&self, relay: &mut Relay, number: ClaimNumber) -> Result<(), Fault> {
+        for _ in 0..CLAIM_LOOKS {
+            match relay.attach(self.call, None).await {
+                Err(fault) if fault.kind == ErrorKind::UnknownRun => task::sleep(CLAIM_PAUSE).await,
+                found => return found,
+            }
+        }
+        relay.attach(self.call, Some(number)).await
+    }
+
     /// The sidecar has gone; it may have written the outcome before.
     async fn look_again(&self, claim: Claim) -> Result<Next, Fault> {
         match self.read().await {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -90,12 +90,14 @@
         task::spawn(probing::run(Arc::clone(&shared)));
         task::spawn(billing::run(Arc::clone(&shared)));
         let options = ServerOptions::default();
+        let head_timeout = shared.node.local.head_timeout.duration();
+        let public_options = ServerOptions { head_timeout, ..options };
         let (peer, callers) = (Arc::clone(&shared), Arc::clone(&shared));
         let peer_server = serve(own, options, stop.clone(), move |mut req, _caller| {
             let shared = Arc::clone(&peer);
             async move { shared.node.answer_exchange(&mut req).await }
         });
-        let public_server = serve(public, options, stop, move |req, caller| {
+        let public_server = serve(public, public_options, stop, move |req, caller| {
             router::answer(Arc::clone(&callers), req, caller)
         });
         let servers = vec![task::spawn(public_server), task::spawn(peer_server)];
--- a/crates/daemon/src/entry/probing.rs
+++ b/crates/daemon/src/entry/probing.rs
@@ -17,7 +17,8 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     while !shared.node.is_stopping() {
         let listed = shared.node.peers.listed();
-        shared.membership().on_list(&listed);
+        let now = shared.node.now();
+        shared.membership().on_list(&listed, now);
         let chosen = shared.membership().to_probe(PROBES_PER_INTERVAL, &mut rand::rng());
         for (vm, address) in chosen {
             task::spawn(probe(Arc::clone(&shared), vm, address));
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -4,8 +4,8 @@
 use async_std::{future::timeout, task};
 use ibissail_core::{ErrorKind, Fault, Incarnation, Ran, VmId};
 use ibissail_execution::{
-    Assembly, AttachRequest, CancelRequest, Ending, Frame, FrameKind, Refusal, RunKey, TokenCounts,
-    paths,
+    Assembly, AttachRequest, CancelRequest, ClaimNumber, Ending, Frame, FrameKind, Refusal, RunKey,
+    TokenCounts, paths,
 };
 use ibissail_routing::Fate;
 use ibissail_transport::{CallError, StreamReply, call, open_stream};
@@ -90,7 +90,7 @@
                 return Err(ErrorKind::Timeout.into());
             }
             let Some(stream) = &mut self.stream else {
-                self.attach(call, false).await?;
+                self.attach(call, None).await?;
                 continue;
             };
             match receive(stream).await {
@@ -173,8 +173,13 @@
         self.shared.node.pool.forget(self.place.address);
     }
 
-    /// Asks for the rest of the answer; with `bar`, a keyed run that has not begun never will.
-    pub(crate) async fn attach(&mut self, call: &Call, bar: bool) -> Result<(), Fault> {
+    /// Asks for the rest of the answer; with `bar`, a keyed run that has not begun never will
+    /// under that claim.
+    pub(crate) async fn attach(
+        &mut self,
+        call: &Call,
+        bar: Option<ClaimNumber>,
+    ) -> Result<(), Fault> {
         self.shared.node.metrics.reattachments.inc();
         let mut failures = 0;
         loop {
@@ -182,7 +187,7 @@
                 key: self.key.clone(),
                 incarnation: self.place.incarnation,
                 from: self.assembly.length(),
-                refuse_if_absent: bar,
+                bar,
             };
             let node = &self.shared.node;
             let address = self.place.address;
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -106,7 +106,7 @@
 
 /// Bills one call under the request that it counts as.
 pub(crate) async fn bill(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     call: &Call,
     request: RequestId,
     target: &Target,
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -89,7 +89,7 @@
 fn attach(shared: &Arc<Shared>, envelope: &Envelope) -> Answered {
     let req: AttachRequest = envelope.message()?;
     let now = shared.node.now();
-    shared.table().find(&req.key, req.incarnation, req.refuse_if_absent, now)?;
+    shared.table().find(&req.key, req.incarnation, req.bar, now)?;
     Ok(envelope.stream(runs::read(shared, req.key, req.from)))
 }
 
@@ -103,8 +103,10 @@
 fn confirm(shared: &Shared, envelope: &Envelope) -> Answered {
     let req: ConfirmRequest = envelope.message()?;
     let due = shared.node.now().plus(RECORD_GRACE);
-    shared.outbox().hold(req.record, due);
-    shared.table().delivered(&req.key);
+    for confirmation in req.confirmations {
+        shared.outbox().hold(confirmation.record, due);
+        shared.table().delivered(&confirmation.key);
+    }
     Ok(envelope.answer(&()))
 }
 
--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -63,7 +63,7 @@
     let was_sent = matches!(verdict, Verdict::Ended(_));
     match verdict {
         Verdict::Ended(ending) => shared.table().end(&req.key, ending, now),
-        Verdict::NotSent(fault) => shared.table().bar(&req.key, fault, now),
+        Verdict::NotSent(fault) => shared.table().bar(&req.key, req.claim_number(), fault, now),
     }
     debug!(shared.node.log, "run: ended"; "run" => %req.key);
     shared.active().remove(&req.key);
--- a/crates/execution/src/claim.rs
+++ b/crates/execution/src/claim.rs
@@ -1,6 +1,7 @@
 //! Claims: platform objects that name the only sidecar which may run an idempotency key.
 
 use crate::Ending;
+use derive_more::Display;
 use ibissail_core::{ErrorKind, Fault, Incarnation, OrganisationId, RequestId, Revision, VmId};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -44,6 +45,21 @@
     }
 }
 
+/// Counts the claims of one key; each is made only after the one before has been barred.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ClaimNumber(pub u64);
+
+impl ClaimNumber {
+    /// The number of the claim that replaces this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// Names the sidecar that may run a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -58,7 +74,7 @@
     /// The sidecar's start; no other start may run the key.
     pub incarnation: Incarnation,
     /// Rises when another sidecar is named.
-    pub number: u64,
+    pub number: ClaimNumber,
     /// The answer, once there is one.
     pub outcome: Option<Outcome>,
 }
--- a/crates/execution/src/message.rs
+++ b/crates/execution/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between entries and sidecars about runs.
 
-use crate::{Claim, Ending, RunKey};
+use crate::{Claim, ClaimNumber, Ending, RunKey};
 use ibissail_catalogue::{Document, Stamp};
 use ibissail_core::{
     Fault, Incarnation, Millis, OrganisationId, RequestId, Revision, Target, VmId,
@@ -96,8 +96,16 @@
     pub incarnation: Incarnation,
     /// First byte wanted.
     pub from: u64,
-    /// A keyed run that has not begun may not begin any more.
-    pub refuse_if_absent: bool,
+    /// A keyed run that has not begun may not begin any more under this claim or an earlier one.
+    pub bar: Option<ClaimNumber>,
+}
+
+impl RunRequest {
+    /// Number of the claim under which a keyed run takes place.
+    #[must_use]
+    pub fn claim_number(&self) -> ClaimNumber {
+        self.claim.as_ref().map(|held| held.claim.number).unwrap_or_default()
+    }
 }
 
 /// Asks for the end of a run.
@@ -107,9 +115,16 @@
     pub key: RunKey,
 }
 
-/// Tells that the entry has the whole answer of a run and that it counts for billing.
+/// Tells that the entry has whole answers and that they count for billing.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfirmRequest {
+    /// One for each answer.
+    pub confirmations: Vec<Confirmation>,
+}
+
+/// Tells that the entry has the whole answer of a run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Confirmation {
     /// The run.
     pub key: RunKey,
     /// The record that the sidecar keeps until it is durable.
--- a/crates/execution/src/table.rs
+++ b/crates/execution/src/table.rs
@@ -1,6 +1,6 @@
 //! All runs of one start of a sidecar: the state machine behind at-most-once.
 
-use crate::{Assembly, Ending, RunKey, RunRequest};
+use crate::{Assembly, ClaimNumber, Ending, RunKey, RunRequest};
 use ibissail_core::{ByteSize, ErrorKind, Fault, Incarnation, Millis};
 use std::collections::BTreeMap;
 
@@ -38,10 +38,11 @@
         at: Millis,
         settled: bool,
     },
-    /// A keyed run that was asked for before it came, and may not come any more.
+    /// A keyed run that has not begun, and may not under this claim or an earlier one.
     Barred {
         at: Millis,
         fault: Fault,
+        number: ClaimNumber,
     },
 }
 
@@ -108,8 +109,10 @@
 
     /// Decides on a request; `Start` reserves the run.
     pub fn admit(&mut self, req: &RunRequest, now: Millis) -> Admission {
-        if let Some(run) = self.runs.get(&req.key) {
-            return Self::admit_known(run, req.fingerprint);
+        if let Some(run) = self.runs.get(&req.key)
+            && let Some(admission) = Self::admit_known(run, req)
+        {
+            return admission;
         }
         if req.incarnation != self.incarnation {
             return Admission::Refuse(ErrorKind::StaleTicket.into());
@@ -131,7 +134,8 @@
     /// Refuses a run; a keyed one is barred, since a copy of the request may still be under way.
     fn refuse(&mut self, req: &RunRequest, kind: ErrorKind, now: Millis) -> Admission {
         if req.key.is_keyed() {
-            let state = State::Barred { at: now, fault: kind.into() };
+            let number = req.claim_number();
+            let state = State::Barred { at: now, fault: kind.into(), number };
             self.insert(req.key.clone(), req.fingerprint, state, now);
         }
         Admission::Refuse(kind.into())
@@ -141,11 +145,15 @@
         self.running >= self.bounds.concurrency || self.kept_bytes >= self.bounds.memory.as_usize()
     }
 
-    fn admit_known(run: &Run, fingerprint: u64) -> Admission {
+    /// What a request meets at a known run; `None` when a later claim may begin it anew.
+    fn admit_known(run: &Run, req: &RunRequest) -> Option<Admission> {
         match &run.state {
-            State::Barred { .. } => Admission::Refuse(ErrorKind::UnknownRun.into()),
-            _ if run.fingerprint != fingerprint => Admission::Refuse(ErrorKind::KeyReused.into()),
-            State::Running | State::Ended { .. } => Admission::Attach,
+            State::Barred { number, .. } if req.claim_number() > *number => None,
+            State::Barred { .. } => Some(Admission::Refuse(ErrorKind::UnknownRun.into())),
+            _ if run.fingerprint != req.fingerprint => {
+                Some(Admission::Refuse(ErrorKind::KeyReused.into()))
+            }
+            State::Running | State::Ended { .. } => Some(Admission::Attach),
         }
     }
 
@@ -171,23 +179,27 @@
         &mut self,
         key: &RunKey,
         incarnation: Incarnation,
-        bar: bool,
+        bar: Option<ClaimNumber>,
         now: Millis,
     ) -> Result<(), Fault> {
         if incarnation != self.incarnation {
             return Err(ErrorKind::StaleTicket.into());
         }
-        match self.runs.get(key).map(|run| &run.state) {
-            Some(State::Barred { .. }) => Err(ErrorKind::UnknownRun.into()),
-            Some(_) => Ok(()),
-            None => {
-                if bar {
-                    let state = State::Barred { at: now, fault: ErrorKind::UnknownRun.into() };
-                    self.insert(key.clone(), 0, state, now);
-                }
-                Err(ErrorKind::UnknownRun.into())
-            }
+        let known = self.runs.get(key).map(|run| &run.state);
+        if let Some(State::Running | State::Ended { .. }) = known {
+            return Ok(());
+        }
+        let barred = match known {
+            Some(State::Barred { number, .. }) => Some(*number),
+            _ => None,
+        };
+        if bar > barred
+            && let Some(number) = bar
+        {
+            let state = State::Barred { at: now, fault: ErrorKind::UnknownRun.into(), number };
+            self.insert(key.clone(), 0, state, now);
         }
+        Err(ErrorKind::UnknownRun.into())
     }
 
     /// Adds bytes to a run; `false` when the run has ended or its answer is too large.
@@ -218,12 +230,12 @@
     }
 
     /// Ends a run of which nothing has reached the upstream; it may not begin again here.
-    pub fn bar(&mut self, key: &RunKey, fault: Fault, now: Millis) {
+    pub fn bar(&mut self, key: &RunKey, number: ClaimNumber, fault: Fault, now: Millis) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         if matches!(run.state, State::Running) {
-            run.state = State::Barred { at: now, fault };
+            run.state = State::Barred { at: now, fault, number };
             self.running -= 1;
         }
     }
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -12,6 +12,8 @@
 const LONGEST_EJECTION: Millis = Millis(16_000);
 /// Failures in a row that eject a replica that still answers.
 const EJECTION_FAILURES: u32 = 3;
+/// Age of the last answer to a probe above which a replica that is not listed is forgotten.
+const ANSWER_AGE: Millis = Millis(10_000);
 const MAX_DOUBLINGS: u32 = 5;
 
 /// Whether a replica may be given work.
@@ -86,6 +88,10 @@
         }
     }
 
+    fn answers(&self, now: Millis) -> bool {
+        self.incarnation.is_some() && now.since(self.probed_at) < ANSWER_AGE
+    }
+
     fn fail(&mut self, now: Millis) {
         self.failures = self.failures.saturating_add(1);
         if self.failures >= EJECTION_FAILURES {
@@ -105,14 +111,17 @@
 impl Membership {
     /// Takes in the list of VMs, which lags.
     ///
-    /// The list may add, drain and remove; it never revives what has been drained.
-    pub fn on_list(&mut self, records: &[VmRecord]) {
+    /// The list may add, drain and remove; it never revives what has been drained, and it does not
+    /// remove what still answers probes, since it may be too old to know it.
+    pub fn on_list(&mut self, records: &[VmRecord], now: Millis) {
         let upstreams: BTreeMap<&VmId, &VmRecord> = records
             .iter()
             .filter(|record| record.role == VmRole::Upstream)
             .map(|record| (&record.vm, record))
             .collect();
-        self.replicas.retain(|vm, replica| replica.own > 0 || upstreams.contains_key(vm));
+        self.replicas.retain(|vm, replica| {
+            upstreams.contains_key(vm) || replica.own > 0 || replica.answers(now)
+        });
         for (vm, record) in upstreams {
             let replica = self.replicas.entry(vm.clone()).or_insert_with(|| Replica::new(record));
             if replica.address != record.address {
--- /dev/null
+++ b/crates/routing/tests/membership_sources.rs
@@ -0,0 +1,131 @@
+//! What an entry believes of a replica, whichever source speaks first.
+
+use ibissail_core::{Incarnation, Millis, Target, VmId};
+use ibissail_execution::{Load, ProbeReply, SidecarState};
+use ibissail_platform::{VmRecord, VmRole, VmState};
+use ibissail_routing::{Fate, Health, Membership, choose};
+use rand::{SeedableRng, rngs::StdRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn vm(name: &str) -> VmId {
+    name.parse().expect("a name")
+}
+
+fn target() -> Target {
+    "swift@1".parse().expect("a target")
+}
+
+fn record(name: &str, state: VmState) -> VmRecord {
+    VmRecord {
+        vm: vm(name),
+        zone: "az-1".parse().expect("a zone"),
+        role: VmRole::Upstream,
+        address: ([127, 0, 0, 1], 1).into(),
+        state,
+        offers: Some(target()),
+    }
+}
+
+fn probe(name: &str, incarnation: u64, state: SidecarState, ticket: u64) -> ProbeReply {
+    ProbeReply {
+        vm: vm(name),
+        incarnation: Incarnation(incarnation),
+        offers: target(),
+        state,
+        load: Load { in_flight: 0, concurrency: 16 },
+        ticket: Millis(ticket),
+        digest: 0,
+    }
+}
+
+fn health(membership: &Membership, name: &str) -> Option<Health> {
+    membership.get(&vm(name)).map(|replica| replica.health)
+}
+
+fn ready(names: &[&str]) -> Membership {
+    let records: Vec<VmRecord> = names.iter().map(|name| record(name, VmState::Live)).collect();
+    let mut membership = Membership::default();
+    membership.on_list(&records, Millis(0));
+    for name in names {
+        membership.on_probe(&probe(name, 1, SidecarState::Ready, 1), Millis(0));
+    }
+    membership
+}
+
+#[test]
+fn the_list_never_revives_what_has_drained() {
+    let mut membership = ready(&["a"]);
+    membership.on_draining(&vm("a"), Incarnation(1));
+    membership.on_list(&[record("a", VmState::Live)], Millis(1));
+    assert_eq!(health(&membership, "a"), Some(Health::Draining));
+    membership.on_probe(&probe("a", 1, SidecarState::Ready, 2), Millis(2));
+    assert_eq!(health(&membership, "a"), Some(Health::Draining), "a late answer revives nothing");
+    membership.on_probe(&probe("a", 2, SidecarState::Ready, 1), Millis(3));
+    assert_eq!(health(&membership, "a"), Some(Health::Ready), "a new start is another replica");
+}
+
+#[test]
+fn refusals_of_an_earlier_start_do_not_drain_the_present_one() {
+    let mut membership = ready(&["a"]);
+    membership.on_probe(&probe("a", 2, SidecarState::Ready, 1), Millis(1));
+    membership.on_draining(&vm("a"), Incarnation(1));
+    assert_eq!(health(&membership, "a"), Some(Health::Ready));
+}
+
+#[test]
+fn an_old_list_does_not_remove_what_still_answers() {
+    let mut membership = ready(&["a"]);
+    membership.on_list(&[], Millis(9_999));
+    assert_eq!(health(&membership, "a"), Some(Health::Ready));
+    membership.on_list(&[], Millis(10_000));
+    assert_eq!(health(&membership, "a"), None);
+}
+
+#[test]
+fn late_probe_answers_are_ignored() {
+    let mut membership = ready(&["a"]);
+    membership.on_probe(&probe("a", 1, SidecarState::Draining, 9), Millis(1));
+    membership.on_probe(&probe("a", 1, SidecarState::Ready, 8), Millis(2));
+    assert_eq!(health(&membership, "a"), Some(Health::Draining));
+}
+
+/// A replica that fails fast looks idle, and must not attract the work.
+#[test]
+fn failing_replicas_are_ejected_for_growing_times() {
+    let mut membership = ready(&["good", "bad"]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let target = target();
+    let zone = "az-1".parse().expect("a zone");
+    let mut chosen: BTreeMap<VmId, u32> = BTreeMap::new();
+    for step in 0..1_000 {
+        let now = Millis(step * 10);
+        let tried = BTreeSet::new();
+        let picked = choose(&membership, &target, &zone, &tried, now, &mut rng);
+        let name = picked.map(|replica| replica.vm.clone()).expect("one is always good");
+        let fate = if name == vm("bad") { Fate::Failed } else { Fate::Answered };
+        membership.on_start(&name);
+        membership.on_end(&name, fate, now);
+        *chosen.entry(name).or_default() += 1;
+    }
+    assert!(chosen[&vm("bad")] < 50, "{chosen:?}");
+}
+
+#[test]
+fn choices_follow_load_and_spare_what_was_tried() {
+    let mut membership = ready(&["busy", "idle"]);
+    let load = Load { in_flight: 16, concurrency: 16 };
+    let busy = ProbeReply { load, ..probe("busy", 1, SidecarState::Ready, 2) };
+    membership.on_probe(&busy, Millis(1));
+    let mut rng = StdRng::seed_from_u64(1);
+    let target = target();
+    let zone = "az-1".parse().expect("a zone");
+    let mut pick = |tried: &BTreeSet<VmId>| {
+        let picked = choose(&membership, &target, &zone, tried, Millis(1), &mut rng);
+        picked.map(|replica| replica.vm.clone())
+    };
+    for _ in 0..50 {
+        assert_eq!(pick(&BTreeSet::new()), Some(vm("idle")));
+    }
+    assert_eq!(pick(&BTreeSet::from([vm("idle")])), Some(vm("busy")));
+    assert_eq!(pick(&BTreeSet::from([vm("idle"), vm("busy")])), None);
+}
--- a/crates/settings/src/local.rs
+++ b/crates/settings/src/local.rs
@@ -8,7 +8,7 @@
 use ibissail_core::{ByteSize, Count, Millis, SigningKey, Target, VmId, ZoneId};
 use std::net::SocketAddr;
 
-const KEYS: [&str; 11] = [
+const KEYS: [&str; 12] = [
     "vm",
     "zone",
     "listen",
@@ -20,9 +20,11 @@
     "rater",
     "memory",
     "stop_timeout",
+    "head_timeout",
 ];
 const DEFAULT_MEMORY: ByteSize = ByteSize(16 << 20);
 const DEFAULT_STOP_TIMEOUT: Millis = Millis(30_000);
+const DEFAULT_HEAD_TIMEOUT: Millis = Millis(30_000);
 const DEFAULT_CONCURRENCY: u32 = 16;
 const DEFAULT_RETENTION: Millis = Millis(600_000);
 
@@ -89,6 +91,8 @@
     pub rater: Option<SocketAddr>,
     /// Memory for answers that are kept.
     pub memory: ByteSize,
+    /// Longest time for the head of a caller's request.
+    pub head_timeout: Millis,
     /// Longest time that a planned stop may take.
     pub stop_timeout: Millis,
 }
@@ -133,6 +137,7 @@
         },
         rater,
         memory: fields.optional("memory").unwrap_or(DEFAULT_MEMORY),
+        head_timeout: fields.optional("head_timeout").unwrap_or(DEFAULT_HEAD_TIMEOUT),
         stop_timeout: fields.optional("stop_timeout").unwrap_or(DEFAULT_STOP_TIMEOUT),
     })
 }
