Choose among a few drawn replicas instead of scanning all

Cause: a choice filtered all known replicas and then drew three.

Drawing up the ready replicas anew on each change of readiness is linear, and such changes are rare.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -2,12 +2,14 @@
 
 use crate::{Membership, Replica};
 use ibissail_core::{Millis, Target, VmId, ZoneId};
-use rand::{Rng, seq::IteratorRandom};
+use rand::{Rng, seq::index};
 use std::collections::BTreeSet;
 
 /// Replicas compared for one request.
 const SAMPLE: usize = 3;
-/// What a request to another zone costs, in places of a replica.
+/// Replicas drawn to find those to compare, since some are tried already or ejected.
+const DRAWS: usize = 8;
+/// What a request to another zone costs, as a share of a replica's places.
 const ZONE_COST: f64 = 0.05;
 
 /// Expected load of a replica, as a share of its places, with what this entry has added itself.
@@ -21,9 +23,11 @@
 }
 
 /// The cheapest of a few random candidates, without those tried already.
+///
+/// The time does not grow with the number of replicas, unless nearly all are tried or ejected.
 pub fn choose<'m, R>(
     membership: &'m Membership,
-    target: &'m Target,
+    target: &Target,
     zone: &ZoneId,
     tried: &BTreeSet<VmId>,
     now: Millis,
@@ -32,7 +36,23 @@
 where
     R: Rng,
 {
-    let candidates = membership.candidates(target, now).filter(|r| !tried.contains(&r.vm));
-    let sample = candidates.choose_multiple(rng, SAMPLE);
-    sample.into_iter().min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
+    let ready = membership.ready(target);
+    let usable = |place: usize| {
+        let replica = membership.get(&ready[place])?;
+        let is_usable = replica.ejected_until <= now && !tried.contains(&replica.vm);
+        is_usable.then_some(replica)
+    };
+    let drawn = index::sample(rng, ready.len(), DRAWS.min(ready.len()));
+    let found = cheapest(drawn.into_iter().filter_map(usable).take(SAMPLE), zone);
+    if found.is_some() || ready.len() <= DRAWS {
+        return found;
+    }
+    cheapest((0..ready.len()).filter_map(usable), zone)
+}
+
+fn cheapest<'m, I>(candidates: I, zone: &ZoneId) -> Option<&'m Replica>
+where
+    I: Iterator<Item = &'m Replica>,
+{
+    candidates.min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
 }
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -106,6 +106,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Membership {
     replicas: BTreeMap<VmId, Replica>,
+    /// Ready replicas of each target, for drawing some at random.
+    ready: BTreeMap<Target, Vec<VmId>>,
 }
 
 impl Membership {
@@ -131,10 +133,19 @@
                 replica.health = Health::Draining;
             }
         }
+        self.index();
     }
 
     /// Takes in a sidecar's own word.
     pub fn on_probe(&mut self, reply: &ProbeReply, now: Millis) {
+        let before = self.readiness(&reply.vm).cloned();
+        self.apply_probe(reply, now);
+        if self.readiness(&reply.vm) != before.as_ref() {
+            self.index();
+        }
+    }
+
+    fn apply_probe(&mut self, reply: &ProbeReply, now: Millis) {
         let Some(replica) = self.replicas.get_mut(&reply.vm) else {
             return;
         };
@@ -166,6 +177,7 @@
             && replica.incarnation == Some(incarnation)
         {
             replica.health = Health::Draining;
+            self.index();
         }
     }
 
@@ -205,6 +217,7 @@
         replica.fail(now);
         if replica.health == Health::Ready {
             replica.health = Health::Unknown;
+            self.index();
         }
     }
 
@@ -222,17 +235,28 @@
         chosen.into_iter().map(named).collect()
     }
 
-    /// Replicas that may be given work for a target now.
-    pub fn candidates<'a>(
-        &'a self,
-        target: &'a Target,
-        now: Millis,
-    ) -> impl Iterator<Item = &'a Replica> + 'a {
-        self.replicas.values().filter(move |replica| {
-            replica.health == Health::Ready
-                && replica.ejected_until <= now
-                && replica.offers.as_ref() == Some(target)
-        })
+    /// VMs of all ready replicas of a target, in the order of their names.
+    #[must_use]
+    pub fn ready(&self, target: &Target) -> &[VmId] {
+        self.ready.get(target).map(Vec::as_slice).unwrap_or_default()
+    }
+
+    /// What a ready replica offers.
+    fn readiness(&self, vm: &VmId) -> Option<&Target> {
+        let replica = self.replicas.get(vm)?;
+        replica.offers.as_ref().filter(|_| replica.health == Health::Ready)
+    }
+
+    /// Draws up the ready replicas anew; they change far less often than they are read.
+    fn index(&mut self) {
+        self.ready.clear();
+        for replica in self.replicas.values() {
+            if replica.health == Health::Ready
+                && let Some(target) = &replica.offers
+            {
+                self.ready.entry(target.clone()).or_default().push(replica.vm.clone());
+            }
+        }
     }
 
     /// A replica by its VM.
