--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -195,7 +195,7 @@
 fn frozen_entry_wakes_after_another_has_taken_over() {
     let mut cluster = cluster("frozen_entry");
     cluster.start_all();
-    let slow = PlatformFaults { delay_ms: 300, ..PlatformFaults::default() };
+    let slow = PlatformFaults { answer_delay_ms: 1_000, ..PlatformFaults::default() };
     cluster.platform_faults(&slow);
     let stream = begin(&cluster, "entry-1", "k");
     wait_until("the claim is in the platform", || {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -401,6 +401,14 @@
         self.status(name)["withdrawals"][version]["grade"] == "withdrawn"
     }
 
+    /// A counter of a process.
+    pub fn counter(&self, name: &str, counter: &str) -> u64 {
+        let text = get(self.members[name].listen, "/metrics").map(|answer| answer.text());
+        let text = text.unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix(counter));
+        line.and_then(|rest| rest.trim().parse().ok()).unwrap_or_default()
+    }
+
     /// One whole completion through an entry.
     pub fn complete(&self, entry: &str, model: &str) -> Answer {
         self.complete_with(entry, model, &[])
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -28,6 +28,8 @@
     pub down: bool,
     /// Every call waits so long first.
     pub delay_ms: u64,
+    /// Every write waits so long between its effect and its answer.
+    pub answer_delay_ms: u64,
     /// So many next writes take effect, and their answers are lost.
     pub lose_answers: u32,
     /// The list of VMs is so old.
@@ -197,13 +199,15 @@
         Method::Delete => None,
         _ => Some(String::from_utf8_lossy(&body_of(req).await).into_owned()),
     };
-    let (result, lost) = {
+    let (result, lost, delay) = {
         let mut state = lock(state);
         state.counts.writes += 1;
+        let delay = Duration::from_millis(state.faults.answer_delay_ms);
         let lost = state.faults.lose_answers > 0;
         state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
-        (state.store.write(&key, condition, value), lost)
+        (state.store.write(&key, condition, value), lost, delay)
     };
+    task::sleep(delay).await;
     if lost {
         return Response::new(StatusCode::GatewayTimeout);
     }
