Count a chosen replica's request at the choice, not at its start

Cause: eight requests that were chosen for at the same moment all went to one of two idle replicas, since an entry counted a request only once the sidecar had taken it. Seen when a test of a leaving upstream waited in vain for work on both engines.

--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -46,14 +46,16 @@
 ) -> Option<PickedPlace> {
     let zone = &shared.node.local.identity.zone;
     let now = shared.node.now();
-    let membership = shared.membership();
+    let mut membership = shared.membership();
     let replica = choose(&membership, target, zone, tried, now, &mut rand::rng())?;
     let place = Place {
         vm: replica.vm.clone(),
         address: replica.address,
         incarnation: replica.incarnation?,
     };
-    Some(PickedPlace { place, ticket: replica.ticket })
+    let picked = PickedPlace { place, ticket: replica.ticket };
+    membership.on_choice(&picked.place.vm);
+    Some(picked)
 }
 
 /// A replica with the ticket that its sidecar wants back.
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -6,6 +6,7 @@
 use ibissail_platform::VmState;
 use ibissail_standin::{EngineFaults, PlatformFaults};
 use std::{
+    io::Read,
     sync::atomic::{AtomicBool, AtomicU32, Ordering},
     thread,
 };
@@ -92,13 +93,31 @@
     let mut cluster = cluster("leaving");
     let lag = PlatformFaults { list_lag_ms: 30_000, ..PlatformFaults::default() };
     cluster.platform_faults(&lag);
+    // Streams in progress keep the leaving sidecar there for the whole test.
+    let long = br#"{"model":"swift","stream":true,"max_tokens":1500,"messages":[]}"#;
+    let headers = [("authorization", "Bearer demo-key")];
+    let listen = cluster.members["entry-1"].listen;
+    let open = || http::open(listen, "POST", "/v1/chat/completions", &headers, long).expect("sent");
+    let streams: Vec<_> = (0..8).map(|_| open()).collect();
+    wait_until("both engines stream", || {
+        ["swift-1", "swift-2"].iter().all(|name| cluster.engine(name).started > 0)
+            && cluster.engine("swift-1").started + cluster.engine("swift-2").started == 8
+    });
     cluster.process("swift-1").signal("-TERM");
-    wait_until("the sidecar drains", || cluster.complete("entry-1", "swift").status == 200);
+    wait_until("the sidecar drains", || {
+        http::get(cluster.members["swift-1"].listen, "/readyz").is_some_and(|a| a.status == 503)
+    });
     let started = cluster.engine("swift-1").started;
     for entry in ["entry-1", "entry-2"].repeat(20) {
         assert_eq!(cluster.complete(entry, "swift").status, 200);
     }
     assert_eq!(cluster.engine("swift-1").started, started);
+    assert!(cluster.engine("swift-1").finished < started, "the sidecar is still there");
+    for mut stream in streams {
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).expect("the stream ends");
+        assert!(bytes.ends_with(b"data: [DONE]\n\n\r\n0\r\n\r\n"), "no stream is cut");
+    }
 }
 
 #[test]
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -188,11 +188,17 @@
         }
     }
 
-    /// Notes that a request has been sent.
+    /// Notes that a request will be sent, so that the next choice counts it already.
+    pub fn on_choice(&mut self, vm: &VmId) {
+        if let Some(replica) = self.replicas.get_mut(vm) {
+            replica.since_probe += 1;
+        }
+    }
+
+    /// Notes that a request has begun.
     pub fn on_start(&mut self, vm: &VmId) {
         if let Some(replica) = self.replicas.get_mut(vm) {
             replica.own += 1;
-            replica.since_probe += 1;
         }
     }
 
--- a/crates/routing/tests/membership_sources.rs
+++ b/crates/routing/tests/membership_sources.rs
@@ -110,6 +110,24 @@
     assert!(chosen[&vm("bad")] < 50, "{chosen:?}");
 }
 
+/// Requests that are chosen for at the same moment spread over the replicas.
+#[test]
+fn choices_at_the_same_moment_do_not_herd() {
+    let mut membership = ready(&["a", "b"]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let target = target();
+    let zone = "az-1".parse().expect("a zone");
+    let mut chosen: BTreeMap<VmId, u32> = BTreeMap::new();
+    for _ in 0..8 {
+        let tried = BTreeSet::new();
+        let picked = choose(&membership, &target, &zone, &tried, Millis(0), &mut rng);
+        let name = picked.map(|replica| replica.vm.clone()).expect("a replica");
+        membership.on_choice(&name);
+        *chosen.entry(name).or_default() += 1;
+    }
+    assert_eq!(chosen.values().copied().collect::<Vec<u32>>(), [4, 4]);
+}
+
 #[test]
 fn choices_follow_load_and_spare_what_was_tried() {
     let mut membership = ready(&["busy", "idle"]);
