Hold records at a witness, and give a new process the list of VMs

An entry and a sidecar killed together took the only two copies of a record with them. And an entry replaced while the platform is down had settings from its peers, but no list of VMs, so it could route nothing.

Change: an organisation's setting `witness: true` lets an entry in another availability zone hold each record too before the caller gets the last byte; a witness that does not answer is not asked until it does. A process without a list takes a peer's. Other holders write a record after three intervals of the entry's ledger (1.5 s here; 10 s before).

--- a/crates/daemon/src/entry/billing.rs
+++ b/crates/daemon/src/entry/billing.rs
@@ -1,20 +1,27 @@
 //! Usage records of this entry: confirmed to sidecars, written to ledgers, then settled.
 
-use crate::{entry::Shared, ledger};
+use crate::{
+    entry::{Shared, call::Call},
+    ledger,
+};
 use async_channel::Sender;
 use async_std::task;
 use ibissail_billing::{Outbox, UsageRecord};
 use ibissail_core::{Fault, Millis, RequestId};
 use ibissail_execution::{ConfirmRequest, Confirmation, RunKey, SettleRequest, paths};
+use ibissail_platform::VmRole;
 use ibissail_transport::{CallError, call};
+use rand::seq::IteratorRandom;
 use slog::debug;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+/// Time between two questions to a silent witness.
+const SILENT_PAUSE: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request that waits for its confirmation; dropping it lets the request go on.
@@ -28,34 +35,39 @@
 #[derive(Debug, Default)]
 struct State {
     outbox: Outbox,
-    holders: BTreeMap<RequestId, SocketAddr>,
-    /// Confirmations for each sidecar to which a message is under way.
+    /// The other processes that hold a record too.
+    holders: BTreeMap<RequestId, Vec<SocketAddr>>,
+    /// Confirmations for each holder to which a message is under way.
     queues: BTreeMap<SocketAddr, Vec<Waiting>>,
+    /// Witnesses that did not answer and have not been heard of since.
+    silent: BTreeSet<SocketAddr>,
+    /// Records that should have a witness and have none.
+    unwitnessed: BTreeSet<RequestId>,
 }
 
 impl State {
     /// Queues a confirmation; `true` when no message is under way.
-    fn queue(&mut self, sidecar: SocketAddr, waiting: Waiting) -> bool {
-        let is_first = !self.queues.contains_key(&sidecar);
-        self.queues.entry(sidecar).or_default().push(waiting);
+    fn queue(&mut self, holder: SocketAddr, waiting: Waiting) -> bool {
+        let is_first = !self.queues.contains_key(&holder);
+        self.queues.entry(holder).or_default().push(waiting);
         is_first
     }
 
-    fn take_queue(&mut self, sidecar: SocketAddr) -> Vec<Waiting> {
-        self.queues.get_mut(&sidecar).map(std::mem::take).unwrap_or_default()
+    fn take_queue(&mut self, holder: SocketAddr) -> Vec<Waiting> {
+        self.queues.get_mut(&holder).map(std::mem::take).unwrap_or_default()
     }
 
     /// Whether nothing waits; then the next confirmation sends itself.
-    fn is_queue_empty(&mut self, sidecar: SocketAddr) -> bool {
-        let is_empty = self.queues.get(&sidecar).is_none_or(Vec::is_empty);
+    fn is_queue_empty(&mut self, holder: SocketAddr) -> bool {
+        let is_empty = self.queues.get(&holder).is_none_or(Vec::is_empty);
         if is_empty {
-            self.queues.remove(&sidecar);
+            self.queues.remove(&holder);
         }
         is_empty
     }
 }
 
-/// Records that are not durable yet, with the sidecars that hold them too.
+/// Records that are not durable yet, with the processes that hold them too.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
     state: Mutex<State>,
@@ -70,19 +82,38 @@
         self.lock().outbox.is_empty()
     }
 
-    fn hold(&self, record: UsageRecord, holder: SocketAddr) {
+    fn hold(&self, record: UsageRecord, holders: Vec<SocketAddr>) {
         let mut state = self.lock();
-        state.holders.insert(record.request, holder);
+        state.holders.insert(record.request, holders);
         state.outbox.hold(record, Millis(0));
     }
 
-    /// Forgets durable records; returns the sidecars to be told.
+    /// Holds records of another entry, to be written from `due` on if that entry does not.
+    pub(crate) fn witness(&self, confirmations: Vec<Confirmation>, due: Millis) {
+        let mut state = self.lock();
+        for confirmation in confirmations {
+            state.outbox.hold(confirmation.record, due);
+        }
+    }
+
+    /// Forgets records of another entry that are durable.
+    pub(crate) fn forget(&self, requests: Vec<RequestId>) {
+        self.lock().outbox.settle(requests);
+    }
+
+    /// Records that should have a witness and have none.
+    pub(crate) fn unwitnessed(&self) -> usize {
+        self.lock().unwitnessed.len()
+    }
+
+    /// Forgets durable records; returns the processes to be told.
     fn settle(&self, requests: &[RequestId]) -> BTreeMap<SocketAddr, Vec<RequestId>> {
         let mut state = self.lock();
         state.outbox.settle(requests.iter().copied());
         let mut holders: BTreeMap<SocketAddr, Vec<RequestId>> = BTreeMap::new();
         for request in requests {
-            if let Some(holder) = state.holders.remove(request) {
+            state.unwitnessed.remove(request);
+            for holder in state.holders.remove(request).unwrap_or_default() {
                 holders.entry(holder).or_default().push(*request);
             }
         }
@@ -94,51 +125,111 @@
     }
 }
 
-/// Holds a record here and at the sidecar, before the caller gets the last byte.
+/// Holds a record here, at the sidecar and, where the organisation asks for it, at an entry in
+/// another availability zone, before the caller gets the last byte.
 ///
-/// One message is under way to a sidecar at a time; confirmations that come meanwhile go together
+/// One message is under way to a holder at a time; confirmations that come meanwhile go together
 /// in the next.
 pub(crate) async fn confirm(
     shared: &Arc<Shared>,
+    call: &Call,
     sidecar: SocketAddr,
     key: &RunKey,
     record: UsageRecord,
 ) {
-    shared.records.hold(record.clone(), sidecar);
+    let wants_witness = call.member.organisation.witness;
+    let witness = if wants_witness { choose_witness(shared) } else { None };
+    let holders: Vec<SocketAddr> = [Some(sidecar), witness].into_iter().flatten().collect();
+    shared.records.hold(record.clone(), holders.clone());
+    if wants_witness && witness.is_none() {
+        shared.records.lock().unwitnessed.insert(record.request);
+    }
     let (done, confirmed) = async_channel::bounded(1);
-    let confirmation = Confirmation { key: key.clone(), record };
-    let is_first = shared.records.lock().queue(sidecar, Waiting { confirmation, done });
-    if is_first {
-        // A task of its own, since this request may be given up while others wait in the queue.
-        task::spawn(send_queue(Arc::clone(shared), sidecar));
+    for holder in holders {
+        let confirmation = Confirmation { key: key.clone(), record: record.clone() };
+        let waiting = Waiting { confirmation, done: done.clone() };
+        let is_first = shared.records.lock().queue(holder, waiting);
+        if is_first {
+            // A task of its own, since this request may be given up while others wait.
+            task::spawn(send_queue(Arc::clone(shared), holder));
+        }
     }
+    drop(done);
     let _dropped_when_sent = confirmed.recv().await;
 }
 
-/// Sends what is queued for a sidecar until nothing is.
-async fn send_queue(shared: Arc<Shared>, sidecar: SocketAddr) {
+/// An entry in another availability zone that has not been silent.
+fn choose_witness(shared: &Shared) -> Option<SocketAddr> {
+    let own = &shared.node.local.identity.zone;
+    let listed = shared.node.peers.listed();
+    let silent = shared.records.lock().silent.clone();
+    let entries =
+        listed.iter().filter(|record| record.role == VmRole::Entry && record.zone != *own);
+    let answering = entries.filter(|record| !silent.contains(&record.address));
+    answering.choose(&mut rand::rng()).map(|record| record.address)
+}
+
+/// Sends what is queued for a holder until nothing is.
+async fn send_queue(shared: Arc<Shared>, holder: SocketAddr) {
     loop {
-        let queue = shared.records.lock().take_queue(sidecar);
-        send_batch(&shared, sidecar, queue).await;
-        if shared.records.lock().is_queue_empty(sidecar) {
+        let queue = shared.records.lock().take_queue(holder);
+        send_batch(&shared, holder, queue).await;
+        if shared.records.lock().is_queue_empty(holder) {
             return;
         }
     }
 }
 
-async fn send_batch(shared: &Shared, sidecar: SocketAddr, queue: Vec<Waiting>) {
+async fn send_batch(shared: &Arc<Shared>, holder: SocketAddr, queue: Vec<Waiting>) {
     let confirmations = queue.iter().map(|waiting| waiting.confirmation.clone()).collect();
     let message = ConfirmRequest { confirmations };
     let node = &shared.node;
     let path = paths::CONFIRM;
     let confirmed: Result<Result<(), Fault>, CallError> =
-        call(&node.pool, &node.keyring, sidecar, path, &message, CALL_TIMEOUT).await;
+        call(&node.pool, &node.keyring, holder, path, &message, CALL_TIMEOUT).await;
     if let Err(error) = confirmed {
-        debug!(node.log, "billing: this entry alone holds records"; "error" => %error);
+        debug!(node.log, "billing: a holder did not answer"; "error" => %error);
+        note_silence(shared, holder, &queue);
     }
     drop(queue);
 }
 
+/// Asks no more of a silent witness until it answers again.
+fn note_silence(shared: &Arc<Shared>, holder: SocketAddr, queue: &[Waiting]) {
+    let listed = shared.node.peers.listed();
+    let is_witness =
+        listed.iter().any(|record| record.role == VmRole::Entry && record.address == holder);
+    if !is_witness {
+        return;
+    }
+    let mut state = shared.records.lock();
+    for waiting in queue {
+        let request = waiting.confirmation.record.request;
+        // It may have become durable while its witness was silent.
+        if state.holders.contains_key(&request) {
+            state.unwitnessed.insert(request);
+        }
+    }
+    if state.silent.insert(holder) {
+        task::spawn(wait_for_answer(Arc::clone(shared), holder));
+    }
+}
+
+async fn wait_for_answer(shared: Arc<Shared>, holder: SocketAddr) {
+    let node = &shared.node;
+    while !node.is_stopping() {
+        task::sleep(SILENT_PAUSE).await;
+        let message = SettleRequest { requests: Vec::new() };
+        let answered: Result<Result<(), Fault>, CallError> =
+            call(&node.pool, &node.keyring, holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
+        let is_listed = node.peers.addresses().contains(&holder);
+        if answered.is_ok() || !is_listed {
+            shared.records.lock().silent.remove(&holder);
+            return;
+        }
+    }
+}
+
 /// Writes records until the process stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
     while !shared.node.is_stopping() {
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -198,7 +198,8 @@
             input: whole.tokens.input,
             output: whole.tokens.output,
         };
-        billing::confirm(&self.shared, relay.place.address, &relay.key, record).await;
+        let address = relay.place.address;
+        billing::confirm(&self.shared, &self.call, address, &relay.key, record).await;
     }
 
     /// A stream, whose head is sent once the first bytes have arrived.
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -218,7 +218,8 @@
         match claim.outcome {
             Some(Outcome::Answer { status, content_type, body }) => {
                 let record = services::record(self.call, claim.request, self.target);
-                billing::confirm(self.shared, claim.address, &self.run_key, record).await;
+                let address = claim.address;
+                billing::confirm(self.shared, self.call, address, &self.run_key, record).await;
                 let whole = Whole { status, content_type, tokens: TokenCounts::default() };
                 Ok(services::respond(self.shared, self.call, self.target, &whole, body))
             }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod keyed;
 mod probing;
+mod protocol;
 mod relay;
 mod router;
 mod services;
@@ -57,6 +58,7 @@
         status["replicas_ready"] = ready.into();
         status["in_progress"] = self.admissions.in_progress().into();
         status["records"] = self.records.len().into();
+        status["unwitnessed"] = self.records.unwitnessed().into();
         status
     }
 
@@ -93,9 +95,8 @@
         let head_timeout = shared.node.local.head_timeout.duration();
         let public_options = ServerOptions { head_timeout, ..options };
         let (peer, callers) = (Arc::clone(&shared), Arc::clone(&shared));
-        let peer_server = serve(own, options, stop.clone(), move |mut req, _caller| {
-            let shared = Arc::clone(&peer);
-            async move { shared.node.answer_exchange(&mut req).await }
+        let peer_server = serve(own, options, stop.clone(), move |req, _caller| {
+            protocol::answer(Arc::clone(&peer), req)
         });
         let public_server = serve(public, public_options, stop, move |req, caller| {
             router::answer(Arc::clone(&callers), req, caller)
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -113,7 +113,7 @@
     relay: &Relay,
 ) {
     let record = record(call, request, target);
-    billing::confirm(shared, relay.place.address, &relay.key, record).await;
+    billing::confirm(shared, call, relay.place.address, &relay.key, record).await;
 }
 
 /// The usage record of one call of a service.
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -10,9 +10,10 @@
 
 use crate::{clock::Clock, metrics::Metrics, node::peers::Peers};
 use async_std::task;
-use http_types::{Request, Response};
+use http_types::Response;
 use ibissail_catalogue::{Catalogue, Document, Exchange};
-use ibissail_core::{Fault, Incarnation, Millis};
+use ibissail_core::{Incarnation, Millis};
+use ibissail_execution::Refusal;
 use ibissail_platform::{HttpPlatform, ObjectApi};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{Envelope, Keyring, Pool, PoolOptions, Stop};
@@ -30,6 +31,8 @@
 const MIN_LEDGER_INTERVAL: Duration = Duration::from_millis(500);
 /// Ledger writes a second that all entries together may make.
 const LEDGER_WRITES_PER_SECOND: u32 = 100;
+/// Intervals of an entry's ledger that other holders of its records wait at least.
+const RECORD_GRACE_INTERVALS: u32 = 3;
 /// How long a new process looks for peers before one answer is enough.
 const SYNC_PATIENCE: Millis = Millis(5_000);
 /// Peers that must have answered a new process while the platform is down.
@@ -103,6 +106,11 @@
         MIN_LEDGER_INTERVAL.max(Duration::from_secs(1) * (entries / LEDGER_WRITES_PER_SECOND))
     }
 
+    /// Time for an entry to write a record before another holder does.
+    pub(crate) fn record_grace(&self) -> Millis {
+        (self.ledger_interval() * RECORD_GRACE_INTERVALS).into()
+    }
+
     /// Whether the settings are known to be as new as can be learned.
     pub(crate) fn is_synced(&self) -> bool {
         if self.catalogue().root().is_none() {
@@ -148,18 +156,18 @@
     }
 
     /// Answers a peer that compares or sends settings.
-    pub(crate) async fn answer_exchange(self: &Arc<Self>, req: &mut Request) -> Response {
-        match self.take_exchange(req).await {
-            Ok(res) => res,
-            Err(fault) => Response::new(fault.kind.answer().status),
-        }
-    }
-
-    async fn take_exchange(self: &Arc<Self>, req: &mut Request) -> Result<Response, Fault> {
-        let envelope = Envelope::receive(&self.keyring, req).await?;
+    pub(crate) fn answer_exchange(
+        self: &Arc<Self>,
+        envelope: &Envelope,
+    ) -> Result<Response, Refusal> {
         let message: Exchange = envelope.message()?;
         let (news, reply) = self.settings.exchange(message, &self.log);
         self.spread(&news);
         Ok(envelope.answer(&reply))
     }
+
+    /// Answers a peer that has no list of VMs, as one started while the platform is down.
+    pub(crate) fn answer_vms(&self, envelope: &Envelope) -> Response {
+        envelope.answer(&self.peers.listed())
+    }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -2,9 +2,12 @@
 
 use crate::node::Node;
 use async_std::task;
+use ibissail_catalogue::choose_peers;
 use ibissail_core::VmId;
+use ibissail_execution::{Refusal, paths};
 use ibissail_platform::{VmRecord, VmRole};
 use ibissail_settings::LocalSettings;
+use ibissail_transport::{CallError, call};
 use slog::debug;
 use std::{
     collections::BTreeSet,
@@ -15,6 +18,9 @@
 
 /// Time between two reads of the list in a small fleet.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause before another try of a process that has no list yet.
+const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(100);
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Reads of the list a second that all processes together may make.
 const LIST_READS_PER_SECOND: u64 = 500;
 
@@ -87,15 +93,39 @@
     }
 }
 
+fn list_interval(node: &Node) -> Duration {
+    if node.peers.listed().is_empty() {
+        return FIRST_LIST_INTERVAL;
+    }
+    let share = node.peers.len() as u64 / LIST_READS_PER_SECOND;
+    LIST_INTERVAL.max(Duration::from_secs(share))
+}
+
+/// Takes the list of a peer, if this process has had none since its start.
+async fn ask_a_peer(node: &Node) {
+    if !node.peers.listed().is_empty() {
+        return;
+    }
+    let peer = choose_peers(&node.peers.addresses(), None, 1, &mut rand::rng()).pop();
+    let Some(peer) = peer else { return };
+    let path = paths::VMS;
+    let answered: Result<Result<Vec<VmRecord>, Refusal>, CallError> =
+        call(&node.pool, &node.keyring, peer, path, &(), PEER_TIMEOUT).await;
+    if let Ok(Ok(vms)) = answered {
+        node.peers.set_listed(vms);
+    }
+}
+
 /// Reads the list of VMs, less often in a large fleet.
 pub(crate) async fn follow_list(node: Arc<Node>) {
     while !node.is_stopping() {
         match node.platform.vms().await {
             Ok(vms) => node.peers.set_listed(vms),
-            Err(error) => debug!(node.log, "peers: no list of VMs"; "error" => %error),
+            Err(error) => {
+                debug!(node.log, "peers: no list of VMs"; "error" => %error);
+                ask_a_peer(&node).await;
+            }
         }
-        let fleet = node.peers.len() as u64;
-        let share = Duration::from_secs(fleet / LIST_READS_PER_SECOND);
-        task::sleep(LIST_INTERVAL.max(share)).await;
+        task::sleep(list_interval(&node)).await;
     }
 }
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -3,7 +3,7 @@
 use crate::sidecar::{Shared, runs};
 use http_types::{Request, Response};
 use ibissail_catalogue::Purpose;
-use ibissail_core::{ErrorKind, Fault, Millis};
+use ibissail_core::{ErrorKind, Fault};
 use ibissail_execution::{
     Admission, AttachRequest, CancelRequest, ConfirmRequest, Load, Probe, ProbeReply, Refusal,
     RunRequest, SettleRequest, SidecarState, paths,
@@ -12,17 +12,9 @@
 use slog::{info, warn};
 use std::sync::Arc;
 
-/// Intervals of an entry's ledger that a sidecar waits at least.
-const RECORD_GRACE_INTERVALS: u32 = 3;
-/// Time for the entry to write a record before the sidecar does.
-const RECORD_GRACE: Millis = Millis(10_000);
-
 /// Answers one message.
 pub(crate) async fn answer(shared: Arc<Shared>, mut req: Request) -> Response {
     let path = req.url().path().to_owned();
-    if path == paths::EXCHANGE {
-        return shared.node.answer_exchange(&mut req).await;
-    }
     let envelope = match Envelope::receive(&shared.node.keyring, &mut req).await {
         Ok(envelope) => envelope,
         Err(fault) => {
@@ -31,6 +23,8 @@
         }
     };
     let answered = match path.as_str() {
+        paths::EXCHANGE => shared.node.answer_exchange(&envelope),
+        paths::VMS => Ok(shared.node.answer_vms(&envelope)),
         paths::RUN => run(&shared, &envelope),
         paths::ATTACH => attach(&shared, &envelope),
         paths::CANCEL => cancel(&shared, &envelope),
@@ -104,8 +98,7 @@
 
 fn confirm(shared: &Shared, envelope: &Envelope) -> Answered {
     let req: ConfirmRequest = envelope.message()?;
-    let grace = RECORD_GRACE.max((shared.node.ledger_interval() * RECORD_GRACE_INTERVALS).into());
-    let due = shared.node.now().plus(grace);
+    let due = shared.node.now().plus(shared.node.record_grace());
     for confirmation in req.confirmations {
         shared.outbox().hold(confirmation.record, due);
         shared.table().delivered(&confirmation.key);
--- a/crates/daemon/tests/billing.rs
+++ b/crates/daemon/tests/billing.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{Cluster, http, wait_until};
+use common::{Cluster, EndOnDrop, http, wait_until};
 use ibissail_standin::{EngineFaults, PlatformFaults};
 use std::{
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
@@ -135,9 +135,9 @@
                 }
             });
         }
+        let _end = EndOnDrop(&done);
         wait_until("the load has begun", || answered.load(Ordering::Relaxed) > 100);
         cluster.process("entry-1").kill();
-        done.store(true, Ordering::Relaxed);
     });
     let answered = answered.load(Ordering::Relaxed);
     wait_until("the sidecars have written what the entry had not", || {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -16,7 +16,7 @@
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::atomic::{AtomicBool, AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -76,6 +76,16 @@
     serde_json::from_slice(&answer.body).expect("counts")
 }
 
+/// Ends the callers of a load, also when the test fails.
+#[derive(Debug)]
+pub struct EndOnDrop<'a>(pub &'a AtomicBool);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A process that is killed when the test ends.
 #[derive(Debug)]
 pub struct Process {
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Cluster, http, wait_until};
+use common::{Cluster, EndOnDrop, http, wait_until};
 use ibissail_platform::VmState;
 use ibissail_standin::{EngineFaults, PlatformFaults};
 use std::{
@@ -48,12 +48,12 @@
                 }
             });
         }
+        let _end = EndOnDrop(&done);
         let before = || sent.load(Ordering::Relaxed) > 20;
         wait_until("the load has begun", before);
         act(cluster);
         let now = sent.load(Ordering::Relaxed);
         wait_until("the load goes on", || sent.load(Ordering::Relaxed) > now + 40);
-        done.store(true, Ordering::Relaxed);
     });
     sent.load(Ordering::Relaxed)
 }
--- a/crates/daemon/tests/withdrawal.rs
+++ b/crates/daemon/tests/withdrawal.rs
@@ -151,9 +151,11 @@
         cluster.wait_ready(name);
         assert!(cluster.has_withdrawn(name, BAD), "{name} is ready without the withdrawal");
     }
-    wait_until("the entry that stayed finds the new sidecar", || {
-        cluster.complete("entry-2", "swift").version() == "swift@1"
-    });
+    for entry in ["entry-1", "entry-2"] {
+        wait_until("the entry finds the new sidecar", || {
+            cluster.complete(entry, "swift").version() == "swift@1"
+        });
+    }
     assert_eq!(cluster.complete("entry-2", BAD).kind(), "version_withdrawn");
     assert_eq!(cluster.engine("swift-2").started, started);
 }
--- a/crates/execution/src/message.rs
+++ b/crates/execution/src/message.rs
@@ -21,6 +21,8 @@
     pub const SETTLE: &str = "/v0/settle";
     /// Asks for state and load.
     pub const PROBE: &str = "/v0/probe";
+    /// Asks for the list of VMs as the receiver last read it.
+    pub const VMS: &str = "/v0/vms";
     /// Compares and sends settings documents.
     pub const EXCHANGE: &str = "/v0/exchange";
 }
--- a/crates/settings/src/branch.rs
+++ b/crates/settings/src/branch.rs
@@ -127,7 +127,8 @@
 }
 
 fn read_organisation(node: &Node<'_>, limits: Limits) -> Option<Organisation> {
-    let fields = node.fields(&["keys", "allow", "concurrency", "default_class", "on_withdrawal"]);
+    let fields =
+        node.fields(&["keys", "allow", "concurrency", "default_class", "on_withdrawal", "witness"]);
     for name in ["keys", "allow"] {
         if fields.get(name).is_none() {
             node.mistake(format!("the key `{name}` is missing"));
@@ -149,6 +150,7 @@
         concurrency,
         default_class: default_class?,
         on_withdrawal: fields.optional("on_withdrawal").unwrap_or(OnWithdrawal::Finish),
+        witness: fields.optional("witness").unwrap_or(false),
     })
 }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -147,6 +147,8 @@
     pub default_class: ClassId,
     /// What becomes of its running work on a withdrawn version.
     pub on_withdrawal: OnWithdrawal,
+    /// Whether an entry in another availability zone holds each usage record too.
+    pub witness: bool,
 }
 
 /// A model with its expected quality and its versions.
