--- a/crates/daemon/src/entry/probing.rs
+++ b/crates/daemon/src/entry/probing.rs
@@ -17,10 +17,14 @@
 
 /// Runs until the process stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut seen = Arc::default();
     while !shared.node.is_stopping() {
         let listed = shared.node.peers.listed();
-        let now = shared.node.now();
-        shared.membership().on_list(&listed, now);
+        if !Arc::ptr_eq(&seen, &listed) {
+            let now = shared.node.now();
+            shared.membership().on_list(&listed, now);
+            seen = listed;
+        }
         let chosen = shared.membership().to_probe(UNKNOWN_PROBES, KNOWN_PROBES, &mut rand::rng());
         for (vm, address) in chosen {
             task::spawn(probe(Arc::clone(&shared), vm, address));
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{clock::Clock, metrics::Metrics, node::peers::Peers};
 use async_std::task;
-use http_types::Response;
+use http_types::{Request, Response};
 use ibissail_catalogue::{Catalogue, Document, Exchange};
 use ibissail_core::{Incarnation, Millis};
 use ibissail_execution::Refusal;
@@ -18,7 +18,7 @@
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{Envelope, Keyring, Pool, PoolOptions, Stop};
 use serde_json::{Value, json};
-use slog::{Logger, info, o};
+use slog::{Logger, info, o, warn};
 use std::{
     sync::{
         Arc,
@@ -155,6 +155,14 @@
         gossip::push(self, news);
     }
 
+    /// Reads a message of another process, or gives the answer to one that is not accepted.
+    pub(crate) async fn receive(&self, req: &mut Request) -> Result<Envelope, Response> {
+        Envelope::receive(&self.keyring, req).await.map_err(|fault| {
+            warn!(self.log, "protocol: a message is not accepted"; "error" => %fault);
+            Response::new(fault.kind.answer().status)
+        })
+    }
+
     /// Answers a peer that compares or sends settings.
     pub(crate) fn answer_exchange(
         self: &Arc<Self>,
@@ -168,6 +176,6 @@
 
     /// Answers a peer that has no list of VMs, as one started while the platform is down.
     pub(crate) fn answer_vms(&self, envelope: &Envelope) -> Response {
-        envelope.answer(&self.peers.listed())
+        envelope.answer(&*self.peers.listed())
     }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -27,7 +27,7 @@
 #[derive(Debug, Default)]
 struct State {
     configured: BTreeSet<SocketAddr>,
-    listed: Vec<VmRecord>,
+    listed: Arc<Vec<VmRecord>>,
     answered: BTreeSet<SocketAddr>,
 }
 
@@ -73,8 +73,9 @@
         self.lock().answered.insert(peer);
     }
 
-    pub(crate) fn listed(&self) -> Vec<VmRecord> {
-        self.lock().listed.clone()
+    /// The list as it was last read; another allocation after each reading.
+    pub(crate) fn listed(&self) -> Arc<Vec<VmRecord>> {
+        Arc::clone(&self.lock().listed)
     }
 
     /// VMs of this process's zone, by the list.
@@ -85,7 +86,7 @@
     }
 
     fn set_listed(&self, listed: Vec<VmRecord>) {
-        self.lock().listed = listed;
+        self.lock().listed = Arc::new(listed);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -9,18 +9,15 @@
     RunRequest, SettleRequest, SidecarState, paths,
 };
 use ibissail_transport::Envelope;
-use slog::{info, warn};
+use slog::info;
 use std::sync::Arc;
 
 /// Answers one message.
 pub(crate) async fn answer(shared: Arc<Shared>, mut req: Request) -> Response {
     let path = req.url().path().to_owned();
-    let envelope = match Envelope::receive(&shared.node.keyring, &mut req).await {
+    let envelope = match shared.node.receive(&mut req).await {
         Ok(envelope) => envelope,
-        Err(fault) => {
-            warn!(shared.node.log, "protocol: a message is not accepted"; "error" => %fault);
-            return Response::new(fault.kind.answer().status);
-        }
+        Err(refusal) => return refusal,
     };
     let answered = match path.as_str() {
         paths::EXCHANGE => shared.node.answer_exchange(&envelope),
