--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,231 @@
+//! Newtypes for identifiers.
+
+use crate::UnitError;
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+/// Longest identifier, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+fn is_identifier(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MAX_ID_BYTES
+        && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b))
+}
+
+macro_rules! identifier {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// The identifier as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                if is_identifier(text) {
+                    Ok(Self(text.to_owned()))
+                } else {
+                    Err(UnitError::Identifier(text.to_owned()))
+                }
+            }
+        }
+    };
+}
+
+identifier! {
+    /// Name of an organisation.
+    OrganisationId
+}
+identifier! {
+    /// Name of a model.
+    ModelId
+}
+identifier! {
+    /// Name of one version of a model.
+    VersionId
+}
+identifier! {
+    /// Name of a plain service.
+    ServiceId
+}
+identifier! {
+    /// Name of a class of requests that share a quality target.
+    ClassId
+}
+identifier! {
+    /// Name of a VM.
+    VmId
+}
+identifier! {
+    /// Name of an availability zone.
+    ZoneId
+}
+
+/// One version of one model, written `model@version`.
+///
+/// # Examples
+///
+/// ```
+/// let target: ibissail_core::ModelVersion = "swift@2".parse()?;
+/// assert_eq!(target.model.as_str(), "swift");
+/// # Ok::<(), ibissail_core::UnitError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{model}@{version}")]
+pub struct ModelVersion {
+    /// The model.
+    pub model: ModelId,
+    /// Its version.
+    pub version: VersionId,
+}
+
+impl FromStr for ModelVersion {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let (model, version) =
+            text.split_once('@').ok_or_else(|| UnitError::ModelVersion(text.to_owned()))?;
+        Ok(Self { model: model.parse()?, version: version.parse()? })
+    }
+}
+
+/// What an upstream offers: one version of a model, or a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+pub enum Target {
+    /// A version of a model.
+    Model(ModelVersion),
+    /// A plain service.
+    #[display("service:{_0}")]
+    Service(ServiceId),
+}
+
+impl FromStr for Target {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        match text.strip_prefix("service:") {
+            Some(service) => service.parse().map(Self::Service),
+            None => text.parse().map(Self::Model),
+        }
+    }
+}
+
+/// Path of a settings branch, from `root` downwards.
+///
+/// # Examples
+///
+/// ```
+/// let path: ibissail_core::BranchPath = "root/alpen".parse()?;
+/// assert_eq!(path.parent().unwrap().to_string(), "root");
+/// # Ok::<(), ibissail_core::UnitError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct BranchPath(String);
+
+impl BranchPath {
+    /// The branch that all others hang from.
+    #[must_use]
+    pub fn root() -> Self {
+        Self("root".to_owned())
+    }
+
+    /// The branch above, or `None` at the root.
+    #[must_use]
+    pub fn parent(&self) -> Option<Self> {
+        self.0.rsplit_once('/').map(|(parent, _)| Self(parent.to_owned()))
+    }
+
+    /// This branch and all above it, nearest first.
+    #[must_use]
+    pub fn chain(&self) -> Vec<Self> {
+        let mut chain = vec![self.clone()];
+        while let Some(parent) = chain.last().and_then(Self::parent) {
+            chain.push(parent);
+        }
+        chain
+    }
+
+    /// The path as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for BranchPath {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let mut parts = text.split('/');
+        let valid = parts.next() == Some("root") && parts.all(is_identifier);
+        if valid { Ok(Self(text.to_owned())) } else { Err(UnitError::Path(text.to_owned())) }
+    }
+}
+
+/// One start of one process, drawn at random when it starts.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, From, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let number =
+            u64::from_str_radix(text, 16).map_err(|_parse| UnitError::Number(text.to_owned()))?;
+        Ok(Self(number))
+    }
+}
+
+/// Identity of a request: the entry that took it and its place in that entry's sequence.
+///
+/// # Examples
+///
+/// ```
+/// let id: ibissail_core::RequestId = "00000000000000ff-7".parse()?;
+/// assert_eq!((id.entry.0, id.sequence), (255, 7));
+/// # Ok::<(), ibissail_core::UnitError>(())
+/// ```
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[display("{entry}-{sequence}")]
+pub struct RequestId {
+    /// The entry's incarnation.
+    pub entry: Incarnation,
+    /// Counts the requests of that incarnation.
+    pub sequence: u64,
+}
+
+impl FromStr for RequestId {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let (entry, sequence) =
+            text.split_once('-').ok_or_else(|| UnitError::Identifier(text.to_owned()))?;
+        let sequence = sequence.parse().map_err(|_parse| UnitError::Number(sequence.to_owned()))?;
+        Ok(Self { entry: entry.parse()?, sequence })
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,13 +1,14 @@
 //! Identifiers, units and the closed list of errors shared by all parts of ibissail.
 
 mod error;
+mod id;
 mod key;
 mod unit;
 
 pub use error::{Answer, ErrorKind, Fault, Ran, RetryAfter};
-pub use key::SigningKey;
-pub use unit::{
-    BranchPath, ByteSize, ClassId, Count, Incarnation, Millis, ModelId, ModelVersion,
-    OrganisationId, Price, Ratio, RequestId, Revision, ServiceId, Target, Tokens, UnitError,
-    VersionId, VmId, ZoneId,
+pub use id::{
+    BranchPath, ClassId, Incarnation, ModelId, ModelVersion, OrganisationId, RequestId, ServiceId,
+    Target, VersionId, VmId, ZoneId,
 };
+pub use key::SigningKey;
+pub use unit::{ByteSize, Count, Millis, Price, Ratio, Revision, Tokens, UnitError};
--- a/crates/daemon/src/entry/attempts.rs
+++ b/crates/daemon/src/entry/attempts.rs
@@ -3,7 +3,7 @@
 use crate::entry::{
     Shared,
     call::Call,
-    dispatch::{Job, NotOpened, open, pick},
+    dispatch::{Job, NotOpened, Opening, open, pick},
     relay::{Item, Relay, Whole},
 };
 use ibissail_core::{ErrorKind, Fault, Target, VmId};
@@ -95,14 +95,16 @@
             }
             let key = RunKey::Attempt { request: self.call.id, attempt: self.count };
             self.count += 1;
-            match open(self.shared, self.call, self.job, key, &target, &picked, None).await {
+            let (job, picked) = (self.job, &picked);
+            let opening = Opening { job, key, target: &target, picked, claim: None };
+            match open(self.shared, self.call, opening).await {
                 Ok(relay) => return Ok((relay, target)),
                 // The replica may offer another version that is still allowed.
                 Err(NotOpened::NotRun(fault)) if fault.kind == ErrorKind::VersionWithdrawn => {
                     self.last = Some(fault);
                 }
                 Err(NotOpened::NotRun(fault) | NotOpened::Unknown(fault)) => {
-                    self.tried.insert(picked.place.vm);
+                    self.tried.insert(picked.place.vm.clone());
                     self.last = Some(fault);
                 }
                 Err(NotOpened::Refused(fault)) => return Err(fault),
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -65,25 +65,64 @@
     pub(crate) ticket: Millis,
 }
 
-/// Opens a run at one replica, and gives the sidecar the settings that it lacks.
+/// A run to be opened at one replica.
+#[derive(Debug)]
+pub(crate) struct Opening<'a> {
+    pub(crate) job: &'a Job,
+    pub(crate) key: RunKey,
+    pub(crate) target: &'a Target,
+    pub(crate) picked: &'a PickedPlace,
+    pub(crate) claim: Option<HeldClaim>,
+}
+
+impl Opening<'_> {
+    /// The message for the sidecar, by the newest settings and the time that is left.
+    fn request(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        documents: Vec<Document>,
+    ) -> Result<RunRequest, NotOpened> {
+        let member = call.member_now(&shared.node.catalogue()).map_err(NotOpened::Refused)?;
+        let time_left = call.time_left(shared);
+        if time_left.0 == 0 {
+            return Err(NotOpened::Refused(ErrorKind::DeadlineUnmet.into()));
+        }
+        let job = self.job;
+        Ok(RunRequest {
+            key: self.key.clone(),
+            incarnation: self.picked.place.incarnation,
+            ticket: self.picked.ticket,
+            organisation: member.id.clone(),
+            target: self.target.clone(),
+            session: job.session,
+            time_left,
+            fingerprint: job.fingerprint,
+            method: job.method.clone(),
+            path: job.path.clone(),
+            content_type: job.content_type.clone(),
+            body: job.body.clone(),
+            stamps: member.stamps.clone(),
+            documents,
+            claim: self.claim.clone(),
+        })
+    }
+}
+
+/// Opens a run, and gives the sidecar the settings that it lacks.
 pub(crate) async fn open(
     shared: &Arc<Shared>,
     call: &Call,
-    job: &Job,
-    key: RunKey,
-    target: &Target,
-    picked: &PickedPlace,
-    claim: Option<HeldClaim>,
+    opening: Opening<'_>,
 ) -> Result<Relay, NotOpened> {
+    let picked = opening.picked;
     let mut documents = Vec::new();
     loop {
-        let req =
-            request(shared, call, job, key.clone(), target, picked, documents, claim.clone())?;
+        let req = opening.request(shared, call, documents)?;
         let may_send_settings = req.documents.is_empty();
         match send(shared, picked, &req).await? {
             Ok(stream) => {
-                let place = picked.place.clone();
-                return Ok(Relay::new(shared, key, place, Some(stream)));
+                return Ok(Relay::new(shared, opening.key, picked.place.clone(), Some(stream)));
             }
             Err(refusal)
                 if refusal.fault.kind == ErrorKind::SettingsBehind && may_send_settings =>
@@ -95,41 +134,6 @@
     }
 }
 
-#[expect(clippy::too_many_arguments, reason = "each is one field of the message")]
-fn request(
-    shared: &Shared,
-    call: &Call,
-    job: &Job,
-    key: RunKey,
-    target: &Target,
-    picked: &PickedPlace,
-    documents: Vec<Document>,
-    claim: Option<HeldClaim>,
-) -> Result<RunRequest, NotOpened> {
-    let member = call.member_now(&shared.node.catalogue()).map_err(NotOpened::Refused)?;
-    let time_left = call.time_left(shared);
-    if time_left.0 == 0 {
-        return Err(NotOpened::Refused(ErrorKind::DeadlineUnmet.into()));
-    }
-    Ok(RunRequest {
-        key,
-        incarnation: picked.place.incarnation,
-        ticket: picked.ticket,
-        organisation: member.id.clone(),
-        target: target.clone(),
-        session: job.session,
-        time_left,
-        fingerprint: job.fingerprint,
-        method: job.method.clone(),
-        path: job.path.clone(),
-        content_type: job.content_type.clone(),
-        body: job.body.clone(),
-        stamps: member.stamps.clone(),
-        documents,
-        claim,
-    })
-}
-
 type Sent = Result<StreamReply, Refusal>;
 
 async fn send(shared: &Shared, picked: &PickedPlace, req: &RunRequest) -> Result<Sent, NotOpened> {
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -3,7 +3,7 @@
 use crate::entry::{
     Shared, billing,
     call::Call,
-    dispatch::{Job, NotOpened, PickedPlace, open, pick},
+    dispatch::{Job, NotOpened, Opening, PickedPlace, open, pick},
     relay::{Place, Relay, Whole},
     services,
 };
@@ -140,8 +140,9 @@
         let held = HeldClaim { claim: claim.clone(), revision };
         let key = self.run_key.clone();
         let (shared, call) = (self.shared, self.call);
-        let opened = Box::pin(open(shared, call, self.job, key, self.target, picked, Some(held)));
-        match opened.await {
+        let (job, target) = (self.job, self.target);
+        let opening = Opening { job, key, target, picked, claim: Some(held) };
+        match Box::pin(open(shared, call, opening)).await {
             Ok(relay) => self.finish(claim, revision, relay).await,
             Err(NotOpened::NotRun(fault)) => {
                 info!(call.log, "keyed: not run"; "vm" => %claim.vm, "error" => %fault);
