Send messages between processes in one way

Cause: seven places named pool, keys and the type of a refusal for each message, and most named another type than the receiver sends, so a refusal was read as an answer that is not authentic. Node::call does it once with the right type. The command line's path of an exchange stood twice; gates in tests and an unused function went the same way.

Behaviour and bounds stay, but that a refused message is now logged with its reason.

--- a/crates/cli/src/direct.rs
+++ b/crates/cli/src/direct.rs
@@ -5,14 +5,14 @@
     Documents, Exchange, ExchangeReply, Grade, Standing, WITHDRAWALS_KEY, Withdrawals, learn,
     pending_document,
 };
-use ibissail_core::{Fault, ModelVersion};
+use ibissail_core::ModelVersion;
+use ibissail_execution::{Refusal, paths};
 use ibissail_settings::parse_local;
 use ibissail_transport::{Keyring, Pool, PoolOptions, call};
 use serde_json::json;
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
-const EXCHANGE_PATH: &str = "/v0/exchange";
 
 /// Lowers a version in the generation that the process knows; the process tells the others.
 pub(crate) async fn withdraw(
@@ -60,8 +60,8 @@
     process: SocketAddr,
     message: &Exchange,
 ) -> Result<ExchangeReply, CommandError> {
-    let answered: Result<Result<ExchangeReply, Fault>, _> =
-        call(pool, keyring, process, EXCHANGE_PATH, message, TIMEOUT).await;
+    let answered: Result<Result<ExchangeReply, Refusal>, _> =
+        call(pool, keyring, process, paths::EXCHANGE, message, TIMEOUT).await;
     let answered = answered.map_err(|error| CommandError::Request(error.to_string()))?;
-    answered.map_err(|fault| CommandError::Request(fault.to_string()))
+    answered.map_err(|refusal| CommandError::Request(refusal.fault.to_string()))
 }
--- a/crates/daemon/src/entry/billing.rs
+++ b/crates/daemon/src/entry/billing.rs
@@ -7,10 +7,9 @@
 use async_channel::Sender;
 use async_std::task;
 use ibissail_billing::{Outbox, UsageRecord};
-use ibissail_core::{Fault, Millis, RequestId};
+use ibissail_core::{Millis, RequestId};
 use ibissail_execution::{ConfirmRequest, Confirmation, RunKey, SettleRequest, paths};
 use ibissail_platform::VmRole;
-use ibissail_transport::{CallError, call};
 use rand::seq::IteratorRandom;
 use slog::debug;
 use std::{
@@ -184,9 +183,7 @@
     let confirmations = queue.iter().map(|waiting| waiting.confirmation.clone()).collect();
     let message = ConfirmRequest { confirmations };
     let node = &shared.node;
-    let path = paths::CONFIRM;
-    let confirmed: Result<Result<(), Fault>, CallError> =
-        call(&node.pool, &node.keyring, holder, path, &message, CALL_TIMEOUT).await;
+    let confirmed = node.call::<_, ()>(holder, paths::CONFIRM, &message, CALL_TIMEOUT).await;
     if let Err(error) = confirmed {
         debug!(node.log, "billing: a holder did not answer"; "error" => %error);
         note_silence(shared, holder, &queue);
@@ -220,8 +217,7 @@
     while !node.is_stopping() {
         task::sleep(SILENT_PAUSE).await;
         let message = SettleRequest { requests: Vec::new() };
-        let answered: Result<Result<(), Fault>, CallError> =
-            call(&node.pool, &node.keyring, holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
+        let answered = node.call::<_, ()>(holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
         let is_listed = node.peers.addresses().contains(&holder);
         if answered.is_ok() || !is_listed {
             shared.records.lock().silent.remove(&holder);
@@ -258,8 +254,7 @@
 async fn settle(shared: &Shared, holder: SocketAddr, requests: Vec<RequestId>) {
     let node = &shared.node;
     let message = SettleRequest { requests };
-    let told: Result<Result<(), Fault>, CallError> =
-        call(&node.pool, &node.keyring, holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
+    let told = node.call::<_, ()>(holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
     if let Err(error) = told {
         debug!(node.log, "billing: a sidecar was not told"; "error" => %error);
     }
--- a/crates/daemon/src/entry/probing.rs
+++ b/crates/daemon/src/entry/probing.rs
@@ -2,9 +2,9 @@
 
 use crate::entry::Shared;
 use async_std::task;
-use ibissail_core::{Fault, VmId};
+use ibissail_core::VmId;
 use ibissail_execution::{Probe, ProbeReply, paths};
-use ibissail_transport::{CallError, call};
+use ibissail_transport::CallError;
 use slog::debug;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -41,12 +41,11 @@
 
 async fn probe(shared: Arc<Shared>, vm: VmId, address: SocketAddr) {
     let node = &shared.node;
-    let answered: Result<Result<ProbeReply, Fault>, CallError> =
-        call(&node.pool, &node.keyring, address, paths::PROBE, &Probe {}, TIMEOUT).await;
+    let answered: Result<ProbeReply, CallError> =
+        node.call(address, paths::PROBE, &Probe {}, TIMEOUT).await;
     let now = node.now();
     match answered {
-        Ok(Ok(reply)) => shared.membership().on_probe(&reply, now),
-        Ok(Err(fault)) => debug!(node.log, "probe: refused"; "vm" => %vm, "error" => %fault),
+        Ok(reply) => shared.membership().on_probe(&reply, now),
         Err(error) => {
             debug!(node.log, "probe: no answer"; "vm" => %vm, "error" => %error);
             shared.membership().on_unreachable(&vm, now);
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -8,7 +8,7 @@
     TokenCounts, paths,
 };
 use ibissail_routing::Fate;
-use ibissail_transport::{CallError, StreamReply, call, open_stream};
+use ibissail_transport::{CallError, StreamReply, open_stream};
 use slog::{debug, info};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -252,9 +252,7 @@
         let message = CancelRequest { key: self.key.clone() };
         task::spawn(async move {
             let node = &shared.node;
-            let _gone: Result<Result<(), Fault>, CallError> =
-                call(&node.pool, &node.keyring, address, paths::CANCEL, &message, CANCEL_TIMEOUT)
-                    .await;
+            let _gone = node.call::<_, ()>(address, paths::CANCEL, &message, CANCEL_TIMEOUT).await;
         });
     }
 }
--- a/crates/daemon/src/node/gossip.rs
+++ b/crates/daemon/src/node/gossip.rs
@@ -3,9 +3,8 @@
 use crate::node::Node;
 use async_std::task;
 use ibissail_catalogue::{Document, Exchange, ExchangeReply, PUSH_FANOUT, choose_peers};
-use ibissail_core::Fault;
 use ibissail_execution::paths;
-use ibissail_transport::{CallError, call};
+use ibissail_transport::CallError;
 use slog::debug;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -63,8 +62,5 @@
     peer: SocketAddr,
     message: &Exchange,
 ) -> Result<ExchangeReply, CallError> {
-    let path = paths::EXCHANGE;
-    let reply: Result<ExchangeReply, Fault> =
-        call(&node.pool, &node.keyring, peer, path, message, TIMEOUT).await?;
-    Ok(reply?)
+    node.call(peer, paths::EXCHANGE, message, TIMEOUT).await
 }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -16,10 +16,12 @@
 use ibissail_execution::Refusal;
 use ibissail_platform::{HttpPlatform, ObjectApi};
 use ibissail_settings::LocalSettings;
-use ibissail_transport::{Envelope, Keyring, Pool, PoolOptions, Stop};
+use ibissail_transport::{CallError, Envelope, Keyring, Pool, PoolOptions, Stop, call};
+use serde::{Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use slog::{Logger, info, o, warn};
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -155,6 +157,23 @@
         gossip::push(self, news);
     }
 
+    /// Sends a message to another process and reads its whole answer.
+    pub(crate) async fn call<M, A>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<A, CallError>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        let answered: Result<A, Refusal> =
+            call(&self.pool, &self.keyring, peer, path, message, limit).await?;
+        answered.map_err(|refusal| refusal.fault.into())
+    }
+
     /// Reads a message of another process, or gives the answer to one that is not accepted.
     pub(crate) async fn receive(&self, req: &mut Request) -> Result<Envelope, Response> {
         Envelope::receive(&self.keyring, req).await.map_err(|fault| {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -4,10 +4,9 @@
 use async_std::task;
 use ibissail_catalogue::choose_peers;
 use ibissail_core::VmId;
-use ibissail_execution::{Refusal, paths};
+use ibissail_execution::paths;
 use ibissail_platform::{VmRecord, VmRole};
 use ibissail_settings::LocalSettings;
-use ibissail_transport::{CallError, call};
 use slog::debug;
 use std::{
     collections::BTreeSet,
@@ -109,10 +108,7 @@
     }
     let peer = choose_peers(&node.peers.addresses(), None, 1, &mut rand::rng()).pop();
     let Some(peer) = peer else { return };
-    let path = paths::VMS;
-    let answered: Result<Result<Vec<VmRecord>, Refusal>, CallError> =
-        call(&node.pool, &node.keyring, peer, path, &(), PEER_TIMEOUT).await;
-    if let Ok(Ok(vms)) = answered {
+    if let Ok(vms) = node.call(peer, paths::VMS, &(), PEER_TIMEOUT).await {
         node.peers.set_listed(vms);
     }
 }
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -292,13 +292,5 @@
 
 /// Gates in front of both sidecars.
 fn gates(cluster: &mut Cluster) -> Vec<Gate> {
-    ["payouts-1", "payouts-2"]
-        .iter()
-        .map(|name| {
-            let member = cluster.members.get_mut(*name).expect("a member");
-            let gate = Gate::before(member.peer);
-            member.reached_at = gate.address;
-            gate
-        })
-        .collect()
+    cluster.gates_before(&["payouts-1", "payouts-2"])
 }
--- a/crates/daemon/tests/broken_streams.rs
+++ b/crates/daemon/tests/broken_streams.rs
@@ -21,15 +21,7 @@
     cluster.add_entry("entry-1");
     cluster.add_upstream("swift-1", "swift@1");
     cluster.add_upstream("swift-2", "swift@1");
-    let gates: Vec<Gate> = ["swift-1", "swift-2"]
-        .iter()
-        .map(|name| {
-            let member = cluster.members.get_mut(*name).expect("a member");
-            let gate = Gate::before(member.peer);
-            member.reached_at = gate.address;
-            gate
-        })
-        .collect();
+    let gates = cluster.gates_before(&["swift-1", "swift-2"]);
     cluster.start_all();
     Bench { cluster, gates }
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 pub use process::{EndOnDrop, Process};
 
+use gate::Gate;
 use http::{Answer, get, send};
 use ibissail_platform::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
 use ibissail_standin::{
@@ -174,6 +175,17 @@
         self.members.insert(name, member);
     }
 
+    /// Puts a gate between each of these sidecars and the processes that reach it.
+    pub fn gates_before(&mut self, names: &[&str]) -> Vec<Gate> {
+        let gate_before = |name: &&str| {
+            let member = self.members.get_mut(*name).expect("a member");
+            let gate = Gate::before(member.peer);
+            member.reached_at = gate.address;
+            gate
+        };
+        names.iter().map(gate_before).collect()
+    }
+
     /// Starts a member that has been added, or starts it again.
     pub fn start(&mut self, name: &str) {
         let member = self.members[name].clone();
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -25,12 +25,6 @@
     pub async fn send(&self, piece: Vec<u8>) -> bool {
         piece.is_empty() || self.tx.send(piece).await.is_ok()
     }
-
-    /// Resolves when the reader has gone.
-    #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.tx.is_closed()
-    }
 }
 
 /// A body whose bytes are sent piece by piece; it ends when the sender is dropped.
