--- a/crates/billing/src/ids.rs
+++ b/crates/billing/src/ids.rs
@@ -24,10 +24,7 @@
     /// Whether the number is in the set.
     #[must_use]
     pub fn contains(&self, id: u64) -> bool {
-        self.ranges
-            .range(..=id)
-            .next_back()
-            .is_some_and(|(_, last)| id <= *last)
+        self.ranges.range(..=id).next_back().is_some_and(|(_, last)| id <= *last)
     }
 
     /// Adds a number; `false` when it was there.
@@ -54,10 +51,7 @@
     /// How many numbers are in the set.
     #[must_use]
     pub fn len(&self) -> u64 {
-        self.ranges
-            .iter()
-            .map(|(first, last)| last - first + 1)
-            .sum()
+        self.ranges.iter().map(|(first, last)| last - first + 1).sum()
     }
 
     /// Whether the set is empty.
@@ -75,12 +69,7 @@
 
 impl From<Vec<(u64, u64)>> for IdSet {
     fn from(ranges: Vec<(u64, u64)>) -> Self {
-        Self {
-            ranges: ranges
-                .into_iter()
-                .filter(|(first, last)| first <= last)
-                .collect(),
-        }
+        Self { ranges: ranges.into_iter().filter(|(first, last)| first <= last).collect() }
     }
 }
 
--- a/crates/billing/src/ledger.rs
+++ b/crates/billing/src/ledger.rs
@@ -59,10 +59,7 @@
     /// The ledger that counts a request.
     #[must_use]
     pub fn of(request: RequestId) -> Self {
-        Self {
-            entry: request.entry,
-            chunk: request.sequence / CHUNK_REQUESTS,
-        }
+        Self { entry: request.entry, chunk: request.sequence / CHUNK_REQUESTS }
     }
 }
 
@@ -105,15 +102,8 @@
             return false;
         }
         let by_target = self.totals.entry(record.organisation.clone()).or_default();
-        let usage = Usage {
-            requests: 1,
-            input: record.input,
-            output: record.output,
-        };
-        by_target
-            .entry(record.target.to_string())
-            .or_default()
-            .add(usage);
+        let usage = Usage { requests: 1, input: record.input, output: record.output };
+        by_target.entry(record.target.to_string()).or_default().add(usage);
         true
     }
 
@@ -127,10 +117,7 @@
     #[must_use]
     pub fn sum(&self) -> Usage {
         let mut sum = Usage::default();
-        self.totals
-            .values()
-            .flat_map(BTreeMap::values)
-            .for_each(|usage| sum.add(*usage));
+        self.totals.values().flat_map(BTreeMap::values).for_each(|usage| sum.add(*usage));
         sum
     }
 
--- a/crates/billing/src/outbox.rs
+++ b/crates/billing/src/outbox.rs
@@ -19,9 +19,7 @@
 impl Outbox {
     /// Holds a record, to be written from `due` onwards.
     pub fn hold(&mut self, record: UsageRecord, due: Millis) {
-        self.waiting
-            .entry(record.request)
-            .or_insert(Waiting { record, due });
+        self.waiting.entry(record.request).or_insert(Waiting { record, due });
     }
 
     /// Forgets records that are durable.
--- /dev/null
+++ b/crates/billing/tests/exactly_once.rs
@@ -0,0 +1,97 @@
+//! Ledgers against a naive version that keeps every record.
+
+use ibissail_billing::{IdSet, Ledger, LedgerKey, Outbox, UsageRecord, counted};
+use ibissail_core::{Incarnation, Millis, RequestId, Tokens};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const SEEDS: u64 = 500;
+
+fn record(sequence: u64) -> UsageRecord {
+    UsageRecord {
+        request: RequestId { entry: Incarnation(1), sequence },
+        organisation: "huts".parse().expect("a name"),
+        target: "swift@1".parse().expect("a target"),
+        input: Tokens(sequence % 7),
+        output: Tokens(sequence % 11),
+    }
+}
+
+/// The same cases in every run.
+fn seeded() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn id_set_equals_a_plain_set(ids in prop::collection::vec(0..80_u64, 0..200)) {
+        let mut naive = BTreeSet::new();
+        let mut set = IdSet::default();
+        for id in ids {
+            prop_assert_eq!(set.insert(id), naive.insert(id));
+        }
+        for id in 0..80 {
+            prop_assert_eq!(set.contains(id), naive.contains(&id));
+        }
+        prop_assert_eq!(set.len(), naive.len() as u64);
+        let text = serde_json::to_string(&set).expect("JSON");
+        prop_assert_eq!(serde_json::from_str::<IdSet>(&text).expect("JSON"), set);
+    }
+}
+
+/// Two holders of the same records write them under conditional updates whose answers get lost,
+/// pause between read and write, and die; the ledger counts each record of a survivor once.
+#[test]
+fn two_writers_with_lost_answers_count_once() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut store: BTreeMap<LedgerKey, (u64, Ledger)> = BTreeMap::new();
+        let mut holders = [Outbox::default(), Outbox::default()];
+        let mut read: [Option<(LedgerKey, u64, Vec<UsageRecord>)>; 2] = [None, None];
+        let requests = rng.random_range(1..60);
+        for sequence in 0..requests {
+            for holder in &mut holders {
+                holder.hold(record(sequence), Millis(0));
+            }
+        }
+        let mut steps = 0;
+        while holders.iter().any(|holder| !holder.is_empty()) {
+            steps += 1;
+            assert!(steps < 10_000, "seed {seed} does not end");
+            let writer = rng.random_range(0..2);
+            match read[writer].take() {
+                None => {
+                    let due = holders[writer].due(Millis(0));
+                    let Some((key, mut records)) = due.into_iter().next() else { continue };
+                    records.truncate(rng.random_range(1..=records.len()));
+                    let version = store.get(&key).map_or(0, |(version, _)| *version);
+                    read[writer] = Some((key, version, records));
+                }
+                Some((key, version, records)) => {
+                    let (current, ledger) = store.get(&key).cloned().unwrap_or_default();
+                    if current != version {
+                        continue;
+                    }
+                    if let Some(next) = counted(&ledger, &records) {
+                        store.insert(key, (current + 1, next));
+                    }
+                    if rng.random_bool(0.7) {
+                        holders[writer].settle(records.iter().map(|record| record.request));
+                    }
+                }
+            }
+        }
+        let mut naive = (0, 0, 0);
+        for sequence in 0..requests {
+            naive = (naive.0 + 1, naive.1 + sequence % 7, naive.2 + sequence % 11);
+        }
+        let sums = store.values().map(|(_, ledger)| ledger.sum());
+        let total = sums.fold((0, 0, 0), |total, usage| {
+            (total.0 + usage.requests, total.1 + usage.input.0, total.2 + usage.output.0)
+        });
+        assert_eq!(total, naive, "seed {seed}");
+    }
+}
--- a/crates/cascade/src/choice.rs
+++ b/crates/cascade/src/choice.rs
@@ -24,18 +24,13 @@
     let mut offers = Vec::new();
     for (name, model) in &root.models {
         let versions = catalogue.versions(member, name);
-        let prices = versions
-            .iter()
-            .filter_map(|(version, _)| model.versions.get(&version.version));
+        let prices =
+            versions.iter().filter_map(|(version, _)| model.versions.get(&version.version));
         let Some(price) = prices.map(|v| v.input_price.0 + v.output_price.0).max() else {
             continue;
         };
         let quality = model.quality.get(class).copied().unwrap_or_default().get();
-        offers.push(Offer {
-            model: name.clone(),
-            price,
-            quality,
-        });
+        offers.push(Offer { model: name.clone(), price, quality });
     }
     offers
 }
--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -35,19 +35,13 @@
     /// A class as the nearest branch defines it.
     #[must_use]
     pub fn class(&self, id: &ClassId) -> Option<Class> {
-        self.branches
-            .iter()
-            .find_map(|branch| branch.classes.get(id))
-            .copied()
+        self.branches.iter().find_map(|branch| branch.classes.get(id)).copied()
     }
 
     fn allows(&self, target: &Target) -> bool {
         let covers = |entry: &ModelRef| entry.covers_target(target);
         self.organisation.allow.iter().any(covers)
-            && self
-                .branches
-                .iter()
-                .all(|branch| branch.allow.iter().any(covers))
+            && self.branches.iter().all(|branch| branch.allow.iter().any(covers))
     }
 }
 
@@ -73,10 +67,7 @@
     /// branch as it was; the texts say which.
     #[must_use]
     pub fn build(documents: &Documents, previous: &Self) -> (Self, Vec<String>) {
-        let mut next = Self {
-            withdrawals: previous.withdrawals.clone(),
-            ..Self::default()
-        };
+        let mut next = Self { withdrawals: previous.withdrawals.clone(), ..Self::default() };
         let mut unreadable = Vec::new();
         for document in documents.iter() {
             if let Err(reason) = next.take(document, previous) {
@@ -100,9 +91,8 @@
         let Some(path) = document.key.strip_prefix(BRANCH_PREFIX) else {
             return Ok(());
         };
-        let path: BranchPath = path
-            .parse()
-            .map_err(|error| format!("{}: {error}", document.key))?;
+        let path: BranchPath =
+            path.parse().map_err(|error| format!("{}: {error}", document.key))?;
         let known = previous.sources.get(&path);
         if let Some(known) = known.filter(|known| known.revision == document.revision) {
             self.sources.insert(path, known.clone());
@@ -114,13 +104,7 @@
             (Err(mistakes), Some(known)) => (Arc::clone(&known.branch), Err(mistakes.to_string())),
             (Err(mistakes), None) => return Err(mistakes.to_string()),
         };
-        self.sources.insert(
-            path,
-            Source {
-                revision: document.revision,
-                branch,
-            },
-        );
+        self.sources.insert(path, Source { revision: document.revision, branch });
         result
     }
 
@@ -130,11 +114,7 @@
             let chain = path.chain();
             let found: Option<Vec<Arc<Branch>>> = chain
                 .iter()
-                .map(|path| {
-                    self.sources
-                        .get(path)
-                        .map(|source| Arc::clone(&source.branch))
-                })
+                .map(|path| self.sources.get(path).map(|source| Arc::clone(&source.branch)))
                 .collect();
             // A branch whose parents have not arrived allows nothing yet.
             let Some(branches) = found else { continue };
@@ -164,9 +144,7 @@
     pub fn authenticate(&self, key: &str) -> Result<Arc<Member>, Fault> {
         let id = self.by_key.get(&KeyHash::of(key));
         let member = id.and_then(|id| self.members.get(id));
-        member
-            .cloned()
-            .ok_or_else(|| ErrorKind::Unauthorized.into())
+        member.cloned().ok_or_else(|| ErrorKind::Unauthorized.into())
     }
 
     /// An organisation by its name.
@@ -201,9 +179,9 @@
                 .root()
                 .and_then(|root| root.models.get(&version.model))
                 .is_some_and(|model| model.versions.contains_key(&version.version)),
-            Target::Service(service) => self
-                .root()
-                .is_some_and(|root| root.services.contains_key(service)),
+            Target::Service(service) => {
+                self.root().is_some_and(|root| root.services.contains_key(service))
+            }
         };
         if declared {
             return Ok(());
@@ -234,10 +212,7 @@
         };
         let mut versions = Vec::new();
         for (name, version) in &model_settings.versions {
-            let named = ModelVersion {
-                model: model.clone(),
-                version: name.clone(),
-            };
+            let named = ModelVersion { model: model.clone(), version: name.clone() };
             let target = Target::Model(named.clone());
             if self.permit(member, &target, Purpose::New).is_ok() {
                 versions.push((named, version.weight));
@@ -249,22 +224,14 @@
     /// All model versions that an organisation may use for new work.
     #[must_use]
     pub fn visible(&self, member: &Member) -> Vec<(ModelVersion, u32)> {
-        let models = self
-            .root()
-            .map(|root| root.models.keys())
-            .into_iter()
-            .flatten();
-        models
-            .flat_map(|model| self.versions(member, model))
-            .collect()
+        let models = self.root().map(|root| root.models.keys()).into_iter().flatten();
+        models.flat_map(|model| self.versions(member, model)).collect()
     }
 
     /// The root branch, once it has arrived.
     #[must_use]
     pub fn root(&self) -> Option<&Branch> {
-        self.sources
-            .get(&BranchPath::root())
-            .map(|source| &*source.branch)
+        self.sources.get(&BranchPath::root()).map(|source| &*source.branch)
     }
 
     /// All withdrawals.
@@ -275,10 +242,7 @@
 }
 
 fn stamps(chain: &[BranchPath], documents: &Documents) -> Vec<Stamp> {
-    let keys = chain
-        .iter()
-        .map(branch_key)
-        .chain([WITHDRAWALS_KEY.to_owned()]);
+    let keys = chain.iter().map(branch_key).chain([WITHDRAWALS_KEY.to_owned()]);
     keys.filter_map(|key| {
         let revision = documents.revision(&key)?;
         Some(Stamp { key, revision })
--- a/crates/catalogue/src/document.rs
+++ b/crates/catalogue/src/document.rs
@@ -86,12 +86,7 @@
     /// Key and version of all documents.
     #[must_use]
     pub fn stamps(&self) -> Vec<Stamp> {
-        self.iter()
-            .map(|d| Stamp {
-                key: d.key.clone(),
-                revision: d.revision,
-            })
-            .collect()
+        self.iter().map(|d| Stamp { key: d.key.clone(), revision: d.revision }).collect()
     }
 
     /// A number that differs, all but surely, when any version differs.
@@ -106,10 +101,8 @@
     /// Documents that are newer here than the stamps say, or missing there.
     #[must_use]
     pub fn newer_than(&self, stamps: &[Stamp]) -> Vec<Document> {
-        let theirs: BTreeMap<&str, Revision> = stamps
-            .iter()
-            .map(|stamp| (stamp.key.as_str(), stamp.revision))
-            .collect();
+        let theirs: BTreeMap<&str, Revision> =
+            stamps.iter().map(|stamp| (stamp.key.as_str(), stamp.revision)).collect();
         let is_newer = |d: &&Document| theirs.get(d.key.as_str()).is_none_or(|r| *r < d.revision);
         self.iter().filter(is_newer).cloned().collect()
     }
@@ -117,15 +110,9 @@
     /// Keys of the stamps that are newer than what is known here.
     #[must_use]
     pub fn behind(&self, stamps: &[Stamp]) -> Vec<String> {
-        let is_newer = |stamp: &&Stamp| {
-            self.revision(&stamp.key)
-                .is_none_or(|mine| mine < stamp.revision)
-        };
-        stamps
-            .iter()
-            .filter(is_newer)
-            .map(|stamp| stamp.key.clone())
-            .collect()
+        let is_newer =
+            |stamp: &&Stamp| self.revision(&stamp.key).is_none_or(|mine| mine < stamp.revision);
+        stamps.iter().filter(is_newer).map(|stamp| stamp.key.clone()).collect()
     }
 
     /// Whether no document is known.
@@ -140,16 +127,12 @@
 
 /// One step of the FNV-1a hash.
 pub(crate) fn fnv(hash: u64, bytes: &[u8]) -> u64 {
-    bytes.iter().fold(hash, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
-    })
+    bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME))
 }
 
 /// The FNV-1a hash of some bytes, well mixed in all its bits.
 pub(crate) fn hash(parts: &[&str]) -> u64 {
-    let hash = parts.iter().fold(FNV_OFFSET, |hash, part| {
-        fnv(fnv(hash, part.as_bytes()), &[0])
-    });
+    let hash = parts.iter().fold(FNV_OFFSET, |hash, part| fnv(fnv(hash, part.as_bytes()), &[0]));
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^ (hash >> 33)
 }
--- a/crates/catalogue/src/exchange.rs
+++ b/crates/catalogue/src/exchange.rs
@@ -30,11 +30,7 @@
 /// The first message: a digest, and documents to push, if any.
 #[must_use]
 pub fn opening(documents: &Documents, push: Vec<Document>) -> Exchange {
-    Exchange {
-        digest: documents.digest(),
-        stamps: None,
-        documents: push,
-    }
+    Exchange { digest: documents.digest(), stamps: None, documents: push }
 }
 
 /// Takes a message in; returns what was new, and the answer.
--- a/crates/catalogue/src/spread.rs
+++ b/crates/catalogue/src/spread.rs
@@ -25,10 +25,7 @@
 #[must_use]
 pub fn is_watcher(vm: &VmId, zone: &[VmId], count: usize) -> bool {
     let mine = rank(vm);
-    let ahead = zone
-        .iter()
-        .filter(|other| *other != vm && rank(other) > mine)
-        .count();
+    let ahead = zone.iter().filter(|other| *other != vm && rank(other) > mine).count();
     ahead < count
 }
 
--- a/crates/catalogue/src/withdrawal.rs
+++ b/crates/catalogue/src/withdrawal.rs
@@ -67,20 +67,16 @@
     pub fn reinstated(self) -> Self {
         match self.grade {
             Grade::Active => self,
-            Grade::Retiring | Grade::Withdrawn => Self {
-                generation: Generation(self.generation.0 + 1),
-                grade: Grade::Active,
-            },
+            Grade::Retiring | Grade::Withdrawn => {
+                Self { generation: Generation(self.generation.0 + 1), grade: Grade::Active }
+            }
         }
     }
 
     /// The standing once the version has at most this grade.
     #[must_use]
     pub fn lowered(self, grade: Grade) -> Self {
-        Self {
-            generation: self.generation,
-            grade: self.grade.max(grade),
-        }
+        Self { generation: self.generation, grade: self.grade.max(grade) }
     }
 }
 
@@ -101,10 +97,7 @@
 /// # Ok::<(), ibissail_core::UnitError>(())
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(
-    from = "BTreeMap<String, Standing>",
-    into = "BTreeMap<String, Standing>"
-)]
+#[serde(from = "BTreeMap<String, Standing>", into = "BTreeMap<String, Standing>")]
 pub struct Withdrawals {
     standings: BTreeMap<ModelVersion, Standing>,
 }
@@ -153,20 +146,15 @@
 
 impl From<BTreeMap<String, Standing>> for Withdrawals {
     fn from(map: BTreeMap<String, Standing>) -> Self {
-        let parsed = map
-            .into_iter()
-            .filter_map(|(name, standing)| Some((name.parse().ok()?, standing)));
-        Self {
-            standings: parsed.collect(),
-        }
+        let parsed =
+            map.into_iter().filter_map(|(name, standing)| Some((name.parse().ok()?, standing)));
+        Self { standings: parsed.collect() }
     }
 }
 
 impl From<Withdrawals> for BTreeMap<String, Standing> {
     fn from(withdrawals: Withdrawals) -> Self {
         let named = withdrawals.standings.into_iter();
-        named
-            .map(|(version, standing)| (version.to_string(), standing))
-            .collect()
+        named.map(|(version, standing)| (version.to_string(), standing)).collect()
     }
 }
--- /dev/null
+++ b/crates/catalogue/tests/settings_spread.rs
@@ -0,0 +1,109 @@
+//! Settings documents reach every process, in any order of exchanges, and never go back.
+
+use ibissail_catalogue::{
+    Document, Documents, Exchange, PUSH_FANOUT, answer, choose_peers, is_watcher, learn, opening,
+};
+use ibissail_core::{Revision, VmId};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{collections::BTreeSet, net::SocketAddr};
+
+const SEEDS: u64 = 200;
+
+fn document(key: &str, revision: u64) -> Document {
+    let value = Some(format!("{key} at {revision}"));
+    Document { key: key.to_owned(), revision: Revision(revision), value }
+}
+
+/// One whole exchange as the daemons make it.
+fn exchange(from: &mut Documents, to: &mut Documents) {
+    let first = opening(from, Vec::new());
+    let (_, reply) = answer(to, first.clone());
+    if reply.digest == from.digest() {
+        return;
+    }
+    let (_, reply) = answer(to, Exchange { stamps: Some(from.stamps()), ..first });
+    let wanted = reply.wanted.iter().filter_map(|key| from.get(key).cloned()).collect();
+    let offer = Exchange { documents: wanted, ..opening(from, Vec::new()) };
+    answer(to, offer);
+    learn(from, reply.documents);
+}
+
+#[test]
+fn random_exchanges_converge_and_revisions_only_rise() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut processes = vec![Documents::default(); 8];
+        let mut newest = 0;
+        for _ in 0..40 {
+            newest += 1;
+            let key = format!("config/branches/root/{}", rng.random_range(0..4));
+            let at = rng.random_range(0..processes.len());
+            processes[at].merge(document(&key, newest));
+            pair(&mut processes, &mut rng);
+        }
+        let mut rounds = 0;
+        while processes.iter().any(|process| *process != processes[0]) {
+            pair(&mut processes, &mut rng);
+            rounds += 1;
+            assert!(rounds < 10_000, "seed {seed} does not converge");
+        }
+    }
+}
+
+fn pair(processes: &mut [Documents], rng: &mut StdRng) {
+    let from = rng.random_range(0..processes.len());
+    let to = rng.random_range(0..processes.len());
+    if from == to {
+        return;
+    }
+    let mut one = processes[from].clone();
+    let mut other = processes[to].clone();
+    let before = [one.clone(), other.clone()];
+    exchange(&mut one, &mut other);
+    for (old, new) in before.iter().zip([&one, &other]) {
+        for stamp in old.stamps() {
+            assert!(new.revision(&stamp.key) >= Some(stamp.revision), "a revision fell");
+        }
+    }
+    assert_eq!(one, other, "an exchange leaves both sides with the newest of each");
+    processes[from] = one;
+    processes[to] = other;
+}
+
+#[test]
+fn news_pushed_to_a_few_reach_nearly_all() {
+    let addresses: BTreeSet<SocketAddr> =
+        (0..300_u16).map(|port| SocketAddr::from(([127, 0, 0, 1], 1_000 + port))).collect();
+    let mut reached_in_all = 0;
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let first = *addresses.first().expect("peers");
+        let mut reached = BTreeSet::from([first]);
+        let mut fresh = vec![first];
+        while let Some(process) = fresh.pop() {
+            for peer in choose_peers(&addresses, Some(process), PUSH_FANOUT, &mut rng) {
+                if reached.insert(peer) {
+                    fresh.push(peer);
+                }
+            }
+        }
+        reached_in_all += reached.len();
+    }
+    let percent = reached_in_all * 100 / (addresses.len() * 200);
+    assert!(percent >= 97, "{percent}% of the processes are reached without anti-entropy");
+}
+
+#[test]
+fn watchers_are_few_and_move_one_at_a_time() {
+    let zone: Vec<VmId> = (0..100).map(|n| format!("vm-{n}").parse().expect("a name")).collect();
+    let watchers = |zone: &[VmId]| -> BTreeSet<VmId> {
+        zone.iter().filter(|vm| is_watcher(vm, zone, 2)).cloned().collect()
+    };
+    let before = watchers(&zone);
+    assert_eq!(before.len(), 2);
+    let gone = before.first().cloned().expect("a watcher");
+    let rest: Vec<VmId> = zone.into_iter().filter(|vm| *vm != gone).collect();
+    let after = watchers(&rest);
+    assert_eq!(after.len(), 2);
+    assert_eq!(before.intersection(&after).count(), 1);
+}
--- /dev/null
+++ b/crates/catalogue/tests/withdrawal_merge.rs
@@ -0,0 +1,84 @@
+//! Withdrawals merge the same in any order, and an old message cannot undo one.
+
+use ibissail_catalogue::{Grade, Standing, Withdrawals};
+use ibissail_core::ModelVersion;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Lower(u8, Grade),
+    Reinstate(u8),
+}
+
+fn version(number: u8) -> ModelVersion {
+    format!("swift@{number}").parse().expect("a version")
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..3_u8).prop_map(|number| Step::Lower(number, Grade::Retiring)),
+        (0..3_u8).prop_map(|number| Step::Lower(number, Grade::Withdrawn)),
+        (0..3_u8).prop_map(Step::Reinstate),
+    ]
+}
+
+/// All states that a history of accepted changes went through.
+fn history(steps: &[Step]) -> Vec<Withdrawals> {
+    let mut states = vec![Withdrawals::default()];
+    for step in steps {
+        let mut next = states.last().cloned().unwrap_or_default();
+        match step {
+            Step::Lower(number, grade) => next.lower(&version(*number), *grade),
+            Step::Reinstate(number) => next.reinstate(&version(*number)),
+        }
+        states.push(next);
+    }
+    states
+}
+
+/// The same cases in every run.
+fn seeded() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn any_order_of_messages_ends_in_the_last_state(
+        steps in prop::collection::vec(step(), 0..20),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..40),
+    ) {
+        let states = history(&steps);
+        let last = states.last().cloned().unwrap_or_default();
+        let mut copy = Withdrawals::default();
+        for index in order {
+            copy.merge(index.get(&states));
+        }
+        copy.merge(&last);
+        for index in states.iter().rev() {
+            copy.merge(index);
+        }
+        for number in 0..3 {
+            prop_assert_eq!(copy.standing(&version(number)), last.standing(&version(number)));
+        }
+    }
+
+    #[test]
+    fn a_standing_never_falls_back(
+        steps in prop::collection::vec(step(), 0..20),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..40),
+    ) {
+        let states = history(&steps);
+        let mut copy = Withdrawals::default();
+        let mut before = [Standing::default(); 3];
+        for index in order {
+            copy.merge(index.get(&states));
+            for number in 0..3_u8 {
+                let now = copy.standing(&version(number));
+                prop_assert!(now >= before[usize::from(number)]);
+                before[usize::from(number)] = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,77 @@
+//! Runs one command.
+
+use crate::{
+    call,
+    cli::{Cli, Command},
+    error::CommandError,
+    settings, status, withdrawal,
+};
+use async_std::task;
+use clap::CommandFactory;
+use ibissail_catalogue::{Generation, Grade};
+use ibissail_core::ErrorKind;
+use ibissail_platform::HttpPlatform;
+use ibissail_settings::KeyHash;
+use std::{io, time::Duration};
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs the command that the arguments name.
+pub(crate) fn run(cli: Cli) -> Result<(), CommandError> {
+    let platform = HttpPlatform::new(cli.platform, PLATFORM_TIMEOUT);
+    let output = cli.output;
+    task::block_on(async {
+        match cli.command {
+            Command::Check { files } => settings::check(&files, output),
+            Command::Apply { file, base } => settings::apply(&platform, &file, base, output).await,
+            Command::Diff { file } => settings::diff(&platform, &file).await,
+            Command::Get { branch, to } => {
+                settings::get(&platform, &branch, to.as_deref(), output).await
+            }
+            Command::Withdraw { version, retiring } => {
+                let grade = if retiring { Grade::Retiring } else { Grade::Withdrawn };
+                withdrawal::withdraw(&platform, &version, grade, output).await
+            }
+            Command::Reinstate { version, generation } => {
+                let generation = Generation(generation);
+                withdrawal::reinstate(&platform, &version, generation, output).await
+            }
+            Command::Status { process } => status::show(&platform, process, output).await,
+            Command::Call { entry, key, model, prompt } => {
+                call::complete(entry, &key, &model, &prompt, output).await
+            }
+            Command::HashKey { key } => {
+                println!("{}", KeyHash::of(&key));
+                Ok(())
+            }
+            Command::Errors => {
+                print!("{}", error_table());
+                Ok(())
+            }
+            Command::Completions { shell } => {
+                clap_complete::generate(shell, &mut Cli::command(), "ibissail", &mut io::stdout());
+                Ok(())
+            }
+            Command::Manual => print_manual(),
+        }
+    })
+}
+
+fn print_manual() -> Result<(), CommandError> {
+    let page = clap_mangen::Man::new(Cli::command());
+    page.render(&mut io::stdout()).map_err(|error| CommandError::Request(error.to_string()))
+}
+
+/// The table from kind of error to answer, in Markdown.
+fn error_table() -> String {
+    let mut text =
+        String::from("| kind | status | ran | Retry-After | meaning |\n|---|---|---|---|---|\n");
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let retry = answer.retry_after.map(|seconds| format!("{seconds} s")).unwrap_or_default();
+        let (code, status, ran) = (kind.code(), answer.status, answer.ran);
+        let row = format!("| `{code}` | {status} | {ran} | {retry} | {kind} |\n");
+        text.push_str(&row);
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,34 @@
+//! Prints results as text or JSON.
+
+use crate::cli::Output;
+use serde::Serialize;
+
+/// Prints the JSON form, or the lines of text.
+pub(crate) fn print<T, F>(output: Output, value: &T, text: F)
+where
+    T: Serialize,
+    F: FnOnce(&T) -> String,
+{
+    match output {
+        Output::Text => print!("{}", text(value)),
+        Output::Json => {
+            println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+        }
+    }
+}
+
+/// Rows in columns that are as wide as their longest value.
+pub(crate) fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or_default();
+    let width = |column: usize| {
+        rows.iter().filter_map(|row| row.get(column)).map(String::len).max().unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        text.push_str(cells.collect::<Vec<_>>().join("  ").trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,207 @@
+//! Checks, reads and changes branches of the settings.
+
+use crate::{cli::Output, error::CommandError, output::print};
+use ibissail_catalogue::{BRANCH_PREFIX, branch_key};
+use ibissail_core::{BranchPath, Revision};
+use ibissail_platform::{Object, ObjectApi, PlatformError};
+use ibissail_settings::{check_tree, parse_branch};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use similar::TextDiff;
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// The state of a branch that a file was made from, kept beside the file.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Base {
+    revision: Revision,
+    text: String,
+}
+
+fn base_path(file: &Path) -> PathBuf {
+    let mut name = file.as_os_str().to_owned();
+    name.push(".base");
+    name.into()
+}
+
+fn read(file: &Path) -> Result<String, CommandError> {
+    fs::read_to_string(file).map_err(|error| file_error(file, &error))
+}
+
+fn file_error(file: &Path, error: &std::io::Error) -> CommandError {
+    CommandError::File(file.display().to_string(), error.to_string())
+}
+
+/// Checks files as one tree.
+pub(crate) fn check(files: &[PathBuf], output: Output) -> Result<(), CommandError> {
+    let mut sources = Vec::new();
+    for file in files {
+        sources.push((file.display().to_string(), read(file)?));
+    }
+    let tree = check_tree(&sources)?;
+    let branches: Vec<String> = tree.keys().map(ToString::to_string).collect();
+    print(output, &branches, |branches| format!("{} branches are valid\n", branches.len()));
+    Ok(())
+}
+
+/// Shows a branch, or writes it to a file for editing.
+pub(crate) async fn get<P>(
+    platform: &P,
+    branch: &BranchPath,
+    to: Option<&Path>,
+    output: Output,
+) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    let key = branch_key(branch);
+    let object = platform.get(&key).await?.ok_or_else(|| missing(branch))?;
+    let Some(file) = to else {
+        print(output, &object, |object| object.value.clone());
+        return Ok(());
+    };
+    let base = Base { revision: object.revision, text: object.value.clone() };
+    let base = serde_json::to_string(&base).unwrap_or_default();
+    fs::write(file, &object.value).map_err(|error| file_error(file, &error))?;
+    let path = base_path(file);
+    fs::write(&path, base).map_err(|error| file_error(&path, &error))?;
+    let written = json!({"file": file, "revision": object.revision});
+    print(output, &written, |_| format!("{} at revision {}\n", file.display(), object.revision));
+    Ok(())
+}
+
+fn missing(branch: &BranchPath) -> CommandError {
+    CommandError::Request(format!("the branch `{branch}` does not exist"))
+}
+
+/// Shows the lines that `apply` would change.
+pub(crate) async fn diff<P>(platform: &P, file: &Path) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    let text = read(file)?;
+    let branch = parse_branch(&file.display().to_string(), &text)?.path;
+    let current = platform.get(&branch_key(&branch)).await?;
+    let current = current.map(|object| object.value).unwrap_or_default();
+    print!("{}", line_diff(&current, &text, "in force", "yours"));
+    Ok(())
+}
+
+fn line_diff(old: &str, new: &str, old_name: &str, new_name: &str) -> String {
+    TextDiff::from_lines(old, new).unified_diff().header(old_name, new_name).to_string()
+}
+
+/// Puts a file in force by a conditional update.
+pub(crate) async fn apply<P>(
+    platform: &P,
+    file: &Path,
+    base: Option<Revision>,
+    output: Output,
+) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    let text = read(file)?;
+    let name = file.display().to_string();
+    let branch = parse_branch(&name, &text)?.path;
+    check_with_others(platform, &name, &text, &branch).await?;
+    let saved = saved_base(file);
+    let base = base.or_else(|| saved.as_ref().map(|saved| saved.revision));
+    let key = branch_key(&branch);
+    let written = match base {
+        Some(base) => platform.update(&key, base, &text).await,
+        None => platform.create(&key, &text).await,
+    };
+    let revision = match written {
+        Ok(revision) => revision,
+        Err(PlatformError::Conflict(_, current)) => {
+            return Err(conflict(&branch, &text, saved.as_ref(), current.as_ref()));
+        }
+        Err(PlatformError::MaybeDone(detail)) => find_own_write(platform, &key, &text, base)
+            .await
+            .map_err(|found| CommandError::Request(format!("{detail}; {found}")))?,
+        Err(error) => return Err(error.into()),
+    };
+    if saved.is_some() {
+        save_base(file, &Base { revision, text })?;
+    }
+    let applied = json!({"branch": branch, "revision": revision});
+    print(output, &applied, |_| format!("{branch} is in force at revision {revision}\n"));
+    Ok(())
+}
+
+fn saved_base(file: &Path) -> Option<Base> {
+    let text = fs::read_to_string(base_path(file)).ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+fn save_base(file: &Path, base: &Base) -> Result<(), CommandError> {
+    let path = base_path(file);
+    let text = serde_json::to_string(base).unwrap_or_default();
+    fs::write(&path, text).map_err(|error| file_error(&path, &error))
+}
+
+/// Checks a branch together with all other branches in force.
+async fn check_with_others<P>(
+    platform: &P,
+    name: &str,
+    text: &str,
+    branch: &BranchPath,
+) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    let own = branch_key(branch);
+    let listing = platform.list(BRANCH_PREFIX).await?;
+    let others = listing.objects.into_iter().filter(|object| object.key != own);
+    let mut sources: Vec<(String, String)> =
+        others.map(|object| (object.key, object.value)).collect();
+    sources.push((name.to_owned(), text.to_owned()));
+    check_tree(&sources)?;
+    Ok(())
+}
+
+/// The version of a write whose answer was lost, if it took effect.
+async fn find_own_write<P>(
+    platform: &P,
+    key: &str,
+    text: &str,
+    base: Option<Revision>,
+) -> Result<Revision, String>
+where
+    P: ObjectApi,
+{
+    match platform.get(key).await {
+        Ok(Some(object)) if object.value == text && Some(object.revision) != base => {
+            Ok(object.revision)
+        }
+        Ok(_) => Err("reading shows that the change is not in force".to_owned()),
+        Err(error) => Err(format!("reading failed too: {error}")),
+    }
+}
+
+fn conflict(
+    branch: &BranchPath,
+    text: &str,
+    saved: Option<&Base>,
+    current: Option<&Object>,
+) -> CommandError {
+    let Some(current) = current else {
+        return CommandError::Conflict(format!("`{branch}` has been deleted meanwhile"));
+    };
+    let head = format!(
+        "`{branch}` has been changed by somebody else; it is at revision {} now",
+        current.revision
+    );
+    let changes = match saved {
+        Some(base) => format!(
+            "\ntheir change:\n{}\nyour change:\n{}",
+            line_diff(&base.text, &current.value, "base", "in force"),
+            line_diff(&base.text, text, "base", "yours"),
+        ),
+        None => format!("\n{}", line_diff(&current.value, text, "in force", "yours")),
+    };
+    CommandError::Conflict(format!("{head}{changes}"))
+}
--- /dev/null
+++ b/crates/cli/src/withdrawal.rs
@@ -0,0 +1,108 @@
+//! Withdraws and reinstates versions by conditional updates.
+
+use crate::{cli::Output, error::CommandError, output::print};
+use ibissail_catalogue::{Generation, Grade, WITHDRAWALS_KEY, Withdrawals};
+use ibissail_core::{ModelVersion, Revision};
+use ibissail_platform::{ObjectApi, PlatformError};
+use serde_json::json;
+
+/// Writers that may come in between before a command gives up.
+const MAX_TRIES: u32 = 16;
+
+/// Lowers a version; tries again when another operator's change came in between.
+pub(crate) async fn withdraw<P>(
+    platform: &P,
+    version: &ModelVersion,
+    grade: Grade,
+    output: Output,
+) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    for _ in 0..MAX_TRIES {
+        let (mut withdrawals, base) = read(platform).await?;
+        if withdrawals.standing(version).grade >= grade {
+            show(output, version, &withdrawals);
+            return Ok(());
+        }
+        withdrawals.lower(version, grade);
+        match write(platform, &withdrawals, base).await {
+            Ok(()) => {
+                show(output, version, &withdrawals);
+                return Ok(());
+            }
+            // Withdrawing is always safe to repeat, also when the write may have taken effect.
+            Err(PlatformError::Conflict(..) | PlatformError::MaybeDone(_)) => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(CommandError::Conflict(format!("`{version}` could not be withdrawn: too many writers")))
+}
+
+/// Reinstates a version, if it still is in the generation that the operator has seen.
+pub(crate) async fn reinstate<P>(
+    platform: &P,
+    version: &ModelVersion,
+    generation: Generation,
+    output: Output,
+) -> Result<(), CommandError>
+where
+    P: ObjectApi,
+{
+    let (mut withdrawals, base) = read(platform).await?;
+    let standing = withdrawals.standing(version);
+    if standing.generation != generation || standing.grade == Grade::Active {
+        return Err(changed(version, &withdrawals));
+    }
+    withdrawals.reinstate(version);
+    match write(platform, &withdrawals, base).await {
+        Ok(()) => {
+            show(output, version, &withdrawals);
+            Ok(())
+        }
+        Err(PlatformError::Conflict(..)) => {
+            let (now, _) = read(platform).await?;
+            Err(changed(version, &now))
+        }
+        Err(error) => Err(error.into()),
+    }
+}
+
+fn changed(version: &ModelVersion, withdrawals: &Withdrawals) -> CommandError {
+    let standing = withdrawals.standing(version);
+    CommandError::Conflict(format!("`{version}` is {standing} now; nothing was changed"))
+}
+
+async fn read<P>(platform: &P) -> Result<(Withdrawals, Option<Revision>), CommandError>
+where
+    P: ObjectApi,
+{
+    let Some(object) = platform.get(WITHDRAWALS_KEY).await? else {
+        return Ok((Withdrawals::default(), None));
+    };
+    let withdrawals = serde_json::from_str(&object.value)
+        .map_err(|error| CommandError::Request(format!("{WITHDRAWALS_KEY}: {error}")))?;
+    Ok((withdrawals, Some(object.revision)))
+}
+
+async fn write<P>(
+    platform: &P,
+    withdrawals: &Withdrawals,
+    base: Option<Revision>,
+) -> Result<(), PlatformError>
+where
+    P: ObjectApi,
+{
+    let value = serde_json::to_string(withdrawals).unwrap_or_default();
+    match base {
+        Some(base) => platform.update(WITHDRAWALS_KEY, base, &value).await?,
+        None => platform.create(WITHDRAWALS_KEY, &value).await?,
+    };
+    Ok(())
+}
+
+fn show(output: Output, version: &ModelVersion, withdrawals: &Withdrawals) {
+    let standing = withdrawals.standing(version);
+    let value = json!({"version": version.to_string(), "standing": standing});
+    print(output, &value, |_| format!("{version} is {standing}\n"));
+}
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -160,11 +160,7 @@
             Self::Timeout => (504, Ran::Unknown, Some(1)),
             Self::OutcomeUnknown => (502, Ran::Unknown, Some(1)),
         };
-        Answer {
-            status,
-            ran,
-            retry_after: retry_after.map(RetryAfter),
-        }
+        Answer { status, ran, retry_after: retry_after.map(RetryAfter) }
     }
 
     /// The kind's name as it stands in an answer.
@@ -203,10 +199,7 @@
     /// Whether another replica may be asked for the same request.
     #[must_use]
     pub fn may_reroute(self) -> bool {
-        matches!(
-            self,
-            Self::Draining | Self::NoReplica | Self::StaleTicket | Self::SettingsMissing
-        )
+        matches!(self, Self::Draining | Self::NoReplica | Self::StaleTicket | Self::SettingsMissing)
     }
 }
 
@@ -235,11 +228,7 @@
     where
         D: Into<String>,
     {
-        Self {
-            kind,
-            detail: detail.into(),
-            ran: kind.answer().ran,
-        }
+        Self { kind, detail: detail.into(), ran: kind.answer().ran }
     }
 
     /// The same fault where an earlier request with the same key may have run.
@@ -253,11 +242,7 @@
     /// ```
     #[must_use]
     pub fn uncertain(self) -> Self {
-        let ran = if self.ran == Ran::No {
-            Ran::Unknown
-        } else {
-            self.ran
-        };
+        let ran = if self.ran == Ran::No { Ran::Unknown } else { self.ran };
         Self { ran, ..self }
     }
 }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -68,9 +68,7 @@
 
 impl fmt::Debug for SigningKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("SigningKey")
-            .field("id", &self.id)
-            .finish_non_exhaustive()
+        f.debug_struct("SigningKey").field("id", &self.id).finish_non_exhaustive()
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 pub use error::{Answer, ErrorKind, Fault, Ran, RetryAfter};
 pub use key::SigningKey;
 pub use unit::{
-    BranchPath, ByteSize, ClassId, Incarnation, Millis, ModelId, ModelVersion, OrganisationId,
-    Price, Ratio, RequestId, Revision, ServiceId, Target, Tokens, UnitError, VersionId, VmId,
-    ZoneId,
+    BranchPath, ByteSize, ClassId, Count, Incarnation, Millis, ModelId, ModelVersion,
+    OrganisationId, Price, Ratio, RequestId, Revision, ServiceId, Target, Tokens, UnitError,
+    VersionId, VmId, ZoneId,
 };
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -38,7 +38,7 @@
         }
         /// The text is not a whole number.
         Number(value: String) {
-            display("`{}` is not a whole number", value)
+            display("`{}` is not a number; valid: a whole number from 0", value)
         }
     }
 }
@@ -46,9 +46,7 @@
 fn is_identifier(text: &str) -> bool {
     !text.is_empty()
         && text.len() <= MAX_ID_BYTES
-        && text
-            .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b))
+        && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b))
 }
 
 macro_rules! identifier {
@@ -133,13 +131,9 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let (model, version) = text
-            .split_once('@')
-            .ok_or_else(|| UnitError::ModelVersion(text.to_owned()))?;
-        Ok(Self {
-            model: model.parse()?,
-            version: version.parse()?,
-        })
+        let (model, version) =
+            text.split_once('@').ok_or_else(|| UnitError::ModelVersion(text.to_owned()))?;
+        Ok(Self { model: model.parse()?, version: version.parse()? })
     }
 }
 
@@ -187,9 +181,7 @@
     /// The branch above, or `None` at the root.
     #[must_use]
     pub fn parent(&self) -> Option<Self> {
-        self.0
-            .rsplit_once('/')
-            .map(|(parent, _)| Self(parent.to_owned()))
+        self.0.rsplit_once('/').map(|(parent, _)| Self(parent.to_owned()))
     }
 
     /// This branch and all above it, nearest first.
@@ -215,11 +207,7 @@
     fn from_str(text: &str) -> Result<Self, UnitError> {
         let mut parts = text.split('/');
         let valid = parts.next() == Some("root") && parts.all(is_identifier);
-        if valid {
-            Ok(Self(text.to_owned()))
-        } else {
-            Err(UnitError::Path(text.to_owned()))
-        }
+        if valid { Ok(Self(text.to_owned())) } else { Err(UnitError::Path(text.to_owned())) }
     }
 }
 
@@ -257,6 +245,21 @@
     Price
 }
 
+/// A count of things that run at the same time, or of shares.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Count(pub u32);
+
+impl FromStr for Count {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.parse().map(Self).map_err(|_parse| UnitError::Number(text.to_owned()))
+    }
+}
+
 /// A duration or an instant of a monotonic clock, in milliseconds.
 ///
 /// # Examples
@@ -303,11 +306,9 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let (number, factor) = split_unit(
-            text,
-            &[("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)],
-        )
-        .ok_or_else(|| UnitError::Duration(text.to_owned()))?;
+        let (number, factor) =
+            split_unit(text, &[("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)])
+                .ok_or_else(|| UnitError::Duration(text.to_owned()))?;
         Ok(Self(number.saturating_mul(factor)))
     }
 }
@@ -332,13 +333,8 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let units = [
-            ("KiB", 1 << 10),
-            ("MiB", 1 << 20),
-            ("kB", 1_000),
-            ("MB", 1_000_000),
-            ("B", 1),
-        ];
+        let units =
+            [("KiB", 1 << 10), ("MiB", 1 << 20), ("kB", 1_000), ("MB", 1_000_000), ("B", 1)];
         let (number, factor) =
             split_unit(text, &units).ok_or_else(|| UnitError::Size(text.to_owned()))?;
         Ok(Self(number.saturating_mul(factor)))
@@ -423,15 +419,9 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let (entry, sequence) = text
-            .split_once('-')
-            .ok_or_else(|| UnitError::Identifier(text.to_owned()))?;
-        let sequence = sequence
-            .parse()
-            .map_err(|_parse| UnitError::Number(sequence.to_owned()))?;
-        Ok(Self {
-            entry: entry.parse()?,
-            sequence,
-        })
+        let (entry, sequence) =
+            text.split_once('-').ok_or_else(|| UnitError::Identifier(text.to_owned()))?;
+        let sequence = sequence.parse().map_err(|_parse| UnitError::Number(sequence.to_owned()))?;
+        Ok(Self { entry: entry.parse()?, sequence })
     }
 }
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -1,10 +1,10 @@
 //! Answers to callers: errors in one form, health, metrics.
 
-use crate::node::Node;
+use crate::metrics::Metrics;
 use http_types::{Request, Response, headers::RETRY_AFTER};
 use ibissail_core::{ErrorKind, Fault};
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// A JSON answer.
 pub(crate) fn json_answer<T>(status: u16, value: &T) -> Response
@@ -18,7 +18,7 @@
 }
 
 /// The body of an error.
-pub(crate) fn fault_body(fault: &Fault) -> serde_json::Value {
+pub(crate) fn fault_body(fault: &Fault) -> Value {
     json!({"error": {
         "kind": fault.kind.code(),
         "message": fault.to_string(),
@@ -39,12 +39,16 @@
 }
 
 /// Health, readiness and metrics.
-pub(crate) fn status(req: &Request, node: &Node, ready: bool) -> Response {
+pub(crate) fn status<S>(req: &Request, metrics: &Metrics, ready: bool, state: S) -> Response
+where
+    S: FnOnce() -> Value,
+{
     match req.url().path() {
         "/healthz" => text(200, "ok\n"),
         "/readyz" if ready => text(200, "ready\n"),
         "/readyz" => text(503, "not ready\n"),
-        "/metrics" => text(200, &node.metrics.text()),
+        "/status" => json_answer(200, &state()),
+        "/metrics" => text(200, &metrics.text()),
         _ => refusal(&ErrorKind::NotFound.into()),
     }
 }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -35,7 +35,7 @@
     },
     /// Run the whole path with stand-ins on loopback.
     Dev {
-        /// Port for callers; 0 takes a free one.
+        /// Port for callers; the stand-ins take the free ports after it.
         #[arg(long, default_value_t = 8080)]
         port: u16,
     },
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -11,9 +11,7 @@
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Time since the process started.
@@ -24,8 +22,5 @@
 
 /// Seconds of Unix time.
 pub(crate) fn unix_seconds() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map(|time| time.as_secs())
-        .unwrap_or_default()
+    SystemTime::now().duration_since(UNIX_EPOCH).map(|time| time.as_secs()).unwrap_or_default()
 }
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -6,7 +6,7 @@
     process::{listen, wait_for_stop_signal},
     sidecar::Sidecar,
 };
-use async_std::task;
+use async_std::{net::TcpListener, task};
 use ibissail_catalogue::branch_key;
 use ibissail_core::{BranchPath, Target, VmId, ZoneId};
 use ibissail_platform::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
@@ -21,6 +21,7 @@
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 const READY_CHECKS: u32 = 500;
+const MAX_PORTS: u16 = 400;
 
 /// What stands behind each sidecar, with its times to the first token and between tokens in ms.
 const UPSTREAMS: [(&str, &str, u64, u64); 5] = [
@@ -34,19 +35,20 @@
 /// Runs until a stop signal.
 pub(crate) async fn run(port: u16, log: Logger) -> Result<(), StartError> {
     let (stop_standins, stop) = stop_pair();
-    let platform = start_platform(&stop).await?;
+    let mut ports = Ports::after(port);
+    let platform = start_platform(&mut ports, &stop).await?;
     let admin = HttpPlatform::new(platform, PLATFORM_TIMEOUT);
     put_settings(&admin).await?;
     let mut sidecars = Vec::new();
     for upstream in UPSTREAMS {
-        let settings = start_upstream(upstream, platform, &stop).await?;
+        let settings = start_upstream(&mut ports, upstream, platform, &stop).await?;
         register(platform, &settings, VmRole::Upstream).await;
         let Some(upstream) = settings.upstream.clone() else {
             continue;
         };
         sidecars.push(Sidecar::start(settings, upstream, log.clone()).await?);
     }
-    let settings = entry_settings(port, platform).await?;
+    let settings = entry_settings(&mut ports, port, platform).await?;
     register(platform, &settings, VmRole::Entry).await;
     let address = settings.listen;
     let entry = Entry::start(settings, log).await?;
@@ -72,23 +74,48 @@
     );
 }
 
-async fn start_platform(stop: &Stop) -> Result<SocketAddr, StartError> {
-    let (listener, address) = listen_anywhere().await?;
+async fn start_platform(ports: &mut Ports, stop: &Stop) -> Result<SocketAddr, StartError> {
+    let (listener, address) = listen_next(ports).await?;
     task::spawn(run_platform(listener, stop.clone()));
     Ok(address)
 }
 
-async fn listen_anywhere() -> Result<(async_std::net::TcpListener, SocketAddr), StartError> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = listen(any).await?;
-    let address = listener
-        .local_addr()
-        .map_err(|error| StartError::Listen(any, error.to_string()))?;
-    Ok((listener, address))
+/// Listens on the first free port after those taken before.
+async fn listen_next(ports: &mut Ports) -> Result<(TcpListener, SocketAddr), StartError> {
+    loop {
+        let address = ports.next();
+        match listen(address).await {
+            Ok(listener) => return Ok((listener, address)),
+            Err(error) if ports.is_exhausted() => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
+async fn free_address(ports: &mut Ports) -> Result<SocketAddr, StartError> {
+    listen_next(ports).await.map(|(_listener, address)| address)
 }
 
-async fn free_address() -> Result<SocketAddr, StartError> {
-    listen_anywhere().await.map(|(_listener, address)| address)
+/// Ports of loopback, in order.
+#[derive(Debug)]
+struct Ports {
+    last: u16,
+    end: u16,
+}
+
+impl Ports {
+    fn after(port: u16) -> Self {
+        Self { last: port, end: port.saturating_add(MAX_PORTS) }
+    }
+
+    fn next(&mut self) -> SocketAddr {
+        self.last = self.last.saturating_add(1);
+        SocketAddr::from(([127, 0, 0, 1], self.last))
+    }
+
+    fn is_exhausted(&self) -> bool {
+        self.last >= self.end
+    }
 }
 
 async fn put_settings(admin: &HttpPlatform) -> Result<(), StartError> {
@@ -101,11 +128,12 @@
 }
 
 async fn start_upstream(
+    ports: &mut Ports,
     (vm, offers, first_token_ms, between_tokens_ms): (&str, &str, u64, u64),
     platform: SocketAddr,
     stop: &Stop,
 ) -> Result<LocalSettings, StartError> {
-    let (listener, address) = listen_anywhere().await?;
+    let (listener, address) = listen_next(ports).await?;
     if offers.starts_with("service:") {
         task::spawn(run_service(listener, stop.clone()));
     } else {
@@ -117,24 +145,27 @@
         task::spawn(run_engine(listener, options, stop.clone()));
     }
     let upstream = format!("upstream: {{address: \"{address}\", offers: \"{offers}\"}}\n");
-    local_settings(vm, free_address().await?, platform, &upstream).await
+    let address = free_address(ports).await?;
+    local_settings(ports, vm, address, platform, &upstream).await
 }
 
-async fn entry_settings(port: u16, platform: SocketAddr) -> Result<LocalSettings, StartError> {
-    let address = match port {
-        0 => free_address().await?,
-        port => SocketAddr::from(([127, 0, 0, 1], port)),
-    };
-    local_settings("entry-1", address, platform, "").await
+async fn entry_settings(
+    ports: &mut Ports,
+    port: u16,
+    platform: SocketAddr,
+) -> Result<LocalSettings, StartError> {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    local_settings(ports, "entry-1", address, platform, "").await
 }
 
 async fn local_settings(
+    ports: &mut Ports,
     vm: &str,
     address: SocketAddr,
     platform: SocketAddr,
     rest: &str,
 ) -> Result<LocalSettings, StartError> {
-    let peer = free_address().await?;
+    let peer = free_address(ports).await?;
     let text = format!(
         "vm: {vm}\nzone: az-1\nlisten: {address}\npeer_listen: {peer}\nplatform: {platform}\n\
          peer_keys: [{{id: dev, secret: \"only-for-development\"}}]\n{rest}"
@@ -148,14 +179,7 @@
     let zone: ZoneId = settings.identity.zone.clone();
     let offers: Option<Target> = settings.upstream.as_ref().map(|u| u.offers.clone());
     let address = settings.peer_listen;
-    let record = VmRecord {
-        vm,
-        zone,
-        role,
-        address,
-        state: VmState::Live,
-        offers,
-    };
+    let record = VmRecord { vm, zone, role, address, state: VmState::Live, offers };
     let pool = Pool::new(PoolOptions::default());
     let url = format!("http://{platform}/control/vms");
     if let Ok(url) = http_types::Url::parse(&url) {
--- a/crates/daemon/src/entry/attempts.rs
+++ b/crates/daemon/src/entry/attempts.rs
@@ -49,15 +49,7 @@
 {
     /// No attempt yet; the plan gives the targets in the order in which they should be tried.
     pub(crate) fn new(shared: &'a Arc<Shared>, call: &'a Call, job: &'a Job, plan: P) -> Self {
-        Self {
-            shared,
-            call,
-            job,
-            plan,
-            tried: BTreeSet::new(),
-            count: 0,
-            last: None,
-        }
+        Self { shared, call, job, plan, tried: BTreeSet::new(), count: 0, last: None }
     }
 
     /// Opens runs until one has sent its first bytes.
@@ -69,11 +61,7 @@
             match relay.next(self.call).await {
                 Ok(first) => {
                     metrics.first_token(&self.call.labels, self.call.started.elapsed());
-                    return Ok(Begun {
-                        relay,
-                        target,
-                        first,
-                    });
+                    return Ok(Begun { relay, target, first });
                 }
                 Err(fault) => self.note_failure(&relay, fault)?,
             }
@@ -83,19 +71,10 @@
     /// A whole answer; an attempt that breaks before its end is made again elsewhere.
     pub(crate) async fn whole(&mut self) -> Result<Answered, Fault> {
         loop {
-            let Begun {
-                mut relay,
-                target,
-                first,
-            } = self.begin().await?;
+            let Begun { mut relay, target, first } = self.begin().await?;
             match relay.collect(self.call, first).await {
                 Ok((bytes, whole)) => {
-                    return Ok(Answered {
-                        relay,
-                        target,
-                        whole,
-                        bytes,
-                    });
+                    return Ok(Answered { relay, target, whole, bytes });
                 }
                 Err(fault) => self.note_failure(&relay, fault)?,
             }
@@ -114,22 +93,9 @@
             if self.count > 0 {
                 self.shared.node.metrics.reroutes.inc();
             }
-            let key = RunKey::Attempt {
-                request: self.call.id,
-                attempt: self.count,
-            };
+            let key = RunKey::Attempt { request: self.call.id, attempt: self.count };
             self.count += 1;
-            match open(
-                self.shared,
-                self.call,
-                self.job,
-                key,
-                &target,
-                &picked,
-                None,
-            )
-            .await
-            {
+            match open(self.shared, self.call, self.job, key, &target, &picked, None).await {
                 Ok(relay) => return Ok((relay, target)),
                 // The replica may offer another version that is still allowed.
                 Err(NotOpened::NotRun(fault)) if fault.kind == ErrorKind::VersionWithdrawn => {
@@ -142,10 +108,7 @@
                 Err(NotOpened::Refused(fault)) => return Err(fault),
             }
         }
-        Err(self
-            .last
-            .take()
-            .unwrap_or_else(|| ErrorKind::NoReplica.into()))
+        Err(self.last.take().unwrap_or_else(|| ErrorKind::NoReplica.into()))
     }
 
     /// Lets another replica be tried, unless the error or the number of attempts forbids it.
--- a/crates/daemon/src/entry/billing.rs
+++ b/crates/daemon/src/entry/billing.rs
@@ -70,21 +70,11 @@
     record: UsageRecord,
 ) {
     shared.records.hold(record.clone(), sidecar);
-    let message = ConfirmRequest {
-        key: key.clone(),
-        record,
-    };
+    let message = ConfirmRequest { key: key.clone(), record };
     let node = &shared.node;
     let path = paths::CONFIRM;
-    let confirmed: Result<Result<(), Fault>, CallError> = call(
-        &node.pool,
-        &node.keyring,
-        sidecar,
-        path,
-        &message,
-        CALL_TIMEOUT,
-    )
-    .await;
+    let confirmed: Result<Result<(), Fault>, CallError> =
+        call(&node.pool, &node.keyring, sidecar, path, &message, CALL_TIMEOUT).await;
     if let Err(error) = confirmed {
         debug!(node.log, "billing: this entry alone holds a record"; "error" => %error);
     }
@@ -118,15 +108,8 @@
 async fn settle(shared: &Shared, holder: SocketAddr, requests: Vec<RequestId>) {
     let node = &shared.node;
     let message = SettleRequest { requests };
-    let told: Result<Result<(), Fault>, CallError> = call(
-        &node.pool,
-        &node.keyring,
-        holder,
-        paths::SETTLE,
-        &message,
-        CALL_TIMEOUT,
-    )
-    .await;
+    let told: Result<Result<(), Fault>, CallError> =
+        call(&node.pool, &node.keyring, holder, paths::SETTLE, &message, CALL_TIMEOUT).await;
     if let Err(error) = told {
         debug!(node.log, "billing: a sidecar was not told"; "error" => %error);
     }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -83,12 +83,7 @@
 
     /// The whole body, within the branch's limit.
     pub(crate) async fn body(&self, req: &mut Request) -> Result<Vec<u8>, Fault> {
-        let limit = self
-            .member
-            .branches
-            .iter()
-            .map(|branch| branch.limits.body)
-            .min();
+        let limit = self.member.branches.iter().map(|branch| branch.limits.body).min();
         let mut body = req.take_body();
         let read = read_body(&mut body, limit.unwrap_or(ByteSize(0))).await;
         if read.is_err() {
@@ -118,17 +113,14 @@
 fn class_of(req: &Request, member: &Member) -> Result<ClassId, Fault> {
     match header(req, CLASS_HEADER) {
         None => Ok(member.organisation.default_class.clone()),
-        Some(text) => text
-            .parse()
-            .map_err(|error| Fault::new(ErrorKind::BadRequest, format!("{error}"))),
+        Some(text) => {
+            text.parse().map_err(|error| Fault::new(ErrorKind::BadRequest, format!("{error}")))
+        }
     }
 }
 
 fn unknown_class(class: &ClassId) -> Fault {
-    Fault::new(
-        ErrorKind::BadRequest,
-        format!("the class `{class}` is not declared"),
-    )
+    Fault::new(ErrorKind::BadRequest, format!("the class `{class}` is not declared"))
 }
 
 fn parse_deadline(text: &str) -> Result<Millis, Fault> {
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -38,9 +38,7 @@
     call: &Call,
     req: &mut Request,
 ) -> Result<Response, Fault> {
-    let permit = shared
-        .admissions
-        .admit(&call.member.id, call.member.organisation.concurrency)?;
+    let permit = shared.admissions.admit(&call.member.id, call.member.organisation.concurrency)?;
     let body = call.body(req).await?;
     let parsed: Value = serde_json::from_slice(&body)
         .map_err(|error| Fault::new(ErrorKind::BadRequest, error.to_string()))?;
@@ -60,13 +58,7 @@
         content_type: "application/json".to_owned(),
         body,
     };
-    let chat = Chat {
-        shared: Arc::clone(shared),
-        call: call.clone(),
-        job,
-        model,
-        pinned,
-    };
+    let chat = Chat { shared: Arc::clone(shared), call: call.clone(), job, model, pinned };
     if parsed["stream"].as_bool().unwrap_or(false) {
         chat.stream(permit).await
     } else {
@@ -92,9 +84,7 @@
     }
     if model == AUTO_MODEL {
         let order = order_models(offers(&catalogue, &member, &call.class), call.quality);
-        let picked = order
-            .iter()
-            .filter_map(|model| pick(&catalogue, &member, model, call));
+        let picked = order.iter().filter_map(|model| pick(&catalogue, &member, model, call));
         return Ok(picked.collect());
     }
     if model.contains('@') {
@@ -140,8 +130,7 @@
     T: std::str::FromStr,
     T::Err: std::fmt::Display,
 {
-    text.parse()
-        .map_err(|error: T::Err| Fault::new(ErrorKind::UnknownModel, error.to_string()))
+    text.parse().map_err(|error: T::Err| Fault::new(ErrorKind::UnknownModel, error.to_string()))
 }
 
 /// Why a model has no version for new work.
@@ -152,10 +141,7 @@
     };
     let mut fault = Fault::new(ErrorKind::NotAllowed, format!("`{model}`"));
     for version in settings.versions.keys() {
-        let version = ModelVersion {
-            model: model.clone(),
-            version: version.clone(),
-        };
+        let version = ModelVersion { model: model.clone(), version: version.clone() };
         if let Err(found) = catalogue.permit(member, &Target::Model(version), Purpose::New)
             && found.kind == ErrorKind::VersionWithdrawn
         {
@@ -183,15 +169,8 @@
 
     async fn whole(&self) -> Result<Response, Fault> {
         let plan = || self.targets();
-        let answered = Attempts::new(&self.shared, &self.call, &self.job, plan)
-            .whole()
-            .await?;
-        let Answered {
-            mut relay,
-            target,
-            whole,
-            bytes,
-        } = answered;
+        let answered = Attempts::new(&self.shared, &self.call, &self.job, plan).whole().await?;
+        let Answered { mut relay, target, whole, bytes } = answered;
         self.bill(&relay, &target, &whole).await;
         relay.finish().await;
         Ok(self.respond(&target, &whole, bytes))
@@ -254,11 +233,7 @@
 
     /// Passes pieces on; an error that comes after the first bytes becomes an event.
     async fn pump(&self, begun: Begun, sender: &BodySender) {
-        let Begun {
-            mut relay,
-            target,
-            first,
-        } = begun;
+        let Begun { mut relay, target, first } = begun;
         let mut item = first;
         let mut last = Instant::now();
         loop {
@@ -284,10 +259,7 @@
                 Ok(item) => item,
                 Err(fault) => return self.break_off(sender, &fault).await,
             };
-            self.shared
-                .node
-                .metrics
-                .between_tokens(&self.call.labels, last.elapsed());
+            self.shared.node.metrics.between_tokens(&self.call.labels, last.elapsed());
             last = Instant::now();
         }
     }
@@ -295,10 +267,7 @@
     async fn break_off(&self, sender: &BodySender, fault: &Fault) {
         info!(self.call.log, "chat: a stream broke"; "error" => %fault);
         self.shared.node.metrics.refusal(fault.kind);
-        let fault = Fault {
-            ran: Ran::Yes,
-            ..fault.clone()
-        };
+        let fault = Fault { ran: Ran::Yes, ..fault.clone() };
         let event = format!("data: {}\n\n", answer::fault_body(&fault));
         let _gone = sender.send(event.into_bytes()).await;
     }
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -28,31 +28,20 @@
     job: &Job,
 ) -> Result<Response, Fault> {
     let path = claim_key(&call.member.id, key);
-    let run_key = RunKey::Keyed {
-        organisation: call.member.id.clone(),
-        key: key.to_owned(),
-    };
-    let mut keyed = Keyed {
-        shared,
-        call,
-        target,
-        job,
-        path,
-        run_key,
-        tried: BTreeSet::new(),
-    };
+    let run_key = RunKey::Keyed { organisation: call.member.id.clone(), key: key.to_owned() };
+    let mut keyed = Keyed { shared, call, target, job, path, run_key, tried: BTreeSet::new() };
     let mut view = keyed.read().await;
     for _ in 0..MAX_STEPS {
         let step = next_step(view, job.fingerprint);
         view = match step {
             ClaimStep::Answer(outcome) => return keyed.answer_outcome(outcome).await,
             ClaimStep::Refuse(fault) => return Err(fault),
-            ClaimStep::Create => match keyed.claim_and_send(None).await? {
+            ClaimStep::Create => match Box::pin(keyed.claim_and_send(None)).await? {
                 Next::Answer(response) => return Ok(response),
                 Next::Look(view) => view,
             },
             ClaimStep::Replace { claim, base } => {
-                match keyed.claim_and_send(Some((claim, base))).await? {
+                match Box::pin(keyed.claim_and_send(Some((claim, base)))).await? {
                     Next::Answer(response) => return Ok(response),
                     Next::Look(view) => view,
                 }
@@ -143,13 +132,11 @@
         revision: Revision,
         picked: &PickedPlace,
     ) -> Result<Next, Fault> {
-        let held = HeldClaim {
-            claim: claim.clone(),
-            revision,
-        };
+        let held = HeldClaim { claim: claim.clone(), revision };
         let key = self.run_key.clone();
         let (shared, call) = (self.shared, self.call);
-        match open(shared, call, self.job, key, self.target, picked, Some(held)).await {
+        let opened = Box::pin(open(shared, call, self.job, key, self.target, picked, Some(held)));
+        match opened.await {
             Ok(relay) => self.finish(claim, revision, relay).await,
             Err(NotOpened::NotRun(fault)) => {
                 info!(call.log, "keyed: not run"; "vm" => %claim.vm, "error" => %fault);
@@ -162,11 +149,8 @@
 
     /// Asks the sidecar that the claim names; a run that has not begun there never will.
     async fn ask(&mut self, claim: Claim, revision: Revision) -> Result<Next, Fault> {
-        let place = Place {
-            vm: claim.vm.clone(),
-            address: claim.address,
-            incarnation: claim.incarnation,
-        };
+        let place =
+            Place { vm: claim.vm.clone(), address: claim.address, incarnation: claim.incarnation };
         let mut relay = Relay::new(self.shared, self.run_key.clone(), place, None);
         match relay.attach(self.call, true).await {
             Ok(()) => self.finish(claim, revision, relay).await,
@@ -203,13 +187,7 @@
                 services::bill(self.shared, self.call, claim.request, self.target, &relay).await;
                 relay.finish().await;
                 let (shared, call) = (self.shared, self.call);
-                Ok(Next::Answer(services::respond(
-                    shared,
-                    call,
-                    self.target,
-                    &whole,
-                    bytes,
-                )))
+                Ok(Next::Answer(services::respond(shared, call, self.target, &whole, bytes)))
             }
             // The sidecar has barred the run: nothing has reached the service.
             Err(fault) if fault.ran == Ran::No => {
@@ -222,25 +200,11 @@
     /// Gives the first outcome again, billed under the first request.
     async fn answer_outcome(&self, claim: Claim) -> Result<Response, Fault> {
         match claim.outcome {
-            Some(Outcome::Answer {
-                status,
-                content_type,
-                body,
-            }) => {
+            Some(Outcome::Answer { status, content_type, body }) => {
                 let record = services::record(self.call, claim.request, self.target);
                 billing::confirm(self.shared, claim.address, &self.run_key, record).await;
-                let whole = Whole {
-                    status,
-                    content_type,
-                    tokens: TokenCounts::default(),
-                };
-                Ok(services::respond(
-                    self.shared,
-                    self.call,
-                    self.target,
-                    &whole,
-                    body,
-                ))
+                let whole = Whole { status, content_type, tokens: TokenCounts::default() };
+                Ok(services::respond(self.shared, self.call, self.target, &whole, body))
             }
             Some(Outcome::Failed(fault)) => Err(fault),
             None => Err(ErrorKind::OutcomeUnknown.into()),
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -19,6 +19,7 @@
 use ibissail_routing::{Admissions, Health, Membership};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{ServerOptions, StopHandle, serve, stop_pair};
+use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::{
     sync::{
@@ -44,9 +45,19 @@
 
 impl Shared {
     fn membership(&self) -> MutexGuard<'_, Membership> {
-        self.membership
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The state of this entry, for operators.
+    fn status(&self) -> Value {
+        let mut status = self.node.status(self.is_ready());
+        let replicas = self.membership().clone();
+        let ready = replicas.iter().filter(|replica| replica.health == Health::Ready).count();
+        status["replicas"] = replicas.len().into();
+        status["replicas_ready"] = ready.into();
+        status["in_progress"] = self.admissions.in_progress().into();
+        status["records"] = self.records.len().into();
+        status
     }
 
     fn is_ready(&self) -> bool {
@@ -88,20 +99,13 @@
             router::answer(Arc::clone(&callers), req, caller)
         });
         let servers = vec![task::spawn(public_server), task::spawn(peer_server)];
-        Ok(Self {
-            shared,
-            servers,
-            stop: handle,
-        })
+        Ok(Self { shared, servers, stop: handle })
     }
 
     /// Whether settings and at least so many replicas are ready.
     pub(crate) fn can_serve(&self, replicas: usize) -> bool {
         let membership = self.shared.membership();
-        let ready = membership
-            .iter()
-            .filter(|replica| replica.health == Health::Ready)
-            .count();
+        let ready = membership.iter().filter(|replica| replica.health == Health::Ready).count();
         self.shared.is_ready() && ready >= replicas
     }
 
--- a/crates/daemon/src/entry/probing.rs
+++ b/crates/daemon/src/entry/probing.rs
@@ -18,9 +18,7 @@
     while !shared.node.is_stopping() {
         let listed = shared.node.peers.listed();
         shared.membership().on_list(&listed);
-        let chosen = shared
-            .membership()
-            .to_probe(PROBES_PER_INTERVAL, &mut rand::rng());
+        let chosen = shared.membership().to_probe(PROBES_PER_INTERVAL, &mut rand::rng());
         for (vm, address) in chosen {
             task::spawn(probe(Arc::clone(&shared), vm, address));
         }
@@ -36,15 +34,8 @@
 
 async fn probe(shared: Arc<Shared>, vm: VmId, address: SocketAddr) {
     let node = &shared.node;
-    let answered: Result<Result<ProbeReply, Fault>, CallError> = call(
-        &node.pool,
-        &node.keyring,
-        address,
-        paths::PROBE,
-        &Probe {},
-        TIMEOUT,
-    )
-    .await;
+    let answered: Result<Result<ProbeReply, Fault>, CallError> =
+        call(&node.pool, &node.keyring, address, paths::PROBE, &Probe {}, TIMEOUT).await;
     let now = node.now();
     match answered {
         Ok(Ok(reply)) => shared.membership().on_probe(&reply, now),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -124,20 +124,10 @@
             },
             FrameKind::End(Ending::Failed(fault)) => {
                 self.ended = true;
-                self.fate = if fault.ran == Ran::No {
-                    Fate::Left
-                } else {
-                    Fate::Failed
-                };
+                self.fate = if fault.ran == Ran::No { Fate::Left } else { Fate::Failed };
                 Err(fault)
             }
-            FrameKind::End(Ending::Whole {
-                status,
-                content_type,
-                length,
-                digest,
-                tokens,
-            }) => {
+            FrameKind::End(Ending::Whole { status, content_type, length, digest, tokens }) => {
                 if let Err(error) = self.assembly.check(length, digest) {
                     debug!(self.shared.node.log, "relay: not whole"; "error" => %error);
                     self.drop_stream();
@@ -145,11 +135,7 @@
                 }
                 self.ended = true;
                 self.fate = Fate::Answered;
-                Ok(Some(Item::End(Whole {
-                    status,
-                    content_type,
-                    tokens,
-                })))
+                Ok(Some(Item::End(Whole { status, content_type, tokens })))
             }
         }
     }
@@ -233,12 +219,10 @@
 
     fn lost(&self) -> Fault {
         let detail = format!("the sidecar on `{}` does not answer", self.place.vm);
-        match self.key.is_keyed() {
-            true => Fault::new(ErrorKind::OutcomeUnknown, detail),
-            false => Fault {
-                ran: Ran::Unknown,
-                ..Fault::new(ErrorKind::Incomplete, detail)
-            },
+        if self.key.is_keyed() {
+            Fault::new(ErrorKind::OutcomeUnknown, detail)
+        } else {
+            Fault { ran: Ran::Unknown, ..Fault::new(ErrorKind::Incomplete, detail) }
         }
     }
 }
@@ -255,27 +239,17 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         let now = self.shared.node.now();
-        self.shared
-            .membership()
-            .on_end(&self.place.vm, self.fate, now);
+        self.shared.membership().on_end(&self.place.vm, self.fate, now);
         if self.ended || self.key.is_keyed() {
             return;
         }
         let (shared, address) = (Arc::clone(&self.shared), self.place.address);
-        let message = CancelRequest {
-            key: self.key.clone(),
-        };
+        let message = CancelRequest { key: self.key.clone() };
         task::spawn(async move {
             let node = &shared.node;
-            let _gone: Result<Result<(), Fault>, CallError> = call(
-                &node.pool,
-                &node.keyring,
-                address,
-                paths::CANCEL,
-                &message,
-                CANCEL_TIMEOUT,
-            )
-            .await;
+            let _gone: Result<Result<(), Fault>, CallError> =
+                call(&node.pool, &node.keyring, address, paths::CANCEL, &message, CANCEL_TIMEOUT)
+                    .await;
         });
     }
 }
--- a/crates/daemon/src/entry/router.rs
+++ b/crates/daemon/src/entry/router.rs
@@ -20,12 +20,9 @@
 pub(crate) async fn answer(shared: Arc<Shared>, mut req: Request, caller: Caller) -> Response {
     let path = req.url().path().to_owned();
     if !path.starts_with("/v1/") {
-        return answer::status(&req, &shared.node, shared.is_ready());
+        return answer::status(&req, &shared.node.metrics, shared.is_ready(), || shared.status());
     }
-    let id = RequestId {
-        entry: shared.node.incarnation,
-        sequence: shared.node.next_sequence(),
-    };
+    let id = RequestId { entry: shared.node.incarnation, sequence: shared.node.next_sequence() };
     let answered = match Call::open(&shared, &req, caller.clone(), id) {
         Ok(call) => route(&shared, &call, &path, &mut req).await,
         Err(fault) => Err(fault),
@@ -53,11 +50,8 @@
         (Method::Get, "/v1/models") => Ok(sessions::models(shared, call)),
         (Method::Post, "/v1/sessions") => sessions::begin(shared, call, req).await,
         (_, path) => match path.strip_prefix(SERVICES_PREFIX) {
-            Some(rest) => services::forward(shared, call, rest, req).await,
-            None => Err(Fault::new(
-                ErrorKind::NotFound,
-                format!("`{} {path}`", req.method()),
-            )),
+            Some(rest) => Box::pin(services::forward(shared, call, rest, req)).await,
+            None => Err(Fault::new(ErrorKind::NotFound, format!("`{} {path}`", req.method()))),
         },
     }
 }
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -12,7 +12,7 @@
 use http_types::{Request, Response};
 use ibissail_billing::UsageRecord;
 use ibissail_catalogue::Purpose;
-use ibissail_core::{ErrorKind, Fault, RequestId, ServiceId, Target};
+use ibissail_core::{ErrorKind, Fault, RequestId, ServiceId, Target, Tokens};
 use ibissail_execution::fingerprint;
 use std::sync::Arc;
 
@@ -35,13 +35,11 @@
     let _permit = admit(shared, call).map_err(Fault::uncertain)?;
     let prepared = prepare(shared, call, rest, req).await;
     let (target, job) = prepared.map_err(Fault::uncertain)?;
-    keyed::run(shared, call, &key, &target, &job).await
+    Box::pin(keyed::run(shared, call, &key, &target, &job)).await
 }
 
 fn admit(shared: &Shared, call: &Call) -> Result<ibissail_routing::Permit, Fault> {
-    shared
-        .admissions
-        .admit(&call.member.id, call.member.organisation.concurrency)
+    shared.admissions.admit(&call.member.id, call.member.organisation.concurrency)
 }
 
 fn idempotency_key(req: &Request) -> Result<Option<String>, Fault> {
@@ -49,10 +47,7 @@
         return Ok(None);
     };
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
-        let detail = format!(
-            "{KEY_HEADER} has {} bytes; valid: 1 to {MAX_KEY_BYTES}",
-            key.len()
-        );
+        let detail = format!("{KEY_HEADER} has {} bytes; valid: 1 to {MAX_KEY_BYTES}", key.len());
         return Err(Fault::new(ErrorKind::BadRequest, detail));
     }
     Ok(Some(key.to_owned()))
@@ -65,15 +60,12 @@
     req: &mut Request,
 ) -> Result<(Target, Job), Fault> {
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service: ServiceId = name
-        .parse()
-        .map_err(|error| Fault::new(ErrorKind::UnknownModel, format!("{error}")))?;
+    let service: ServiceId =
+        name.parse().map_err(|error| Fault::new(ErrorKind::UnknownModel, format!("{error}")))?;
     let target = Target::Service(service);
     let catalogue = shared.node.catalogue();
     catalogue.permit(&call.member, &target, Purpose::New)?;
-    let content_type = header(req, "content-type")
-        .unwrap_or("application/octet-stream")
-        .to_owned();
+    let content_type = header(req, "content-type").unwrap_or("application/octet-stream").to_owned();
     let method = req.method().to_string();
     let path = match req.url().query() {
         Some(query) => format!("/{path}?{query}"),
@@ -81,14 +73,7 @@
     };
     let body = call.body(req).await?;
     let fingerprint = fingerprint(&[method.as_bytes(), path.as_bytes(), &body]);
-    let job = Job {
-        session: false,
-        fingerprint,
-        method,
-        path,
-        content_type,
-        body,
-    };
+    let job = Job { session: false, fingerprint, method, path, content_type, body };
     Ok((target, job))
 }
 
@@ -101,11 +86,7 @@
         }
         _ => false,
     };
-    if repeatable {
-        Ok(())
-    } else {
-        Err(ErrorKind::KeyRequired.into())
-    }
+    if repeatable { Ok(()) } else { Err(ErrorKind::KeyRequired.into()) }
 }
 
 async fn repeatable(
@@ -116,12 +97,8 @@
 ) -> Result<Response, Fault> {
     let _permit = admit(shared, call)?;
     let plan = || Ok(vec![target.clone()]);
-    let Answered {
-        mut relay,
-        whole,
-        bytes,
-        ..
-    } = Attempts::new(shared, call, job, plan).whole().await?;
+    let Answered { mut relay, whole, bytes, .. } =
+        Attempts::new(shared, call, job, plan).whole().await?;
     bill(shared, call, call.id, &target, &relay).await;
     relay.finish().await;
     Ok(respond(shared, call, &target, &whole, bytes))
@@ -145,8 +122,8 @@
         request,
         organisation: call.member.id.clone(),
         target: target.clone(),
-        input: Default::default(),
-        output: Default::default(),
+        input: Tokens(0),
+        output: Tokens(0),
     }
 }
 
@@ -158,10 +135,7 @@
     whole: &Whole,
     bytes: Vec<u8>,
 ) -> Response {
-    shared
-        .node
-        .metrics
-        .whole(&call.labels, call.started.elapsed());
+    shared.node.metrics.whole(&call.labels, call.started.elapsed());
     let mut res = Response::new(whole.status);
     res.set_body(bytes);
     res.insert_header("content-type", whole.content_type.as_str());
--- a/crates/daemon/src/entry/sessions.rs
+++ b/crates/daemon/src/entry/sessions.rs
@@ -38,10 +38,11 @@
     req: &mut Request,
 ) -> Result<Response, Fault> {
     let body = call.body(req).await?;
-    let wanted: SessionRequest = match body.is_empty() {
-        true => SessionRequest::default(),
-        false => serde_json::from_slice(&body)
-            .map_err(|error| Fault::new(ErrorKind::BadRequest, error.to_string()))?,
+    let wanted: SessionRequest = if body.is_empty() {
+        SessionRequest::default()
+    } else {
+        serde_json::from_slice(&body)
+            .map_err(|error| Fault::new(ErrorKind::BadRequest, error.to_string()))?
     };
     let model = wanted.model.as_deref().unwrap_or(chat::AUTO_MODEL);
     let versions = chat::plan(shared, call, model, None)?;
@@ -64,21 +65,15 @@
         .first()
         .ok_or_else(|| Fault::new(ErrorKind::SettingsMissing, "no session keys are set"))?;
     let expires_at = unix_seconds() + root.session_ttl.0 / 1_000;
-    let session = Session {
-        organisation: call.member.id.clone(),
-        version: version.clone(),
-        expires_at,
-    };
+    let session =
+        Session { organisation: call.member.id.clone(), version: version.clone(), expires_at };
     Ok((session.sign(key), expires_at))
 }
 
 /// The version that a session token pins.
 pub(crate) fn pinned(shared: &Shared, call: &Call, token: &str) -> Result<ModelVersion, Fault> {
     let catalogue = shared.node.catalogue();
-    let keys = catalogue
-        .root()
-        .map(|root| root.session_keys.as_slice())
-        .unwrap_or_default();
+    let keys = catalogue.root().map(|root| root.session_keys.as_slice()).unwrap_or_default();
     let session = Session::verify_for(&call.member.id, token, keys, unix_seconds())
         .map_err(|error| Fault::new(ErrorKind::SessionInvalid, error.to_string()))?;
     Ok(session.version)
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -45,8 +45,5 @@
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
 {
-    Async::new(drain)
-        .chan_size(MAX_WAITING_EVENTS)
-        .build()
-        .fuse()
+    Async::new(drain).chan_size(MAX_WAITING_EVENTS).build().fuse()
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,9 +9,8 @@
 use std::{sync::Arc, time::Duration};
 
 /// Upper bounds of the histograms, in seconds; the users' targets are among them.
-const BOUNDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.039, 0.06, 0.1, 0.25, 0.51, 1.0, 2.5, 10.0, 60.0,
-];
+const BOUNDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.039, 0.06, 0.1, 0.25, 0.51, 1.0, 2.5, 10.0, 60.0];
 
 /// Labels of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -22,10 +21,7 @@
 
 impl RequestLabels {
     pub(crate) fn new(organisation: &OrganisationId, class: &ClassId) -> Self {
-        Self {
-            organisation: organisation.to_string(),
-            class: class.to_string(),
-        }
+        Self { organisation: organisation.to_string(), class: class.to_string() }
     }
 }
 
@@ -82,81 +78,36 @@
             unsettled_records: Gauge::default(),
         };
         let seconds = [
-            (
-                "queueing_seconds",
-                "Time until a replica took the request",
-                &metrics.queueing,
-            ),
-            (
-                "first_token_seconds",
-                "Time until the first bytes",
-                &metrics.first_token,
-            ),
-            (
-                "between_tokens_seconds",
-                "Time between pieces",
-                &metrics.between_tokens,
-            ),
-            (
-                "whole_seconds",
-                "Time until the whole answer",
-                &metrics.whole,
-            ),
+            ("queueing_seconds", "Time until a replica took the request", &metrics.queueing),
+            ("first_token_seconds", "Time until the first bytes", &metrics.first_token),
+            ("between_tokens_seconds", "Time between pieces", &metrics.between_tokens),
+            ("whole_seconds", "Time until the whole answer", &metrics.whole),
         ];
         for (name, help, family) in seconds {
             registry.register(name, help, family.clone());
         }
         registry.register("refusals", "Refusals by kind", metrics.refusals.clone());
-        registry.register(
-            "reroutes",
-            "Attempts beyond the first",
-            metrics.reroutes.clone(),
-        );
-        registry.register(
-            "reattachments",
-            "Answers taken up again",
-            metrics.reattachments.clone(),
-        );
-        registry.register(
-            "crossed_frames",
-            "Frames of other runs",
-            metrics.crossed_frames.clone(),
-        );
+        registry.register("reroutes", "Attempts beyond the first", metrics.reroutes.clone());
+        registry.register("reattachments", "Answers taken up again", metrics.reattachments.clone());
+        registry.register("crossed_frames", "Frames of other runs", metrics.crossed_frames.clone());
         let learned = metrics.documents_learned.clone();
         registry.register("documents_learned", "Settings documents learned", learned);
-        registry.register(
-            "watches",
-            "Watches begun at the platform",
-            metrics.watches.clone(),
-        );
+        registry.register("watches", "Watches begun at the platform", metrics.watches.clone());
         let unsettled = metrics.unsettled_records.clone();
-        registry.register(
-            "unsettled_records",
-            "Usage records not yet durable",
-            unsettled,
-        );
-        Self {
-            registry: Arc::new(registry),
-            ..metrics
-        }
+        registry.register("unsettled_records", "Usage records not yet durable", unsettled);
+        Self { registry: Arc::new(registry), ..metrics }
     }
 
     pub(crate) fn queueing(&self, labels: &RequestLabels, time: Duration) {
-        self.queueing
-            .get_or_create(labels)
-            .observe(time.as_secs_f64());
+        self.queueing.get_or_create(labels).observe(time.as_secs_f64());
     }
 
     pub(crate) fn first_token(&self, labels: &RequestLabels, time: Duration) {
-        self.first_token
-            .get_or_create(labels)
-            .observe(time.as_secs_f64());
+        self.first_token.get_or_create(labels).observe(time.as_secs_f64());
     }
 
     pub(crate) fn between_tokens(&self, labels: &RequestLabels, time: Duration) {
-        self.between_tokens
-            .get_or_create(labels)
-            .observe(time.as_secs_f64());
+        self.between_tokens.get_or_create(labels).observe(time.as_secs_f64());
     }
 
     pub(crate) fn whole(&self, labels: &RequestLabels, time: Duration) {
@@ -164,11 +115,7 @@
     }
 
     pub(crate) fn refusal(&self, kind: ErrorKind) {
-        self.refusals
-            .get_or_create(&KindLabels {
-                kind: kind.code().to_owned(),
-            })
-            .inc();
+        self.refusals.get_or_create(&KindLabels { kind: kind.code().to_owned() }).inc();
     }
 
     /// All metrics as text.
--- a/crates/daemon/src/node/gossip.rs
+++ b/crates/daemon/src/node/gossip.rs
@@ -26,20 +26,15 @@
                     "peer" => peer, "error" => %error),
             }
         }
-        task::sleep(if node.is_synced() {
-            INTERVAL
-        } else {
-            FIRST_INTERVAL
-        })
-        .await;
+        task::sleep(if node.is_synced() { INTERVAL } else { FIRST_INTERVAL }).await;
     }
 }
 
 /// Pushes news to a few peers at random.
-pub(crate) async fn push(node: Arc<Node>, news: Vec<Document>) {
+pub(crate) fn push(node: &Arc<Node>, news: &[Document]) {
     let peers = choose_peers(&node.peers.addresses(), None, PUSH_FANOUT, &mut rand::rng());
     for peer in peers {
-        let (node, message) = (Arc::clone(&node), node.settings.opening(news.clone()));
+        let (node, message) = (Arc::clone(node), node.settings.opening(news.to_vec()));
         task::spawn(async move {
             let _unreachable = send(&node, peer, &message).await;
         });
@@ -56,10 +51,7 @@
     let reply = send(node, peer, &Exchange { stamps, ..opening }).await?;
     if !reply.wanted.is_empty() {
         let documents = node.settings.documents(&reply.wanted);
-        let offer = Exchange {
-            documents,
-            ..node.settings.opening(Vec::new())
-        };
+        let offer = Exchange { documents, ..node.settings.opening(Vec::new()) };
         send(node, peer, &offer).await?;
     }
     node.learn(reply.documents);
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -15,6 +15,7 @@
 use ibissail_platform::{HttpPlatform, ObjectApi};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{Envelope, Keyring, Pool, PoolOptions, Stop};
+use serde_json::{Value, json};
 use slog::{Logger, info, o};
 use std::{
     sync::{
@@ -102,22 +103,35 @@
             || (answered > 0 && self.now() > SYNC_PATIENCE)
     }
 
+    /// The state of this process, for operators.
+    pub(crate) fn status(&self, ready: bool) -> Value {
+        json!({
+            "vm": self.local.identity.vm,
+            "zone": self.local.identity.zone,
+            "incarnation": self.incarnation.to_string(),
+            "ready": ready,
+            "settings": self.settings.stamps(),
+            "withdrawals": self.catalogue().withdrawals(),
+            "peers": self.peers.len(),
+        })
+    }
+
     /// Takes documents in and pushes what was new to a few peers.
     pub(crate) fn learn(self: &Arc<Self>, documents: Vec<Document>) {
         let news = self.settings.learn(documents, &self.log);
-        self.spread(news);
+        self.spread(&news);
     }
 
-    fn spread(self: &Arc<Self>, news: Vec<Document>) {
+    fn spread(self: &Arc<Self>, news: &[Document]) {
         if news.is_empty() {
             return;
         }
         self.metrics.documents_learned.inc_by(news.len() as u64);
-        for document in &news {
+        for document in news {
             info!(self.log, "settings: learned";
                 "key" => &document.key, "revision" => %document.revision);
         }
-        task::spawn(gossip::push(Arc::clone(self), news));
+        gossip::push(self, news);
     }
 
     /// Answers a peer that compares or sends settings.
@@ -132,7 +146,7 @@
         let envelope = Envelope::receive(&self.keyring, req).await?;
         let message: Exchange = envelope.message()?;
         let (news, reply) = self.settings.exchange(message, &self.log);
-        self.spread(news);
+        self.spread(&news);
         Ok(envelope.answer(&reply))
     }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -34,19 +34,9 @@
 
 impl Peers {
     pub(crate) fn new(local: &LocalSettings) -> Self {
-        let configured = local
-            .peers
-            .iter()
-            .copied()
-            .filter(|peer| *peer != local.peer_listen);
-        let state = State {
-            configured: configured.collect(),
-            ..State::default()
-        };
-        Self {
-            own: local.peer_listen,
-            state: Mutex::new(state),
-        }
+        let configured = local.peers.iter().copied().filter(|peer| *peer != local.peer_listen);
+        let state = State { configured: configured.collect(), ..State::default() };
+        Self { own: local.peer_listen, state: Mutex::new(state) }
     }
 
     /// Addresses of all other processes.
@@ -79,10 +69,7 @@
     /// VMs of this process's zone, by the list.
     pub(crate) fn zone(&self, local: &LocalSettings) -> Vec<VmId> {
         let state = self.lock();
-        let same = state
-            .listed
-            .iter()
-            .filter(|record| record.zone == local.identity.zone);
+        let same = state.listed.iter().filter(|record| record.zone == local.identity.zone);
         same.map(|record| record.vm.clone()).collect()
     }
 
--- a/crates/daemon/src/node/replica.rs
+++ b/crates/daemon/src/node/replica.rs
@@ -57,10 +57,7 @@
 
     pub(crate) fn documents(&self, keys: &[String]) -> Vec<Document> {
         let state = self.read();
-        keys.iter()
-            .filter_map(|key| state.documents.get(key))
-            .cloned()
-            .collect()
+        keys.iter().filter_map(|key| state.documents.get(key)).cloned().collect()
     }
 
     pub(crate) fn opening(&self, push: Vec<Document>) -> Exchange {
--- a/crates/daemon/src/node/watching.rs
+++ b/crates/daemon/src/node/watching.rs
@@ -34,18 +34,13 @@
 
 fn watches(node: &Node) -> bool {
     let zone = node.peers.zone(&node.local);
-    is_watcher(&node.local.identity.vm, &zone, WATCHERS_PER_ZONE)
+    // Without a list nobody can tell who else watches.
+    !zone.is_empty() && is_watcher(&node.local.identity.vm, &zone, WATCHERS_PER_ZONE)
 }
 
 async fn read_all(node: &Arc<Node>) -> Result<Revision, PlatformError> {
     let listing = node.platform.list(CONFIG_PREFIX).await?;
-    node.learn(
-        listing
-            .objects
-            .into_iter()
-            .map(document_of_object)
-            .collect(),
-    );
+    node.learn(listing.objects.into_iter().map(document_of_object).collect());
     node.settings.set_platform_read();
     Ok(listing.at)
 }
@@ -57,13 +52,7 @@
         node.metrics.watches.inc();
         let watched = node.platform.watch(CONFIG_PREFIX, at, WATCH_WAIT).await?;
         at = watched.at;
-        node.learn(
-            watched
-                .changes
-                .into_iter()
-                .map(document_of_change)
-                .collect(),
-        );
+        node.learn(watched.changes.into_iter().map(document_of_change).collect());
     }
     Ok(())
 }
@@ -71,26 +60,18 @@
 /// Reads all settings with a chance that keeps the reads of the whole fleet at a constant rate.
 async fn check_rarely(node: &Arc<Node>) -> Result<(), PlatformError> {
     task::sleep(ROLE_CHECK_INTERVAL).await;
-    let fleet = node.peers.len().max(1) as f64;
-    let chance = ROLE_CHECK_INTERVAL.as_secs_f64() / (CHECK_INTERVAL.as_secs_f64() * fleet);
-    if rand::rng().random_bool(chance.min(1.0)) {
+    let fleet = u32::try_from(node.peers.len().max(1)).unwrap_or(u32::MAX);
+    let share = ROLE_CHECK_INTERVAL.as_secs_f64() / CHECK_INTERVAL.as_secs_f64();
+    if rand::rng().random_bool((share / f64::from(fleet)).min(1.0)) {
         read_all(node).await?;
     }
     Ok(())
 }
 
 fn document_of_object(object: Object) -> Document {
-    Document {
-        key: object.key,
-        revision: object.revision,
-        value: Some(object.value),
-    }
+    Document { key: object.key, revision: object.revision, value: Some(object.value) }
 }
 
 fn document_of_change(change: Change) -> Document {
-    Document {
-        key: change.key,
-        revision: change.revision,
-        value: change.value,
-    }
+    Document { key: change.key, revision: change.revision, value: change.value }
 }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -49,11 +49,7 @@
             Command::Dev { port } => Role::Dev(port),
             Command::Standin { kind } => standin(kind),
         };
-        Ok(Self {
-            log_format: cli.log_format,
-            log_level: cli.log_level,
-            role,
-        })
+        Ok(Self { log_format: cli.log_format, log_level: cli.log_level, role })
     }
 }
 
@@ -76,12 +72,7 @@
     match kind {
         Standin::Platform { listen } => Role::Platform(listen),
         Standin::Service { listen } => Role::Service(listen),
-        Standin::Engine {
-            listen,
-            model,
-            first_token_ms,
-            between_tokens_ms,
-        } => {
+        Standin::Engine { listen, model, first_token_ms, between_tokens_ms } => {
             let options = EngineOptions {
                 model,
                 first_token: Duration::from_millis(first_token_ms),
--- a/crates/daemon/src/sidecar/claims.rs
+++ b/crates/daemon/src/sidecar/claims.rs
@@ -16,11 +16,7 @@
     let RunKey::Keyed { organisation, key } = &req.key else {
         return;
     };
-    let Some(HeldClaim {
-        claim,
-        mut revision,
-    }) = req.claim.clone()
-    else {
+    let Some(HeldClaim { claim, mut revision }) = req.claim.clone() else {
         shared.table().settle(&req.key);
         return;
     };
@@ -28,22 +24,20 @@
         return;
     };
     let path = claim_key(organisation, key);
-    let claim = Claim {
-        outcome: Some(outcome),
-        ..claim
-    };
+    let claim = Claim { outcome: Some(outcome), ..claim };
     let value = serde_json::to_string(&claim).unwrap_or_default();
     let mut pause = FIRST_PAUSE;
     loop {
         match shared.node.platform.update(&path, revision, &value).await {
             Ok(_) => break,
-            Err(PlatformError::Conflict(_, current)) => match own_revision(&claim, current) {
-                Some(current) => revision = current,
-                None => {
+            Err(PlatformError::Conflict(_, current)) => {
+                if let Some(current) = own_revision(&claim, current) {
+                    revision = current;
+                } else {
                     warn!(shared.node.log, "claim: another writer has it"; "claim" => &path);
                     break;
                 }
-            },
+            }
             Err(error) => {
                 debug!(shared.node.log, "claim: not written yet"; "error" => %error);
                 task::sleep(pause).await;
--- a/crates/daemon/src/sidecar/housekeeping.rs
+++ b/crates/daemon/src/sidecar/housekeeping.rs
@@ -25,11 +25,8 @@
 }
 
 fn cancel_withdrawn(shared: &Shared) {
-    let requests: Vec<Arc<RunRequest>> = shared
-        .active()
-        .values()
-        .map(|active| Arc::clone(&active.request))
-        .collect();
+    let requests: Vec<Arc<RunRequest>> =
+        shared.active().values().map(|active| Arc::clone(&active.request)).collect();
     for req in requests {
         if must_cancel(shared, &req) {
             runs::cancel(shared, &req.key, "the version has been withdrawn");
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -16,6 +16,7 @@
 use ibissail_settings::{LocalSettings, UpstreamSettings};
 use ibissail_transport::{Pool, PoolOptions, ServerOptions, StopHandle, serve, stop_pair};
 use runs::Active;
+use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::{
     collections::BTreeMap,
@@ -41,6 +42,16 @@
 }
 
 impl Shared {
+    /// The state of this sidecar, for operators.
+    fn status(&self, ready: bool) -> Value {
+        let mut status = self.node.status(ready);
+        status["offers"] = self.upstream.offers.to_string().into();
+        status["running"] = self.table().running().into();
+        status["kept"] = self.table().len().into();
+        status["records"] = self.outbox().len().into();
+        status
+    }
+
     fn table(&self) -> MutexGuard<'_, RunTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -99,15 +110,11 @@
             let shared = Arc::clone(&status);
             async move {
                 let ready = shared.node.is_synced() && !shared.table().is_draining();
-                answer::status(&req, &shared.node, ready)
+                answer::status(&req, &shared.node.metrics, ready, || shared.status(ready))
             }
         });
         let servers = vec![task::spawn(peer_server), task::spawn(status_server)];
-        Ok(Self {
-            shared,
-            servers,
-            stop: handle,
-        })
+        Ok(Self { shared, servers, stop: handle })
     }
 
     /// Takes nothing new, finishes what runs, hands over what must last, and stops.
@@ -115,11 +122,7 @@
         let log = &self.shared.node.log;
         info!(log, "sidecar: draining");
         self.shared.table().drain();
-        let limit = self
-            .shared
-            .node
-            .now()
-            .plus(self.shared.node.local.stop_timeout);
+        let limit = self.shared.node.now().plus(self.shared.node.local.stop_timeout);
         while !self.is_finished() && self.shared.node.now() < limit {
             records::flush(&self.shared, Millis(u64::MAX)).await;
             task::sleep(STOP_CHECK_INTERVAL).await;
@@ -129,10 +132,7 @@
                 "runs" => self.shared.table().running(), "records" => self.shared.outbox().len());
         }
         self.stop.stop();
-        let rest = limit
-            .since(self.shared.node.now())
-            .duration()
-            .max(STOP_CHECK_INTERVAL);
+        let rest = limit.since(self.shared.node.now()).duration().max(STOP_CHECK_INTERVAL);
         for server in self.servers {
             let _late = async_std::future::timeout(rest, server).await;
         }
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -67,22 +67,14 @@
     if wanted.is_empty() {
         return Ok(());
     }
-    Err(Refusal {
-        fault: ErrorKind::SettingsBehind.into(),
-        wanted,
-        newer: Vec::new(),
-    })
+    Err(Refusal { fault: ErrorKind::SettingsBehind.into(), wanted, newer: Vec::new() })
 }
 
 fn check_permission(shared: &Shared, req: &RunRequest) -> Result<(), Refusal> {
     let refuse = |fault: Fault| {
         info!(shared.node.log, "run: refused"; "run" => %req.key, "error" => %fault);
         let newer = shared.node.settings.newer(&req.stamps);
-        Refusal {
-            fault,
-            wanted: Vec::new(),
-            newer,
-        }
+        Refusal { fault, wanted: Vec::new(), newer }
     };
     if req.target != shared.upstream.offers {
         let detail = format!("`{}` is not here", req.target);
@@ -90,22 +82,14 @@
     }
     let catalogue = shared.node.catalogue();
     let member = catalogue.member(&req.organisation).map_err(refuse)?;
-    let purpose = if req.session {
-        Purpose::Session
-    } else {
-        Purpose::New
-    };
-    catalogue
-        .permit(&member, &req.target, purpose)
-        .map_err(refuse)
+    let purpose = if req.session { Purpose::Session } else { Purpose::New };
+    catalogue.permit(&member, &req.target, purpose).map_err(refuse)
 }
 
 fn attach(shared: &Arc<Shared>, envelope: &Envelope) -> Answered {
     let req: AttachRequest = envelope.message()?;
     let now = shared.node.now();
-    shared
-        .table()
-        .find(&req.key, req.incarnation, req.refuse_if_absent, now)?;
+    shared.table().find(&req.key, req.incarnation, req.refuse_if_absent, now)?;
     Ok(envelope.stream(runs::read(shared, req.key, req.from)))
 }
 
@@ -137,10 +121,7 @@
         (false, false) => SidecarState::Starting,
         (true, false) => SidecarState::Ready,
     };
-    let load = Load {
-        in_flight: table.running(),
-        concurrency: shared.upstream.concurrency,
-    };
+    let load = Load { in_flight: table.running(), concurrency: shared.upstream.concurrency };
     Ok(envelope.answer(&ProbeReply {
         vm: shared.node.local.identity.vm.clone(),
         incarnation: shared.node.incarnation,
--- a/crates/daemon/src/sidecar/records.rs
+++ b/crates/daemon/src/sidecar/records.rs
@@ -8,9 +8,7 @@
     let due = shared.outbox().due(now);
     for (key, records) in due {
         if ledger::write(&shared.node, key, &records).await {
-            shared
-                .outbox()
-                .settle(records.iter().map(|record| record.request));
+            shared.outbox().settle(records.iter().map(|record| record.request));
         }
     }
     let waiting = i64::try_from(shared.outbox().len()).unwrap_or(i64::MAX);
--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -6,6 +6,7 @@
 };
 use async_std::{future::timeout, task};
 use event_listener::Event;
+use futures_lite::future::or;
 use http_types::Body;
 use ibissail_core::{ErrorKind, Fault};
 use ibissail_execution::{Ending, Frame, FrameKind, RunKey, RunRequest, View};
@@ -33,11 +34,7 @@
 pub(crate) fn start(shared: &Arc<Shared>, req: RunRequest) {
     let (cancel, stop) = stop_pair();
     let request = Arc::new(req);
-    let active = Active {
-        progress: Arc::new(Event::new()),
-        cancel,
-        request: Arc::clone(&request),
-    };
+    let active = Active { progress: Arc::new(Event::new()), cancel, request: Arc::clone(&request) };
     shared.active().insert(request.key.clone(), active.clone());
     task::spawn(execute(Arc::clone(shared), active, stop));
 }
@@ -45,10 +42,7 @@
 async fn execute(shared: Arc<Shared>, active: Active, stop: Stop) {
     let req = &active.request;
     debug!(shared.node.log, "run: started"; "run" => %req.key, "target" => %req.target);
-    let sink = Sink {
-        shared: &shared,
-        active: &active,
-    };
+    let sink = Sink { shared: &shared, active: &active };
     let work = upstream::run(&shared, req, &sink);
     let cancelled = async {
         stop.wait().await;
@@ -59,10 +53,11 @@
         task::sleep(req.time_left.duration()).await;
         Verdict::Ended(Ending::Failed(ErrorKind::Timeout.into()))
     };
-    let verdict = match req.key.is_keyed() {
+    let verdict = if req.key.is_keyed() {
         // A run that may happen only once is not given up half-way.
-        true => work.await,
-        false => futures_lite::future::or(work, futures_lite::future::or(cancelled, late)).await,
+        work.await
+    } else {
+        or(work, or(cancelled, late)).await
     };
     let now = shared.node.now();
     let was_sent = matches!(verdict, Verdict::Ended(_));
@@ -121,20 +116,14 @@
         return;
     }
     loop {
-        let progress = shared
-            .active()
-            .get(key)
-            .map(|active| Arc::clone(&active.progress));
+        let progress = shared.active().get(key).map(|active| Arc::clone(&active.progress));
         // Listening begins before the look, so that no progress is missed.
         let listener = progress.map(|progress| progress.listen());
         let Some(View { bytes, ending }) = shared.table().view(key, offset) else {
             return;
         };
         for piece in bytes.chunks(MAX_PIECE_BYTES) {
-            let kind = FrameKind::Piece {
-                offset,
-                bytes: piece.to_vec(),
-            };
+            let kind = FrameKind::Piece { offset, bytes: piece.to_vec() };
             if !send(sender, key, kind).await {
                 return;
             }
@@ -153,10 +142,5 @@
 }
 
 async fn send(sender: &BodySender, key: &RunKey, kind: FrameKind) -> bool {
-    sender
-        .send(encode_frame(&Frame {
-            key: key.clone(),
-            kind,
-        }))
-        .await
+    sender.send(encode_frame(&Frame { key: key.clone(), kind })).await
 }
--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -34,23 +34,14 @@
 
 impl From<Usage> for TokenCounts {
     fn from(usage: Usage) -> Self {
-        Self {
-            input: Tokens(usage.prompt_tokens),
-            output: Tokens(usage.completion_tokens),
-        }
+        Self { input: Tokens(usage.prompt_tokens), output: Tokens(usage.completion_tokens) }
     }
 }
 
 impl EventStream {
     /// A stream whose usage event is passed on only when the caller asked for it.
     pub(crate) fn new(keep_usage: bool) -> Self {
-        Self {
-            buf: Vec::new(),
-            keep_usage,
-            tokens: None,
-            chunks: 0,
-            done: false,
-        }
+        Self { buf: Vec::new(), keep_usage, tokens: None, chunks: 0, done: false }
     }
 
     /// Takes bytes in; returns the whole events to pass on.
@@ -94,16 +85,11 @@
 
     /// Tokens as the engine reported them, or the number of its events.
     pub(crate) fn tokens(&self) -> TokenCounts {
-        let counted = TokenCounts {
-            input: Tokens(0),
-            output: Tokens(self.chunks),
-        };
+        let counted = TokenCounts { input: Tokens(0), output: Tokens(self.chunks) };
         self.tokens.unwrap_or(counted)
     }
 }
 
 fn event_end(buf: &[u8]) -> Option<usize> {
-    buf.windows(2)
-        .position(|window| window == b"\n\n")
-        .map(|place| place + 2)
+    buf.windows(2).position(|window| window == b"\n\n").map(|place| place + 2)
 }
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -34,11 +34,7 @@
     };
     let address = shared.upstream.address;
     let limit = req.time_left.duration();
-    let reply = match shared
-        .upstream_pool
-        .send(address, upstream_req, limit)
-        .await
-    {
+    let reply = match shared.upstream_pool.send(address, upstream_req, limit).await {
         Ok(reply) => reply,
         Err(SendError::NotSent(_, detail)) => {
             return Verdict::NotSent(Fault::new(ErrorKind::NoReplica, detail));
@@ -80,13 +76,7 @@
     match table.assembled(&req.key) {
         Some(answer) => {
             let (length, digest) = (answer.length(), answer.digest());
-            Ending::Whole {
-                status,
-                content_type,
-                length,
-                digest,
-                tokens,
-            }
+            Ending::Whole { status, content_type, length, digest, tokens }
         }
         None => Ending::Failed(ErrorKind::Incomplete.into()),
     }
@@ -102,10 +92,8 @@
     let bad = |detail: String| Fault::new(ErrorKind::BadRequest, detail);
     let url = format!("http://{}{}", shared.upstream.address, req.path);
     let url = Url::parse(&url).map_err(|error| bad(error.to_string()))?;
-    let method: Method = req
-        .method
-        .parse()
-        .map_err(|_method| bad(format!("method `{}`", req.method)))?;
+    let method: Method =
+        req.method.parse().map_err(|_method| bad(format!("method `{}`", req.method)))?;
     let mut upstream_req = Request::new(method, url);
     let form = match &req.target {
         Target::Model(version) => {
@@ -133,9 +121,7 @@
     if !body["stream"].as_bool().unwrap_or(false) {
         return Form::Whole;
     }
-    let keep_usage = body["stream_options"]["include_usage"]
-        .as_bool()
-        .unwrap_or(false);
+    let keep_usage = body["stream_options"]["include_usage"].as_bool().unwrap_or(false);
     if body["stream_options"].is_object() {
         body["stream_options"]["include_usage"] = Value::Bool(true);
     } else {
@@ -151,19 +137,13 @@
     let mut body = reply.take_body();
     let mut chunk = vec![0; READ_CHUNK_BYTES];
     loop {
-        let count = body
-            .read(&mut chunk)
-            .await
-            .map_err(|error| incomplete(&error.to_string()))?;
+        let count = body.read(&mut chunk).await.map_err(|error| incomplete(&error.to_string()))?;
         if count == 0 {
             break;
         }
         let passed = events.push(&chunk[..count]);
         if !passed.is_empty() && !sink.append(&passed) {
-            return Err(Fault::new(
-                ErrorKind::UpstreamFailed,
-                "no room for the answer",
-            ));
+            return Err(Fault::new(ErrorKind::UpstreamFailed, "no room for the answer"));
         }
     }
     if !events.is_done() {
@@ -185,15 +165,9 @@
 async fn pass_whole(req: &RunRequest, reply: Reply, sink: &Sink<'_>) -> Passed {
     let content_type = reply.response.content_type().map(|mime| mime.to_string());
     let limit = req.time_left.duration();
-    let bytes = reply
-        .bytes(MAX_ANSWER, limit)
-        .await
-        .map_err(|error| lost(req, &error))?;
+    let bytes = reply.bytes(MAX_ANSWER, limit).await.map_err(|error| lost(req, &error))?;
     if !bytes.is_empty() && !sink.append(&bytes) {
-        return Err(Fault::new(
-            ErrorKind::UpstreamFailed,
-            "no room for the answer",
-        ));
+        return Err(Fault::new(ErrorKind::UpstreamFailed, "no room for the answer"));
     }
     let tokens = match req.target {
         Target::Model(_) => {
@@ -203,8 +177,5 @@
         }
         Target::Service(_) => TokenCounts::default(),
     };
-    Ok((
-        content_type.unwrap_or_else(|| "application/octet-stream".to_owned()),
-        tokens,
-    ))
+    Ok((content_type.unwrap_or_else(|| "application/octet-stream".to_owned()), tokens))
 }
--- a/crates/execution/src/assembly.rs
+++ b/crates/execution/src/assembly.rs
@@ -64,9 +64,7 @@
         if offset > self.length {
             return Err(AssemblyError::Gap(self.length, offset));
         }
-        let known = usize::try_from(self.length - offset)
-            .unwrap_or(usize::MAX)
-            .min(piece.len());
+        let known = usize::try_from(self.length - offset).unwrap_or(usize::MAX).min(piece.len());
         let fresh = &piece[known..];
         self.length += fresh.len() as u64;
         self.hash.update(fresh);
--- a/crates/execution/src/claim.rs
+++ b/crates/execution/src/claim.rs
@@ -35,11 +35,7 @@
             Ending::Whole { .. } if body.len() > MAX_KEPT_BYTES => {
                 Self::Failed(ErrorKind::AnswerGone.into())
             }
-            Ending::Whole {
-                status,
-                content_type,
-                ..
-            } => Self::Answer {
+            Ending::Whole { status, content_type, .. } => Self::Answer {
                 status: *status,
                 content_type: content_type.clone(),
                 body: body.to_vec(),
--- a/crates/execution/src/message.rs
+++ b/crates/execution/src/message.rs
@@ -83,11 +83,7 @@
 
 impl From<Fault> for Refusal {
     fn from(fault: Fault) -> Self {
-        Self {
-            fault,
-            wanted: Vec::new(),
-            newer: Vec::new(),
-        }
+        Self { fault, wanted: Vec::new(), newer: Vec::new() }
     }
 }
 
--- a/crates/execution/src/table.rs
+++ b/crates/execution/src/table.rs
@@ -131,10 +131,7 @@
     /// Refuses a run; a keyed one is barred, since a copy of the request may still be under way.
     fn refuse(&mut self, req: &RunRequest, kind: ErrorKind, now: Millis) -> Admission {
         if req.key.is_keyed() {
-            let state = State::Barred {
-                at: now,
-                fault: kind.into(),
-            };
+            let state = State::Barred { at: now, fault: kind.into() };
             self.insert(req.key.clone(), req.fingerprint, state, now);
         }
         Admission::Refuse(kind.into())
@@ -185,10 +182,7 @@
             Some(_) => Ok(()),
             None => {
                 if bar {
-                    let state = State::Barred {
-                        at: now,
-                        fault: ErrorKind::UnknownRun.into(),
-                    };
+                    let state = State::Barred { at: now, fault: ErrorKind::UnknownRun.into() };
                     self.insert(key.clone(), 0, state, now);
                 }
                 Err(ErrorKind::UnknownRun.into())
@@ -218,11 +212,7 @@
             return;
         };
         if matches!(run.state, State::Running) {
-            run.state = State::Ended {
-                ending,
-                at: now,
-                settled: !key.is_keyed(),
-            };
+            run.state = State::Ended { ending, at: now, settled: !key.is_keyed() };
             self.running -= 1;
         }
     }
@@ -253,11 +243,7 @@
 
     /// Notes that the outcome of a keyed run is durable, so that the run may be forgotten.
     pub fn settle(&mut self, key: &RunKey) {
-        if let Some(Run {
-            state: State::Ended { settled, .. },
-            ..
-        }) = self.runs.get_mut(key)
-        {
+        if let Some(Run { state: State::Ended { settled, .. }, .. }) = self.runs.get_mut(key) {
             *settled = true;
         }
     }
@@ -272,18 +258,13 @@
     #[must_use]
     pub fn view(&self, key: &RunKey, from: u64) -> Option<View> {
         let run = self.runs.get(key)?;
-        let from = usize::try_from(from)
-            .unwrap_or(usize::MAX)
-            .min(run.bytes.len());
+        let from = usize::try_from(from).unwrap_or(usize::MAX).min(run.bytes.len());
         let ending = match &run.state {
             State::Ended { ending, .. } => Some(ending.clone()),
             State::Barred { fault, .. } => Some(Ending::Failed(fault.clone())),
             State::Running => None,
         };
-        Some(View {
-            bytes: run.bytes[from..].to_vec(),
-            ending,
-        })
+        Some(View { bytes: run.bytes[from..].to_vec(), ending })
     }
 
     /// Counts a reader in.
@@ -310,11 +291,7 @@
                 && run.readers == 0
                 && now.since(run.idle_since) > limit
         };
-        self.runs
-            .iter()
-            .filter(is_abandoned)
-            .map(|(key, _)| key.clone())
-            .collect()
+        self.runs.iter().filter(is_abandoned).map(|(key, _)| key.clone()).collect()
     }
 
     /// Forgets the answer of an attempt that has been delivered.
@@ -338,11 +315,8 @@
     }
 
     fn is_expired(&self, key: &RunKey, run: &Run, now: Millis) -> bool {
-        let retention = if key.is_keyed() {
-            self.bounds.retention
-        } else {
-            self.bounds.attempt_retention
-        };
+        let retention =
+            if key.is_keyed() { self.bounds.retention } else { self.bounds.attempt_retention };
         match run.state {
             // Forgetting an outcome that is not durable would let the key run again.
             State::Running | State::Ended { settled: false, .. } => false,
@@ -353,10 +327,7 @@
     }
 
     fn remove(&mut self, key: &RunKey) {
-        let ended = self
-            .runs
-            .get(key)
-            .is_some_and(|run| !matches!(run.state, State::Running));
+        let ended = self.runs.get(key).is_some_and(|run| !matches!(run.state, State::Running));
         if ended && let Some(run) = self.runs.remove(key) {
             self.kept_bytes -= run.bytes.len();
         }
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -59,11 +59,7 @@
     /// A client of the platform at an address; each call takes at most `timeout`.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self {
-            address,
-            pool: Pool::new(PoolOptions::default()),
-            timeout,
-        }
+        Self { address, pool: Pool::new(PoolOptions::default()), timeout }
     }
 
     fn request(&self, method: Method, path: &str) -> Result<Request, PlatformError> {
@@ -78,11 +74,7 @@
     {
         let req = self.request(Method::Get, path)?;
         let not_done = |error: SendError| PlatformError::NotDone(error.to_string());
-        let reply = self
-            .pool
-            .send(self.address, req, limit)
-            .await
-            .map_err(not_done)?;
+        let reply = self.pool.send(self.address, req, limit).await.map_err(not_done)?;
         let status = reply.response.status();
         let body = reply.bytes(MAX_ANSWER, limit).await.map_err(not_done)?;
         match status {
@@ -134,9 +126,7 @@
 impl ObjectApi for HttpPlatform {
     fn get<'a>(&'a self, key: &'a str) -> PlatformCall<'a, Option<Object>> {
         Box::pin(async move {
-            let body = self
-                .read::<ObjectBody>(&object_path(key), self.timeout)
-                .await?;
+            let body = self.read::<ObjectBody>(&object_path(key), self.timeout).await?;
             Ok(body.and_then(|body| body.object))
         })
     }
@@ -146,10 +136,7 @@
             let path = format!("{OBJECTS_PATH}?prefix={prefix}");
             let body: Option<ListingBody> = self.read(&path, self.timeout).await?;
             let body = body.ok_or_else(|| PlatformError::NotDone("no list".to_owned()))?;
-            Ok(Listing {
-                objects: body.objects,
-                at: body.at,
-            })
+            Ok(Listing { objects: body.objects, at: body.at })
         })
     }
 
@@ -191,16 +178,11 @@
         wait: Duration,
     ) -> PlatformCall<'a, Watched> {
         Box::pin(async move {
-            let path = format!(
-                "{WATCH_PATH}?prefix={prefix}&from={from}&wait_ms={}",
-                wait.as_millis()
-            );
+            let path =
+                format!("{WATCH_PATH}?prefix={prefix}&from={from}&wait_ms={}", wait.as_millis());
             let body: Option<ChangesBody> = self.read(&path, wait + WATCH_GRACE).await?;
             let body = body.ok_or_else(|| PlatformError::NotDone("no watch".to_owned()))?;
-            Ok(Watched {
-                changes: body.changes,
-                at: body.at,
-            })
+            Ok(Watched { changes: body.changes, at: body.at })
         })
     }
 
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -47,10 +47,7 @@
             return Err(Fault::new(ErrorKind::Overloaded, detail));
         }
         *count += 1;
-        Ok(Permit {
-            admissions: self.clone(),
-            organisation: organisation.clone(),
-        })
+        Ok(Permit { admissions: self.clone(), organisation: organisation.clone() })
     }
 
     /// Requests in progress of all organisations.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -16,11 +16,7 @@
     let reported = replica.load.in_flight.saturating_add(replica.since_probe);
     let busy = f64::from(reported.max(replica.own));
     let places = f64::from(replica.load.concurrency.max(1));
-    let away = if replica.zone == *zone {
-        0.0
-    } else {
-        ZONE_COST
-    };
+    let away = if replica.zone == *zone { 0.0 } else { ZONE_COST };
     busy / places + away
 }
 
@@ -36,11 +32,7 @@
 where
     R: Rng,
 {
-    let candidates = membership
-        .candidates(target, now)
-        .filter(|r| !tried.contains(&r.vm));
+    let candidates = membership.candidates(target, now).filter(|r| !tried.contains(&r.vm));
     let sample = candidates.choose_multiple(rng, SAMPLE);
-    sample
-        .into_iter()
-        .min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
+    sample.into_iter().min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
 }
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -112,13 +112,9 @@
             .filter(|record| record.role == VmRole::Upstream)
             .map(|record| (&record.vm, record))
             .collect();
-        self.replicas
-            .retain(|vm, replica| replica.own > 0 || upstreams.contains_key(vm));
+        self.replicas.retain(|vm, replica| replica.own > 0 || upstreams.contains_key(vm));
         for (vm, record) in upstreams {
-            let replica = self
-                .replicas
-                .entry(vm.clone())
-                .or_insert_with(|| Replica::new(record));
+            let replica = self.replicas.entry(vm.clone()).or_insert_with(|| Replica::new(record));
             if replica.address != record.address {
                 *replica = Replica::new(record);
             }
@@ -209,10 +205,8 @@
         R: Rng,
     {
         let named = |replica: &Replica| (replica.vm.clone(), replica.address);
-        let (unknown, known): (Vec<&Replica>, Vec<&Replica>) = self
-            .replicas
-            .values()
-            .partition(|replica| replica.health == Health::Unknown);
+        let (unknown, known): (Vec<&Replica>, Vec<&Replica>) =
+            self.replicas.values().partition(|replica| replica.health == Health::Unknown);
         let mut chosen = unknown.into_iter().choose_multiple(rng, count);
         let rest = count - chosen.len();
         chosen.extend(known.into_iter().choose_multiple(rng, rest));
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -119,15 +119,8 @@
 
 impl fmt::Display for Session {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            organisation,
-            version,
-            expires_at,
-        } = self;
-        write!(
-            f,
-            "{organisation}{SEPARATOR}{version}{SEPARATOR}{expires_at}"
-        )
+        let Self { organisation, version, expires_at } = self;
+        write!(f, "{organisation}{SEPARATOR}{version}{SEPARATOR}{expires_at}")
     }
 }
 
@@ -141,10 +134,6 @@
         let organisation = next()?.parse().map_err(malformed)?;
         let version = next()?.parse().map_err(malformed)?;
         let expires_at = next()?.parse().map_err(|_number| TokenError::Malformed)?;
-        Ok(Self {
-            organisation,
-            version,
-            expires_at,
-        })
+        Ok(Self { organisation, version, expires_at })
     }
 }
--- a/crates/settings/src/branch.rs
+++ b/crates/settings/src/branch.rs
@@ -5,7 +5,7 @@
     key::read_signing_keys,
     reader::{Document, Fields, Node},
 };
-use ibissail_core::{BranchPath, ByteSize, Millis};
+use ibissail_core::{BranchPath, ByteSize, Count, Millis, Ratio};
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt::Display,
@@ -24,10 +24,7 @@
     "session_ttl",
 ];
 const ROOT_ONLY: [&str; 4] = ["models", "services", "session_keys", "session_ttl"];
-const DEFAULT_LIMITS: Limits = Limits {
-    concurrency: 64,
-    body: ByteSize(1 << 20),
-};
+const DEFAULT_LIMITS: Limits = Limits { concurrency: 64, body: ByteSize(1 << 20) };
 const DEFAULT_DEADLINE: Millis = Millis(60_000);
 const DEFAULT_SESSION_TTL: Millis = Millis(12 * 3_600_000);
 
@@ -58,10 +55,7 @@
 fn read_branch(top: &Node<'_>) -> Option<Branch> {
     let fields = top.fields(&TOP_KEYS);
     let path = fields.required::<BranchPath>("branch");
-    if path
-        .as_ref()
-        .is_some_and(|path| *path != BranchPath::root())
-    {
+    if path.as_ref().is_some_and(|path| *path != BranchPath::root()) {
         check_root_only(&fields);
     }
     let limits = fields.get("limits").map_or(DEFAULT_LIMITS, read_limits);
@@ -70,18 +64,11 @@
         allow: read_set(&fields, "allow"),
         limits,
         classes: read_map(&fields, "classes", read_class),
-        organisations: read_map(&fields, "organisations", |node| {
-            read_organisation(node, limits)
-        }),
-        models: read_map(&fields, "models", read_model),
+        organisations: read_map(&fields, "organisations", |node| read_organisation(node, limits)),
+        models: read_map(&fields, "models", |node| Some(read_model(node))),
         services: read_map(&fields, "services", read_service),
-        session_keys: fields
-            .get("session_keys")
-            .map(read_signing_keys)
-            .unwrap_or_default(),
-        session_ttl: fields
-            .optional("session_ttl")
-            .unwrap_or(DEFAULT_SESSION_TTL),
+        session_keys: fields.get("session_keys").map(read_signing_keys).unwrap_or_default(),
+        session_ttl: fields.optional("session_ttl").unwrap_or(DEFAULT_SESSION_TTL),
     })
 }
 
@@ -98,10 +85,7 @@
     T: FromStr + Ord,
     T::Err: Display,
 {
-    fields
-        .get(name)
-        .map(|node| node.list().into_iter().collect())
-        .unwrap_or_default()
+    fields.get(name).map(|node| node.list().into_iter().collect()).unwrap_or_default()
 }
 
 fn read_map<K, V, R>(fields: &Fields<'_>, name: &str, read: R) -> BTreeMap<K, V>
@@ -129,8 +113,8 @@
     let fields = node.fields(&["concurrency", "body"]);
     Limits {
         concurrency: fields
-            .optional("concurrency")
-            .unwrap_or(DEFAULT_LIMITS.concurrency),
+            .optional::<Count>("concurrency")
+            .map_or(DEFAULT_LIMITS.concurrency, |count| count.0),
         body: fields.optional("body").unwrap_or(DEFAULT_LIMITS.body),
     }
 }
@@ -139,27 +123,19 @@
     let fields = node.fields(&["quality", "deadline"]);
     let quality = fields.required("quality");
     let deadline = fields.optional("deadline").unwrap_or(DEFAULT_DEADLINE);
-    Some(Class {
-        quality: quality?,
-        deadline,
-    })
+    Some(Class { quality: quality?, deadline })
 }
 
 fn read_organisation(node: &Node<'_>, limits: Limits) -> Option<Organisation> {
-    let fields = node.fields(&[
-        "keys",
-        "allow",
-        "concurrency",
-        "default_class",
-        "on_withdrawal",
-    ]);
+    let fields = node.fields(&["keys", "allow", "concurrency", "default_class", "on_withdrawal"]);
     for name in ["keys", "allow"] {
         if fields.get(name).is_none() {
             node.mistake(format!("the key `{name}` is missing"));
         }
     }
     let default_class = fields.required("default_class");
-    let concurrency = fields.optional("concurrency").unwrap_or(limits.concurrency);
+    let concurrency =
+        fields.optional::<Count>("concurrency").map_or(limits.concurrency, |count| count.0);
     if concurrency > limits.concurrency {
         let place = fields.get("concurrency").unwrap_or(node);
         place.mistake(format!(
@@ -172,38 +148,34 @@
         allow: read_set(&fields, "allow"),
         concurrency,
         default_class: default_class?,
-        on_withdrawal: fields
-            .optional("on_withdrawal")
-            .unwrap_or(OnWithdrawal::Finish),
+        on_withdrawal: fields.optional("on_withdrawal").unwrap_or(OnWithdrawal::Finish),
     })
 }
 
-fn read_model(node: &Node<'_>) -> Option<Model> {
+fn read_model(node: &Node<'_>) -> Model {
     let fields = node.fields(&["quality", "versions"]);
     if fields.entries("versions").is_empty() {
         node.mistake("a model needs at least one entry below `versions`");
     }
-    Some(Model {
-        quality: read_map(&fields, "quality", |node| node.parse()),
+    Model {
+        quality: read_map(&fields, "quality", read_quality),
         versions: read_map(&fields, "versions", read_version),
-    })
+    }
+}
+
+fn read_quality(node: &Node<'_>) -> Option<Ratio> {
+    node.parse()
 }
 
 fn read_version(node: &Node<'_>) -> Option<Version> {
     let fields = node.fields(&["input_price", "output_price", "weight"]);
     let input_price = fields.required("input_price");
     let output_price = fields.required("output_price");
-    let weight = fields.optional("weight").unwrap_or(1);
-    Some(Version {
-        input_price: input_price?,
-        output_price: output_price?,
-        weight,
-    })
+    let weight = fields.optional::<Count>("weight").map_or(1, |count| count.0);
+    Some(Version { input_price: input_price?, output_price: output_price?, weight })
 }
 
 fn read_service(node: &Node<'_>) -> Option<Service> {
     let fields = node.fields(&["idempotent"]);
-    fields
-        .required("idempotent")
-        .map(|idempotent| Service { idempotent })
+    fields.required("idempotent").map(|idempotent| Service { idempotent })
 }
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -19,14 +19,9 @@
     let fields = node.fields(&["id", "secret"]);
     let id = fields.required::<String>("id");
     let secret = fields.required::<String>("secret");
-    if secret
-        .as_ref()
-        .is_some_and(|secret| secret.len() < MIN_SECRET_BYTES)
-    {
+    if secret.as_ref().is_some_and(|secret| secret.len() < MIN_SECRET_BYTES) {
         let place = fields.get("secret").unwrap_or(node);
-        place.mistake(format!(
-            "the secret is too short; valid: {MIN_SECRET_BYTES} bytes or more"
-        ));
+        place.mistake(format!("the secret is too short; valid: {MIN_SECRET_BYTES} bytes or more"));
     }
     Some(SigningKey::new(id?, secret?))
 }
--- a/crates/settings/src/local.rs
+++ b/crates/settings/src/local.rs
@@ -5,7 +5,7 @@
     key::read_signing_keys,
     reader::{Document, Fields, Node},
 };
-use ibissail_core::{ByteSize, Millis, SigningKey, Target, VmId, ZoneId};
+use ibissail_core::{ByteSize, Count, Millis, SigningKey, Target, VmId, ZoneId};
 use std::net::SocketAddr;
 
 const KEYS: [&str; 11] = [
@@ -121,10 +121,7 @@
     let upstream = fields.get("upstream").map(read_upstream);
     let peer_keys = read_peer_keys(&fields, top);
     Some(LocalSettings {
-        identity: Identity {
-            vm: vm?,
-            zone: zone?,
-        },
+        identity: Identity { vm: vm?, zone: zone? },
         listen: listen?,
         peer_listen: peer_listen?,
         platform: platform?,
@@ -136,9 +133,7 @@
         },
         rater,
         memory: fields.optional("memory").unwrap_or(DEFAULT_MEMORY),
-        stop_timeout: fields
-            .optional("stop_timeout")
-            .unwrap_or(DEFAULT_STOP_TIMEOUT),
+        stop_timeout: fields.optional("stop_timeout").unwrap_or(DEFAULT_STOP_TIMEOUT),
     })
 }
 
@@ -168,8 +163,8 @@
         address: address?,
         offers: offers?,
         concurrency: fields
-            .optional("concurrency")
-            .unwrap_or(DEFAULT_CONCURRENCY),
+            .optional::<Count>("concurrency")
+            .map_or(DEFAULT_CONCURRENCY, |count| count.0),
         retention: fields.optional("retention").unwrap_or(DEFAULT_RETENTION),
     })
 }
--- a/crates/settings/src/mistake.rs
+++ b/crates/settings/src/mistake.rs
@@ -17,11 +17,7 @@
 
 impl fmt::Display for Mistake {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}:{}: {}: {}",
-            self.file, self.line, self.path, self.message
-        )
+        write!(f, "{}:{}: {}: {}", self.file, self.line, self.path, self.message)
     }
 }
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -13,10 +13,7 @@
 
 impl Document {
     pub(crate) fn new(file: &str) -> Self {
-        Self {
-            file: file.to_owned(),
-            mistakes: RefCell::default(),
-        }
+        Self { file: file.to_owned(), mistakes: RefCell::default() }
     }
 
     /// Parses the text; a syntax error becomes the only mistake.
@@ -67,20 +64,11 @@
 
 impl<'d> Node<'d> {
     pub(crate) fn top(document: &'d Document, yaml: &'d MarkedYaml<'d>) -> Self {
-        Self {
-            document,
-            yaml,
-            line: yaml.span.start.line().max(1),
-            path: String::new(),
-        }
+        Self { document, yaml, line: yaml.span.start.line().max(1), path: String::new() }
     }
 
     pub(crate) fn path(&self) -> &str {
-        if self.path.is_empty() {
-            "(document)"
-        } else {
-            &self.path
-        }
+        if self.path.is_empty() { "(document)" } else { &self.path }
     }
 
     pub(crate) fn mistake<M>(&self, message: M)
@@ -91,17 +79,9 @@
     }
 
     fn child(&self, name: &str, line: usize, yaml: &'d MarkedYaml<'d>) -> Self {
-        let path = if self.path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{}.{name}", self.path)
-        };
-        Self {
-            document: self.document,
-            yaml,
-            line,
-            path,
-        }
+        let path =
+            if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) };
+        Self { document: self.document, yaml, line, path }
     }
 
     /// The entries of a mapping, in the document's order.
@@ -115,9 +95,7 @@
             let line = key.span.start.line();
             match scalar_text(key) {
                 Some(name) => entries.push((name.clone(), self.child(&name, line, value))),
-                None => self
-                    .document
-                    .note(line, self.path(), "a key is not a text".to_owned()),
+                None => self.document.note(line, self.path(), "a key is not a text".to_owned()),
             }
         }
         entries
@@ -132,10 +110,7 @@
             }
             found.insert(name, node);
         }
-        Fields {
-            parent: self.clone(),
-            found,
-        }
+        Fields { parent: self.clone(), found }
     }
 
     /// The items of a sequence.
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -31,16 +31,39 @@
         }
     }
     let complete = mistakes.is_empty();
+    mistakes.extend(shared_names(&tree, &sources));
     for branch in tree.values() {
         let (file, text) = sources[&branch.path];
         let notes = widenings(branch, &tree, complete);
         mistakes.extend(notes.into_iter().map(|note| at(file, text, note.0, note.1)));
     }
-    if mistakes.is_empty() {
-        Ok(tree)
-    } else {
-        Err(Mistakes(mistakes))
+    if mistakes.is_empty() { Ok(tree) } else { Err(Mistakes(mistakes)) }
+}
+
+/// Organisations and bearer keys that stand in two branches.
+fn shared_names(
+    tree: &BTreeMap<BranchPath, Branch>,
+    sources: &BTreeMap<BranchPath, (&str, &str)>,
+) -> Vec<Mistake> {
+    let mut names = BTreeMap::new();
+    let mut keys = BTreeMap::new();
+    let mut mistakes = Vec::new();
+    for branch in tree.values() {
+        let (file, text) = sources[&branch.path];
+        for (name, organisation) in &branch.organisations {
+            if let Some(other) = names.insert(name, &branch.path) {
+                let message = format!("`{name}` stands in `{other}` too; valid: a name of its own");
+                mistakes.push(at(file, text, "organisations", message));
+            }
+            for key in &organisation.keys {
+                if let Some(other) = keys.insert(key, name) {
+                    let message = format!("`{key}` is a key of `{other}` too; valid: its own key");
+                    mistakes.push(at(file, text, "organisations", message));
+                }
+            }
+        }
     }
+    mistakes
 }
 
 type Note = (&'static str, String);
@@ -71,10 +94,8 @@
     for (name, model) in &root.models {
         declared.insert(ModelRef::Model(name.clone()));
         for version in model.versions.keys() {
-            let version = ibissail_core::ModelVersion {
-                model: name.clone(),
-                version: version.clone(),
-            };
+            let version =
+                ibissail_core::ModelVersion { model: name.clone(), version: version.clone() };
             declared.insert(ModelRef::Version(version));
         }
     }
@@ -92,10 +113,7 @@
     }
     if branch.limits.body > parent.limits.body {
         let (found, valid) = (branch.limits.body, parent.limits.body);
-        notes.push((
-            "limits.body",
-            format!("`{found}` widens the parent's; valid: up to {valid}"),
-        ));
+        notes.push(("limits.body", format!("`{found}` widens the parent's; valid: up to {valid}")));
     }
 }
 
@@ -108,10 +126,7 @@
     let valid: Vec<String> = allowed.iter().map(ToString::to_string).collect();
     for entry in found {
         if !allowed.iter().any(|allowed| allowed.covers(entry)) {
-            let message = format!(
-                "`{entry}` is not allowed above; valid: {}",
-                valid.join(", ")
-            );
+            let message = format!("`{entry}` is not allowed above; valid: {}", valid.join(", "));
             notes.push((key, message));
         }
     }
@@ -128,10 +143,7 @@
         if !classes.contains(&organisation.default_class) {
             let valid: Vec<&str> = classes.iter().map(ClassId::as_str).collect();
             let found = &organisation.default_class;
-            let message = format!(
-                "`{name}` has no class `{found}`; valid: {}",
-                valid.join(", ")
-            );
+            let message = format!("`{name}` has no class `{found}`; valid: {}", valid.join(", "));
             notes.push(("organisations", message));
         }
     }
@@ -151,19 +163,9 @@
 fn at(file: &str, text: &str, path: &str, message: String) -> Mistake {
     let key = path.split('.').next().unwrap_or(path);
     let value = message.split('`').nth(1).unwrap_or_default();
-    let start = text
-        .lines()
-        .position(|line| line.starts_with(&format!("{key}:")))
-        .unwrap_or(0);
-    let inside = text
-        .lines()
-        .skip(start)
-        .position(|line| !value.is_empty() && line.contains(value));
+    let start = text.lines().position(|line| line.starts_with(&format!("{key}:"))).unwrap_or(0);
+    let inside =
+        text.lines().skip(start).position(|line| !value.is_empty() && line.contains(value));
     let line = start + inside.unwrap_or(0) + 1;
-    Mistake {
-        file: file.to_owned(),
-        line,
-        path: path.to_owned(),
-        message,
-    }
+    Mistake { file: file.to_owned(), line, path: path.to_owned(), message }
 }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -27,6 +27,7 @@
     }
 
     /// Resolves when the reader has gone.
+    #[must_use]
     pub fn is_closed(&self) -> bool {
         self.tx.is_closed()
     }
@@ -36,11 +37,7 @@
 #[must_use]
 pub fn body_channel() -> (BodySender, Body) {
     let (tx, rx) = async_channel::bounded(MAX_WAITING_PIECES);
-    let reader = ChannelReader {
-        rx: Box::pin(rx),
-        piece: Vec::new(),
-        position: 0,
-    };
+    let reader = ChannelReader { rx: Box::pin(rx), piece: Vec::new(), position: 0 };
     (BodySender { tx }, Body::from_reader(reader, None))
 }
 
@@ -92,10 +89,7 @@
     let mut bytes = Vec::with_capacity(body.len().unwrap_or(0));
     let mut chunk = vec![0; READ_CHUNK_BYTES];
     loop {
-        let count = body
-            .read(&mut chunk)
-            .await
-            .map_err(|error| broken(&error))?;
+        let count = body.read(&mut chunk).await.map_err(|error| broken(&error))?;
         if count == 0 {
             break;
         }
@@ -113,15 +107,9 @@
 }
 
 fn too_large(limit: usize) -> Fault {
-    Fault::new(
-        ErrorKind::BodyTooLarge,
-        format!("valid: up to {limit} bytes"),
-    )
+    Fault::new(ErrorKind::BodyTooLarge, format!("valid: up to {limit} bytes"))
 }
 
 fn broken(error: &io::Error) -> Fault {
-    Fault::new(
-        ErrorKind::BadRequest,
-        format!("the body's framing is broken: {}", error.kind()),
-    )
+    Fault::new(ErrorKind::BadRequest, format!("the body's framing is broken: {}", error.kind()))
 }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -49,10 +49,7 @@
 
     /// Stops reading the rest of the body once a bounded part has been thrown away.
     pub(crate) fn refuse_body(&self) {
-        self.refused_at.store(
-            self.received.load(Ordering::Relaxed).max(1),
-            Ordering::Relaxed,
-        );
+        self.refused_at.store(self.received.load(Ordering::Relaxed).max(1), Ordering::Relaxed);
     }
 
     fn is_head_too_long(&self) -> bool {
@@ -75,10 +72,7 @@
 
 impl Connection {
     pub(crate) fn new(stream: TcpStream) -> Self {
-        Self {
-            stream,
-            progress: Arc::default(),
-        }
+        Self { stream, progress: Arc::default() }
     }
 }
 
@@ -95,9 +89,7 @@
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.progress
-            .received
-            .fetch_add(count as u64, Ordering::Relaxed);
+        self.progress.received.fetch_add(count as u64, Ordering::Relaxed);
         Poll::Ready(Ok(count))
     }
 }
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -1,4 +1,4 @@
-//! Messages between processes: MessagePack bodies, authenticated in both directions.
+//! Messages between processes: `MessagePack` bodies, authenticated in both directions.
 
 use crate::{FrameReader, Pool, Reply, SendError, read_body};
 use http_types::{Body, Method, Request, Response, Url};
@@ -43,9 +43,7 @@
     /// A ring of at least one key.
     #[must_use]
     pub fn new(keys: Vec<SigningKey>) -> Self {
-        Self {
-            keys: Arc::new(keys),
-        }
+        Self { keys: Arc::new(keys) }
     }
 
     fn sign(&self, nonce: &str, parts: &[&[u8]]) -> String {
@@ -85,20 +83,13 @@
     pub async fn receive(keyring: &Keyring, req: &mut Request) -> Result<Self, Fault> {
         let mut body = req.take_body();
         let body = read_body(&mut body, MAX_MESSAGE).await?;
-        let header = req
-            .header(AUTH_HEADER)
-            .map(|h| h.as_str().to_owned())
-            .unwrap_or_default();
+        let header = req.header(AUTH_HEADER).map(|h| h.as_str().to_owned()).unwrap_or_default();
         let path = req.url().path().as_bytes();
         let nonce = keyring
             .verify(&header, &[path, &body])
             .ok_or_else(|| Fault::new(ErrorKind::Unauthorized, "the message is not authentic"))?
             .to_owned();
-        Ok(Self {
-            keyring: keyring.clone(),
-            nonce,
-            body,
-        })
+        Ok(Self { keyring: keyring.clone(), nonce, body })
     }
 
     /// The message.
@@ -171,11 +162,7 @@
 }
 
 fn is_authentic(keyring: &Keyring, reply: &Reply, nonce: &str, signed: &[u8]) -> bool {
-    let header = reply
-        .response
-        .header(AUTH_HEADER)
-        .map(|h| h.as_str())
-        .unwrap_or_default();
+    let header = reply.response.header(AUTH_HEADER).map(|h| h.as_str()).unwrap_or_default();
     keyring.verify(header, &[signed]) == Some(nonce)
 }
 
@@ -214,10 +201,7 @@
 {
     let peer = reply.peer();
     let accepted = reply.response.status().is_success();
-    let auth = reply
-        .response
-        .header(AUTH_HEADER)
-        .map(|h| h.as_str().to_owned());
+    let auth = reply.response.header(AUTH_HEADER).map(|h| h.as_str().to_owned());
     let body = reply.bytes(MAX_MESSAGE, limit).await?;
     let authentic = keyring.verify(&auth.unwrap_or_default(), &[&body]) == Some(nonce);
     if !authentic {
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -74,12 +74,7 @@
     /// An empty pool.
     #[must_use]
     pub fn new(options: PoolOptions) -> Self {
-        Self {
-            shared: Arc::new(Shared {
-                options,
-                idle: Mutex::default(),
-            }),
-        }
+        Self { shared: Arc::new(Shared { options, idle: Mutex::default() }) }
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -100,12 +95,7 @@
         };
         let rest = limit.saturating_sub(started.elapsed());
         match timeout(rest, async_h1::connect(stream.clone(), req)).await {
-            Ok(Ok(response)) => Ok(Reply {
-                response,
-                peer,
-                stream,
-                pool: self.clone(),
-            }),
+            Ok(Ok(response)) => Ok(Reply { response, peer, stream, pool: self.clone() }),
             Ok(Err(error)) => {
                 self.forget(peer);
                 Err(SendError::Lost(peer, error.to_string()))
@@ -123,12 +113,7 @@
     }
 
     async fn connect(&self, peer: SocketAddr) -> Result<TcpStream, SendError> {
-        match timeout(
-            self.shared.options.connect_timeout,
-            TcpStream::connect(peer),
-        )
-        .await
-        {
+        match timeout(self.shared.options.connect_timeout, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => {
                 let _nodelay = stream.set_nodelay(true);
                 Ok(stream)
@@ -152,18 +137,12 @@
         let mut idle = self.lock();
         let streams = idle.entry(peer).or_default();
         if streams.len() < self.shared.options.max_idle_per_peer {
-            streams.push(Idle {
-                stream,
-                since: Instant::now(),
-            });
+            streams.push(Idle { stream, since: Instant::now() });
         }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Vec<Idle>>> {
-        self.shared
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.shared.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -221,10 +200,7 @@
 
     /// Gives the connection back, once the body has been read to its end.
     pub fn release(self) {
-        let close = self
-            .response
-            .header(CONNECTION)
-            .is_some_and(|c| c.as_str() == "close");
+        let close = self.response.header(CONNECTION).is_some_and(|c| c.as_str() == "close");
         if !close {
             self.pool.put_idle(self.peer, self.stream);
         }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -33,10 +33,7 @@
 
 impl Default for ServerOptions {
     fn default() -> Self {
-        Self {
-            head_timeout: Duration::from_secs(30),
-            max_connections: 4_096,
-        }
+        Self { head_timeout: Duration::from_secs(30), max_connections: 4_096 }
     }
 }
 
@@ -153,10 +150,7 @@
     let progress = Arc::clone(&connection.progress);
     let endpoint = |req: Request| {
         progress.set_handled();
-        let caller = Caller {
-            stream: connection.stream.clone(),
-            progress: Arc::clone(&progress),
-        };
+        let caller = Caller { stream: connection.stream.clone(), progress: Arc::clone(&progress) };
         let (handler, stop) = (handler.clone(), stop.clone());
         async move {
             let mut res = handler(req, caller).await;
