--- /dev/null
+++ b/crates/daemon/benches/slopes.rs
@@ -0,0 +1,191 @@
+//! Slopes for docs/CAPACITY.md: bytes, processor time and memory by the size of the fleet.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+mod measure;
+
+use async_std::task::block_on;
+use common::{Cluster, GUIDES, PATIENCE, http};
+use ibissail_billing::{Ledger, UsageRecord};
+use ibissail_catalogue::{Exchange, ExchangeReply};
+use ibissail_core::{Fault, Incarnation, RequestId, SigningKey, Tokens};
+use ibissail_execution::{Probe, ProbeReply, paths};
+use ibissail_platform::VmState;
+use ibissail_settings::KeyHash;
+use ibissail_transport::{Keyring, Pool, PoolOptions, call};
+use measure::{Usage, fit, loopback_bytes, row};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    fmt::Write as _,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+const CALLS: u32 = 2_000;
+const SIZES: [u32; 4] = [10, 30, 100, 300];
+const FLEETS: [u32; 4] = [30, 100, 300, 1_000];
+const SETTLE: Duration = Duration::from_secs(5);
+
+struct Peer {
+    pool: Pool,
+    keyring: Keyring,
+}
+
+impl Peer {
+    fn call<M, A>(&self, address: SocketAddr, path: &str, message: &M) -> A
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        let answered: Result<A, Fault> =
+            block_on(call(&self.pool, &self.keyring, address, path, message, PATIENCE))
+                .expect("an answer");
+        answered.expect("not refused")
+    }
+}
+
+fn main() {
+    let mut cluster = Cluster::new("bench_slopes");
+    cluster.log_level = "warn";
+    cluster.add_entry("entry-1");
+    cluster.add_upstream("swift-1", "swift@1");
+    cluster.start_all();
+    let key = SigningKey::new("p1".to_owned(), "a-secret-for-tests".to_owned());
+    let peer = Peer { pool: Pool::new(PoolOptions::default()), keyring: Keyring::new(vec![key]) };
+    messages(&cluster, &peer);
+    ledgers();
+    organisations(&cluster);
+    fleet(&cluster);
+}
+
+/// Bytes of one message with its answer, TCP and IP included, and the receiver's processor time.
+fn messages(cluster: &Cluster, peer: &Peer) {
+    let sidecar = cluster.members["swift-1"].peer;
+    let process = cluster.processes["swift-1"].id();
+    let background = background();
+    row(&["message", "bytes", "receiver CPU us"]);
+    let probe = || drop(peer.call::<Probe, ProbeReply>(sidecar, paths::PROBE, &Probe {}));
+    measure_calls("probe", process, background, probe);
+    let known: ExchangeReply = peer.call(sidecar, paths::EXCHANGE, &Exchange::default());
+    let compare = Exchange { digest: known.digest, ..Exchange::default() };
+    let exchange =
+        || drop(peer.call::<Exchange, ExchangeReply>(sidecar, paths::EXCHANGE, &compare));
+    measure_calls("comparison of settings", process, background, exchange);
+}
+
+/// Bytes a second that pass without the benchmark's doing.
+fn background() -> f64 {
+    thread::sleep(SETTLE);
+    let (before, started) = (loopback_bytes(), Instant::now());
+    thread::sleep(SETTLE);
+    (loopback_bytes() - before) / started.elapsed().as_secs_f64()
+}
+
+fn measure_calls<C>(name: &str, process: u32, background: f64, mut one: C)
+where
+    C: FnMut(),
+{
+    let (bytes, cpu, started) = (loopback_bytes(), Usage::of(process).cpu, Instant::now());
+    for _ in 0..CALLS {
+        one();
+    }
+    let passed = loopback_bytes() - bytes - background * started.elapsed().as_secs_f64();
+    let cpu = Usage::of(process).cpu.saturating_sub(cpu).as_secs_f64() * 1e6;
+    let bytes = format!("{:.0}", passed / f64::from(CALLS));
+    row(&[name, &bytes, &format!("{:.0}", cpu / f64::from(CALLS))]);
+}
+
+/// Size of a ledger object with all its requests counted, and with every second one.
+fn ledgers() {
+    println!();
+    row(&["ledger of 65,536 requests", "bytes", "us to count one"]);
+    for (name, step) in [("all counted", 1), ("every second", 2)] {
+        let mut ledger = Ledger::default();
+        let started = Instant::now();
+        let mut count = 0_u32;
+        for sequence in (0..65_536).step_by(step) {
+            ledger.count(&record(sequence));
+            count += 1;
+        }
+        let micros = started.elapsed().as_secs_f64() * 1e6 / f64::from(count);
+        let size = serde_json::to_string(&ledger).map(|text| text.len()).unwrap_or_default();
+        row(&[name, &size.to_string(), &format!("{micros:.2}")]);
+    }
+}
+
+fn record(sequence: u64) -> UsageRecord {
+    UsageRecord {
+        request: RequestId { entry: Incarnation(1), sequence },
+        organisation: format!("organisation-{}", sequence % 10).parse().expect("a name"),
+        target: "swift@1".parse().expect("a target"),
+        input: Tokens(100),
+        output: Tokens(200),
+    }
+}
+
+/// Memory and time to take settings in, by the number of organisations in one branch.
+fn organisations(cluster: &Cluster) {
+    println!();
+    row(&["organisations", "document bytes", "entry MB", "ms until in force"]);
+    let mut points = Vec::new();
+    for size in SIZES {
+        let mut text = GUIDES.to_owned();
+        for number in 0..size {
+            let hash = KeyHash::of(&format!("{size}-{number}"));
+            let _infallible = write!(
+                text,
+                "  o{number}:\n    keys: [\"{hash}\"]\n    allow: [swift]\n    default_class: lookup\n"
+            );
+        }
+        let started = Instant::now();
+        let revision = cluster.put("config/branches/root/guides", &text);
+        let stamp = format!(":{revision}}}");
+        common::wait_until("the entry has it", || {
+            cluster.status("entry-1")["settings"].to_string().contains(&stamp)
+        });
+        let millis = started.elapsed().as_millis().to_string();
+        let resident = Usage::of(cluster.processes["entry-1"].id()).resident_mb();
+        points.push((f64::from(size), resident));
+        row(&[&size.to_string(), &text.len().to_string(), &format!("{resident:.2}"), &millis]);
+    }
+    print_fit("entry MB", "organisation", &points);
+}
+
+/// Memory of an entry and size of the list of VMs, by the number of upstreams.
+fn fleet(cluster: &Cluster) {
+    println!();
+    row(&["upstreams listed", "bytes of the list", "entry MB", "entry CPU %"]);
+    let (mut sizes, mut memory, mut times) = (Vec::new(), Vec::new(), Vec::new());
+    let mut listed = 0;
+    for size in FLEETS {
+        while listed < size {
+            listed += 1;
+            let mut member = cluster.members["swift-1"].clone();
+            member.name = format!("known-{listed}");
+            cluster.register(&member, VmState::Live);
+        }
+        thread::sleep(SETTLE);
+        let process = cluster.processes["entry-1"].id();
+        let (before, started) = (Usage::of(process).cpu, Instant::now());
+        thread::sleep(SETTLE);
+        let after = Usage::of(process);
+        let cpu = after.cpu.saturating_sub(before).as_secs_f64() * 100.0;
+        let cpu = cpu / started.elapsed().as_secs_f64();
+        let list = http::get(cluster.platform, "/v1/vms").map(|answer| answer.body.len());
+        let list = u32::try_from(list.unwrap_or_default()).unwrap_or(u32::MAX);
+        sizes.push((f64::from(size), f64::from(list)));
+        memory.push((f64::from(size), after.resident_mb()));
+        times.push((f64::from(size), cpu));
+        let cells = [format!("{:.2}", after.resident_mb()), format!("{cpu:.2}")];
+        row(&[&size.to_string(), &list.to_string(), &cells[0], &cells[1]]);
+    }
+    print_fit("bytes of the list", "upstream", &sizes);
+    print_fit("entry MB", "upstream", &memory);
+    print_fit("entry CPU %", "upstream", &times);
+}
+
+fn print_fit(name: &str, each: &str, points: &[(f64, f64)]) {
+    let (slope, base) = fit(points);
+    println!("{name}: {base:.3} + {slope:.6} for each {each}");
+}
--- a/crates/daemon/src/entry/billing.rs
+++ b/crates/daemon/src/entry/billing.rs
@@ -15,7 +15,6 @@
     time::Duration,
 };
 
-const FLUSH_INTERVAL: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request that waits for its confirmation; dropping it lets the request go on.
@@ -144,7 +143,7 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     while !shared.node.is_stopping() {
         flush(&shared).await;
-        task::sleep(FLUSH_INTERVAL).await;
+        task::sleep(shared.node.ledger_interval()).await;
     }
 }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -81,8 +81,8 @@
         let (handle, stop) = stop_pair();
         let node = Node::start(local, &log, stop.clone());
         let shared = Arc::new(Shared {
+            membership: Mutex::new(Membership::of(&node.local.identity.vm)),
             node,
-            membership: Mutex::default(),
             admissions: Admissions::default(),
             records: Records::default(),
             leaving: AtomicBool::new(false),
--- a/crates/daemon/src/entry/probing.rs
+++ b/crates/daemon/src/entry/probing.rs
@@ -9,8 +9,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Probes of one interval; bounds the probes a second whatever the number of replicas.
-const PROBES_PER_INTERVAL: usize = 16;
+/// Probes of replicas not yet known in one interval.
+const UNKNOWN_PROBES: usize = 16;
+/// Probes of known replicas in one interval, whatever their number.
+const KNOWN_PROBES: usize = 2;
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs until the process stops.
@@ -19,7 +21,7 @@
         let listed = shared.node.peers.listed();
         let now = shared.node.now();
         shared.membership().on_list(&listed, now);
-        let chosen = shared.membership().to_probe(PROBES_PER_INTERVAL, &mut rand::rng());
+        let chosen = shared.membership().to_probe(UNKNOWN_PROBES, KNOWN_PROBES, &mut rand::rng());
         for (vm, address) in chosen {
             task::spawn(probe(Arc::clone(&shared), vm, address));
         }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -27,6 +27,9 @@
 };
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+const MIN_LEDGER_INTERVAL: Duration = Duration::from_millis(500);
+/// Ledger writes a second that all entries together may make.
+const LEDGER_WRITES_PER_SECOND: u32 = 100;
 /// How long a new process looks for peers before one answer is enough.
 const SYNC_PATIENCE: Millis = Millis(5_000);
 /// Peers that must have answered a new process while the platform is down.
@@ -93,6 +96,13 @@
         self.settings.catalogue()
     }
 
+    /// Time between two writes of an entry's ledger; longer in a large fleet, so that the writes
+    /// of all entries together stay within their share of the platform's rate.
+    pub(crate) fn ledger_interval(&self) -> Duration {
+        let entries = u32::try_from(self.peers.entries()).unwrap_or(u32::MAX);
+        MIN_LEDGER_INTERVAL.max(Duration::from_secs(1) * (entries / LEDGER_WRITES_PER_SECOND))
+    }
+
     /// Whether the settings are known to be as new as can be learned.
     pub(crate) fn is_synced(&self) -> bool {
         if self.catalogue().root().is_none() {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use async_std::task;
 use ibissail_core::VmId;
-use ibissail_platform::VmRecord;
+use ibissail_platform::{VmRecord, VmRole};
 use ibissail_settings::LocalSettings;
 use slog::debug;
 use std::{
@@ -53,6 +53,11 @@
         self.addresses().len()
     }
 
+    /// How many entries the list has.
+    pub(crate) fn entries(&self) -> usize {
+        self.lock().listed.iter().filter(|record| record.role == VmRole::Entry).count()
+    }
+
     /// How many peers have compared settings with this process.
     pub(crate) fn answered(&self) -> usize {
         self.lock().answered.len()
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -12,6 +12,8 @@
 use slog::{info, warn};
 use std::sync::Arc;
 
+/// Intervals of an entry's ledger that a sidecar waits at least.
+const RECORD_GRACE_INTERVALS: u32 = 3;
 /// Time for the entry to write a record before the sidecar does.
 const RECORD_GRACE: Millis = Millis(10_000);
 
@@ -102,7 +104,8 @@
 
 fn confirm(shared: &Shared, envelope: &Envelope) -> Answered {
     let req: ConfirmRequest = envelope.message()?;
-    let due = shared.node.now().plus(RECORD_GRACE);
+    let grace = RECORD_GRACE.max((shared.node.ledger_interval() * RECORD_GRACE_INTERVALS).into());
+    let due = shared.node.now().plus(grace);
     for confirmation in req.confirmations {
         shared.outbox().hold(confirmation.record, due);
         shared.table().delivered(&confirmation.key);
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -4,8 +4,14 @@
 use ibissail_execution::{Load, ProbeReply, SidecarState};
 use ibissail_platform::{VmRecord, VmRole, VmState};
 use rand::{Rng, seq::IteratorRandom};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+};
 
+/// Replicas of one target that an entry works with.
+const REPLICAS_PER_TARGET: usize = 24;
 /// First time for which a failing replica gets no work.
 const FIRST_EJECTION: Millis = Millis(500);
 /// Longest time for which a failing replica gets no work.
@@ -27,6 +33,13 @@
     Draining,
 }
 
+/// Place of a VM in the order that a seed gives.
+fn rank(seed: u64, vm: &VmId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, vm).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// How a request ended, as far as its replica is to blame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fate {
@@ -102,25 +115,32 @@
     }
 }
 
-/// All replicas that an entry knows.
+/// The replicas that an entry works with: of each target a bounded number.
 #[derive(Debug, Clone, Default)]
 pub struct Membership {
+    /// Seed of the entry's own draw among the replicas of a target.
+    seed: u64,
     replicas: BTreeMap<VmId, Replica>,
     /// Ready replicas of each target, for drawing some at random.
     ready: BTreeMap<Target, Vec<VmId>>,
 }
 
 impl Membership {
+    /// An empty membership of the entry with this name.
+    #[must_use]
+    pub fn of(entry: &VmId) -> Self {
+        Self { seed: rank(0, entry), ..Self::default() }
+    }
+
     /// Takes in the list of VMs, which lags.
     ///
+    /// Of each target the entry keeps those that rank first by a hash with its own name, so that
+    /// probes stay bounded and all replicas are shared out evenly over the entries.
+    ///
     /// The list may add, drain and remove; it never revives what has been drained, and it does not
     /// remove what still answers probes, since it may be too old to know it.
     pub fn on_list(&mut self, records: &[VmRecord], now: Millis) {
-        let upstreams: BTreeMap<&VmId, &VmRecord> = records
-            .iter()
-            .filter(|record| record.role == VmRole::Upstream)
-            .map(|record| (&record.vm, record))
-            .collect();
+        let upstreams = self.subset(records);
         self.replicas.retain(|vm, replica| {
             upstreams.contains_key(vm) || replica.own > 0 || replica.answers(now)
         });
@@ -136,6 +156,21 @@
         self.index();
     }
 
+    fn subset<'r>(&self, records: &'r [VmRecord]) -> BTreeMap<&'r VmId, &'r VmRecord> {
+        let mut by_target: BTreeMap<&Option<Target>, Vec<(u64, &VmRecord)>> = BTreeMap::new();
+        for record in records.iter().filter(|record| record.role == VmRole::Upstream) {
+            let ranked = (rank(self.seed, &record.vm), record);
+            by_target.entry(&record.offers).or_default().push(ranked);
+        }
+        let mut subset = BTreeMap::new();
+        for mut ranked in by_target.into_values() {
+            ranked.sort_unstable_by_key(|(rank, record)| (record.state, *rank));
+            let chosen = ranked.into_iter().take(REPLICAS_PER_TARGET);
+            subset.extend(chosen.map(|(_, record)| (&record.vm, record)));
+        }
+        subset
+    }
+
     /// Takes in a sidecar's own word.
     pub fn on_probe(&mut self, reply: &ProbeReply, now: Millis) {
         let before = self.readiness(&reply.vm).cloned();
@@ -227,17 +262,17 @@
         }
     }
 
-    /// Up to `count` replicas to probe: those not yet known first, then at random.
-    pub fn to_probe<R>(&self, count: usize, rng: &mut R) -> Vec<(VmId, SocketAddr)>
+    /// Replicas to probe: up to `unknown` of those not yet known, and up to `known` of the others.
+    pub fn to_probe<R>(&self, unknown: usize, known: usize, rng: &mut R) -> Vec<(VmId, SocketAddr)>
     where
         R: Rng,
     {
+        let (most_unknown, most_known) = (unknown, known);
         let named = |replica: &Replica| (replica.vm.clone(), replica.address);
         let (unknown, known): (Vec<&Replica>, Vec<&Replica>) =
             self.replicas.values().partition(|replica| replica.health == Health::Unknown);
-        let mut chosen = unknown.into_iter().choose_multiple(rng, count);
-        let rest = count - chosen.len();
-        chosen.extend(known.into_iter().choose_multiple(rng, rest));
+        let mut chosen = unknown.into_iter().choose_multiple(rng, most_unknown);
+        chosen.extend(known.into_iter().choose_multiple(rng, most_known));
         chosen.into_iter().map(named).collect()
     }
 
--- a/crates/routing/tests/membership_sources.rs
+++ b/crates/routing/tests/membership_sources.rs
@@ -72,6 +72,24 @@
     assert_eq!(health(&membership, "a"), Some(Health::Ready));
 }
 
+/// Probes stay bounded with the fleet, and the entries' subsets cover all replicas evenly.
+#[test]
+fn entries_share_out_the_replicas_evenly() {
+    let names: Vec<String> = (0..600).map(|number| format!("upstream-{number}")).collect();
+    let records: Vec<VmRecord> = names.iter().map(|name| record(name, VmState::Live)).collect();
+    let mut entries_of: BTreeMap<VmId, u32> = BTreeMap::new();
+    for entry in 0..200 {
+        let mut membership = Membership::of(&vm(&format!("entry-{entry}")));
+        membership.on_list(&records, Millis(0));
+        assert_eq!(membership.len(), 24);
+        for replica in membership.iter() {
+            *entries_of.entry(replica.vm.clone()).or_default() += 1;
+        }
+    }
+    assert_eq!(entries_of.len(), 600, "each replica has entries");
+    assert!(entries_of.values().all(|count| (1..=24).contains(count)), "{entries_of:?}");
+}
+
 #[test]
 fn an_old_list_does_not_remove_what_still_answers() {
     let mut membership = ready(&["a"]);
