--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -11,7 +11,7 @@
 use clap::CommandFactory;
 use ibissail_catalogue::{Generation, Grade};
 use ibissail_core::ErrorKind;
-use ibissail_platform::HttpPlatform;
+use ibissail_object_store::HttpPlatform;
 use ibissail_settings::KeyHash;
 use std::{io, time::Duration};
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,6 +1,6 @@
 //! Why a command failed, and its exit code.
 
-use ibissail_platform::PlatformError;
+use ibissail_object_store::PlatformError;
 use ibissail_settings::Mistakes;
 use quick_error::quick_error;
 
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::{cli::Output, error::CommandError, output::print};
 use ibissail_catalogue::{BRANCH_PREFIX, branch_key};
 use ibissail_core::{BranchPath, Revision};
-use ibissail_platform::{Object, ObjectApi, PlatformError};
+use ibissail_object_store::{Object, ObjectApi, PlatformError};
 use ibissail_settings::{check_tree, parse_branch};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -7,7 +7,7 @@
     output::{print, table},
 };
 use ibissail_catalogue::{BRANCH_PREFIX, WITHDRAWALS_KEY, Withdrawals};
-use ibissail_platform::{ObjectApi, VmRecord};
+use ibissail_object_store::{ObjectApi, VmRecord};
 use serde::Serialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/cli/src/withdrawal.rs
+++ b/crates/cli/src/withdrawal.rs
@@ -3,7 +3,7 @@
 use crate::{cli::Output, error::CommandError, output::print};
 use ibissail_catalogue::{Generation, Grade, WITHDRAWALS_KEY, Withdrawals};
 use ibissail_core::{ModelVersion, Revision};
-use ibissail_platform::{ObjectApi, PlatformError};
+use ibissail_object_store::{ObjectApi, PlatformError};
 use serde_json::json;
 
 /// Writers that may come in between before a command gives up.
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -49,6 +49,8 @@
         BadRequest { display("the request cannot be understood") }
         /// The request's head did not arrive in time.
         HeadTimeout { display("the request's head did not arrive in time") }
+        /// The head is longer than the limit.
+        HeadTooLarge { display("the head is longer than the limit") }
         /// The body is larger than the limit.
         BodyTooLarge { display("the body is larger than the limit") }
         /// No such address.
@@ -75,6 +77,8 @@
         Draining { display("the process is stopping") }
         /// The process has no settings yet.
         SettingsMissing { display("the settings have not arrived yet") }
+        /// The settings have not been confirmed for too long to accept a key.
+        SettingsStale { display("the settings are too old to accept a key") }
         /// The platform must be asked and does not answer.
         PlatformDown { display("the platform does not answer, and this call needs it") }
         /// The sidecar's settings are older than the request's.
@@ -98,11 +102,12 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 28] = [
         Self::Unauthorized,
         Self::SessionInvalid,
         Self::BadRequest,
         Self::HeadTimeout,
+        Self::HeadTooLarge,
         Self::BodyTooLarge,
         Self::NotFound,
         Self::UnknownModel,
@@ -116,6 +121,7 @@
         Self::NoReplica,
         Self::Draining,
         Self::SettingsMissing,
+        Self::SettingsStale,
         Self::PlatformDown,
         Self::SettingsBehind,
         Self::StaleTicket,
@@ -141,6 +147,7 @@
             Self::Unauthorized | Self::SessionInvalid => (401, Ran::No, None),
             Self::BadRequest | Self::KeyRequired => (400, Ran::No, None),
             Self::HeadTimeout => (408, Ran::No, None),
+            Self::HeadTooLarge => (431, Ran::No, None),
             Self::BodyTooLarge => (413, Ran::No, None),
             Self::NotFound | Self::UnknownModel | Self::UnknownRun => (404, Ran::No, None),
             Self::NotAllowed => (403, Ran::No, None),
@@ -149,9 +156,11 @@
             Self::InProgress => (409, Ran::Unknown, Some(1)),
             Self::Overloaded => (429, Ran::No, Some(1)),
             Self::DeadlineUnmet => (503, Ran::No, Some(2)),
-            Self::NoReplica | Self::Draining | Self::SettingsBehind | Self::StaleTicket => {
-                (503, Ran::No, Some(1))
-            }
+            Self::NoReplica
+            | Self::Draining
+            | Self::SettingsBehind
+            | Self::SettingsStale
+            | Self::StaleTicket => (503, Ran::No, Some(1)),
             Self::SettingsMissing => (503, Ran::No, Some(5)),
             // An earlier request with the same key may have run.
             Self::PlatformDown => (503, Ran::Unknown, Some(5)),
@@ -171,6 +180,7 @@
             Self::SessionInvalid => "session_invalid",
             Self::BadRequest => "bad_request",
             Self::HeadTimeout => "head_timeout",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NotFound => "not_found",
             Self::UnknownModel => "unknown_model",
@@ -184,6 +194,7 @@
             Self::NoReplica => "no_replica",
             Self::Draining => "draining",
             Self::SettingsMissing => "settings_missing",
+            Self::SettingsStale => "settings_stale",
             Self::PlatformDown => "platform_down",
             Self::SettingsBehind => "settings_behind",
             Self::StaleTicket => "stale_ticket",
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -69,6 +69,10 @@
     /// Name of a VM.
     VmId
 }
+identifier! {
+    /// Name of one start of a replica, unless it restarted under the same name.
+    InstanceId
+}
 identifier! {
     /// Name of an availability zone.
     ZoneId
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,8 +7,8 @@
 
 pub use error::{Answer, ErrorKind, Fault, Ran, RetryAfter};
 pub use id::{
-    BranchPath, ClassId, Incarnation, ModelId, ModelVersion, OrganisationId, RequestId, ServiceId,
-    Target, VersionId, VmId, ZoneId,
+    BranchPath, ClassId, Incarnation, InstanceId, ModelId, ModelVersion, OrganisationId, RequestId,
+    ServiceId, Target, VersionId, VmId, ZoneId,
 };
 pub use key::SigningKey;
 pub use unit::{ByteSize, Count, Millis, Price, Ratio, Revision, Tokens, UnitError};
--- a/crates/daemon/benches/slopes.rs
+++ b/crates/daemon/benches/slopes.rs
@@ -10,7 +10,7 @@
 use ibissail_catalogue::{Exchange, ExchangeReply};
 use ibissail_core::{Fault, Incarnation, RequestId, SigningKey, Tokens};
 use ibissail_execution::{Probe, ProbeReply, paths};
-use ibissail_platform::VmState;
+use ibissail_object_store::VmState;
 use ibissail_settings::KeyHash;
 use ibissail_transport::{Keyring, Pool, PoolOptions, call};
 use measure::{Usage, fit, loopback_bytes, row};
--- a/crates/daemon/benches/whole_path.rs
+++ b/crates/daemon/benches/whole_path.rs
@@ -146,7 +146,7 @@
     for number in 0..KNOWN_UPSTREAMS {
         let mut member = cluster.members["swift-1"].clone();
         member.name = format!("known-{number}");
-        cluster.register(&member, ibissail_platform::VmState::Live);
+        cluster.register(&member, ibissail_object_store::VmState::Live);
     }
     std::thread::sleep(Duration::from_secs(6));
     println!("\nresident memory with {KNOWN_UPSTREAMS} upstreams known, MB");
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -36,6 +36,12 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Serve callers on an entry VM of the users' platform, without sidecars.
+    Direct {
+        /// Settings file of the platform; without it, the platform's variable names the file.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
     /// Run the whole path with stand-ins on loopback.
     Dev {
         /// Port for callers; the stand-ins take the free ports after it.
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,6 +1,7 @@
 //! Clocks of a process.
 
 use ibissail_core::Millis;
+use rustix::time::{ClockId, clock_gettime};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock that starts with the process.
@@ -24,3 +25,16 @@
 pub(crate) fn unix_seconds() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map(|time| time.as_secs()).unwrap_or_default()
 }
+
+/// Milliseconds of Unix time.
+pub(crate) fn unix_millis() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Millis::from(time).0
+}
+
+/// Time since the VM started, which goes on while the VM is suspended.
+pub(crate) fn since_boot() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Millis(seconds * 1_000 + u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000_000)
+}
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -9,7 +9,7 @@
 use async_std::{net::TcpListener, task};
 use ibissail_catalogue::branch_key;
 use ibissail_core::{BranchPath, Target, VmId, ZoneId};
-use ibissail_platform::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
+use ibissail_object_store::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
 use ibissail_settings::{LocalSettings, Mistakes, parse_branch, parse_local};
 use ibissail_standin::{EngineOptions, run_engine, run_platform, run_service};
 use ibissail_transport::{Pool, PoolOptions, Stop, stop_pair};
--- /dev/null
+++ b/crates/daemon/src/direct/answer.rs
@@ -0,0 +1,90 @@
+//! Answers to callers.
+
+use super::accept::After;
+use ibissail_core::{ErrorKind, Fault, Millis};
+use ibissail_http1::{Connection, HttpError, ResponseHead, reason};
+use ibissail_platform::retry_after_header;
+use serde_json::json;
+
+/// An answer that this entry gives by itself.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    pub(crate) kind: ErrorKind,
+    pub(crate) detail: String,
+    /// When the caller should come back.
+    pub(crate) retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    pub(crate) async fn write(
+        &self,
+        connection: &mut Connection,
+        after: After,
+    ) -> Result<(), HttpError> {
+        let answer = self.kind.answer();
+        let fault = Fault::new(self.kind, self.detail.clone());
+        let error = json!({
+            "kind": self.kind.code(), "message": fault.to_string(), "ran": answer.ran,
+        });
+        let body = json!({ "error": error }).to_string();
+        let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+        if let Some(time) = self.retry_after {
+            let (name, value) = retry_after_header(time);
+            push_header(&mut head, &name, &value);
+        }
+        head.push_str("Content-Type: application/json\r\n");
+        push_header(&mut head, "Content-Length", &body.len().to_string());
+        head.push_str(connection_line(after));
+        head.push_str("\r\n");
+        connection.write((head + &body).as_bytes()).await
+    }
+}
+
+fn push_header(head: &mut String, name: &str, value: &str) {
+    for text in [name, ": ", value, "\r\n"] {
+        head.push_str(text);
+    }
+}
+
+fn connection_line(after: After) -> &'static str {
+    match after {
+        After::KeepOpen => "",
+        After::Close => "Connection: close\r\n",
+    }
+}
+
+/// Status line and headers of a replica's answer, as the caller gets them.
+pub(crate) fn forwarded_head(head: &ResponseHead, framing: &str, after: After) -> String {
+    let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, reason(head.status));
+    for (name, value) in head.headers.end_to_end() {
+        push_header(&mut text, name, value);
+    }
+    text.push_str(framing);
+    text.push_str(connection_line(after));
+    text.push_str("\r\n");
+    text
+}
+
+/// Writes a replica's whole answer.
+pub(crate) async fn write_whole(
+    connection: &mut Connection,
+    head: &ResponseHead,
+    body: &[u8],
+    after: After,
+) -> Result<(), HttpError> {
+    let framing = format!("Content-Length: {}\r\n", body.len());
+    let mut bytes = forwarded_head(head, &framing, after).into_bytes();
+    bytes.extend_from_slice(body);
+    connection.write(&bytes).await
+}
+
+/// A piece of a stream as one chunk.
+pub(crate) fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
+/// The chunk that ends a whole stream.
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/crates/daemon/src/direct/follow.rs
@@ -0,0 +1,268 @@
+//! Follows the store: the configuration, the replicas and the orders.
+//!
+//! A watch brings changes at once. Its silence proves nothing, so exact reads over another
+//! connection bound the age of what is believed.
+
+use super::Direct;
+use crate::clock::since_boot;
+use async_std::task;
+use ibissail_core::{Millis, Revision};
+use ibissail_direct::{Configuration, Order, Replica, RoutingTable};
+use ibissail_platform::{Change, Listing, Store, StoreError};
+use slog::{info, warn};
+use std::{sync::Arc, time::Duration};
+
+/// Longest wait of one watch; a silent connection is noticed after it.
+const WATCH_TIME: Millis = Millis(10_000);
+/// Time between exact reads of the configuration: well inside the two seconds in which a change
+/// must be in force, and the age up to which keys are accepted.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between exact listings of the replicas: inside the two seconds in which a leaving
+/// replica must be left alone.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+impl Direct {
+    /// Takes note of a call to the store and logs when it is lost or regained.
+    fn note_call<T>(
+        &self,
+        what: &'static str,
+        was_well: &mut bool,
+        result: &Result<T, StoreError>,
+    ) {
+        self.metrics.store_calls.inc();
+        let is_well = matches!(result, Ok(_) | Err(StoreError::HistoryGone | StoreError::Conflict));
+        if let Err(error) = result
+            && !is_well
+        {
+            self.metrics.store_failures.inc();
+            self.state().replicas.note_outage(since_boot());
+            if *was_well {
+                warn!(self.log, "store: lost"; "call" => what, "error" => %error);
+            }
+        } else if !*was_well {
+            info!(self.log, "store: regained"; "call" => what);
+        }
+        *was_well = is_well;
+    }
+
+    fn learn_configuration(&self, configuration: Configuration, source: &'static str) {
+        let mut state = self.state();
+        let known = state.table.as_ref().map(|table| table.revision);
+        if known.is_some_and(|known| known >= configuration.revision) {
+            return;
+        }
+        let table = RoutingTable::new(configuration);
+        info!(self.log, "configuration: in force"; "version" => table.version,
+            "revision" => table.revision.0, "source" => source);
+        state.table = Some(Arc::new(table));
+    }
+
+    fn learn_replicas(&self, listing: Listing<Replica>) {
+        let now = since_boot();
+        let mut state = self.state();
+        for (name, error) in &listing.unreadable {
+            warn!(self.log, "replicas: entry ignored"; "replica" => name, "error" => error);
+        }
+        let is_changed = state.replicas.apply_listing(listing.items, listing.at, now);
+        self.metrics.replicas.set(i64::try_from(state.replicas.len()).unwrap_or(i64::MAX));
+        if is_changed {
+            info!(self.log, "replicas: listed"; "count" => state.replicas.len(),
+                "revision" => listing.at.0);
+            state.forget_gone_replicas();
+        }
+    }
+
+    fn change_replicas(&self, changes: Vec<Change<Replica>>, at: Revision) {
+        let now = since_boot();
+        let mut state = self.state();
+        for change in changes {
+            match change {
+                Change::Written(replica, revision) => {
+                    info!(self.log, "replicas: changed"; "replica" => %replica.id,
+                        "service" => %replica.service, "version" => %replica.version,
+                        "address" => %replica.address, "revision" => revision.0,
+                        "state" => format!("{:?}", replica.state));
+                    state.replicas.apply_change(replica, revision);
+                }
+                Change::Removed(name) => {
+                    info!(self.log, "replicas: removed"; "replica" => &name, "revision" => at.0);
+                    remove_replica(&mut state, &name, now);
+                }
+                Change::Unreadable(name, error) => {
+                    warn!(self.log, "replicas: entry ignored"; "replica" => &name,
+                        "error" => error);
+                    remove_replica(&mut state, &name, now);
+                }
+            }
+        }
+        state.replicas.reach(at);
+    }
+
+    pub(super) fn learn_orders(&self, orders: Vec<Order>) {
+        let now = since_boot();
+        let mut state = self.state();
+        for order in orders {
+            let service = order.service.clone();
+            let known = state.orders.get(&service).map(|progress| progress.order.revision);
+            if known.is_some_and(|known| known >= order.revision) {
+                continue;
+            }
+            info!(self.log, "order: learned"; "service" => %service, "target" => %order.target,
+                "state" => %order.state, "revision" => order.revision.0,
+                "duration_ms" => order.duration.0);
+            state.learn_order(order, now);
+        }
+    }
+}
+
+fn remove_replica(state: &mut super::State, name: &str, now: Millis) {
+    if let Ok(id) = name.parse() {
+        state.replicas.apply_removal(&id, now);
+    }
+}
+
+/// Watches the configuration, after an exact read.
+pub(super) async fn follow_configuration(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    let mut is_well = true;
+    loop {
+        let sent_at = since_boot();
+        let listing = store.configurations().await;
+        direct.note_call("list configuration", &mut is_well, &listing);
+        let Ok(listing) = listing else {
+            task::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        for (_name, error) in &listing.unreadable {
+            warn!(direct.log, "configuration: not understood"; "error" => error);
+        }
+        for (configuration, _revision) in listing.items {
+            direct.learn_configuration(configuration, "listing");
+            direct.state().freshness.confirm(sent_at);
+        }
+        let mut at = listing.at;
+        loop {
+            let watched = store.watch_configuration(at, WATCH_TIME).await;
+            direct.note_call("watch configuration", &mut is_well, &watched);
+            let Ok((changes, seen)) = watched else { break };
+            for change in changes {
+                match change {
+                    Change::Written(configuration, _) => {
+                        direct.learn_configuration(configuration, "watch");
+                    }
+                    Change::Removed(name) => {
+                        warn!(direct.log, "configuration: removal ignored"; "name" => name);
+                    }
+                    Change::Unreadable(_, error) => {
+                        warn!(direct.log, "configuration: not understood"; "error" => error);
+                    }
+                }
+            }
+            at = seen;
+        }
+        task::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the configuration exactly, again and again, to bound its age.
+pub(super) async fn confirm_configuration(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    let mut is_well = true;
+    loop {
+        let sent_at = since_boot();
+        let read = store.configuration().await;
+        direct.note_call("read configuration", &mut is_well, &read);
+        match read {
+            Ok(Some(configuration)) => {
+                direct.learn_configuration(configuration, "read");
+                direct.state().freshness.confirm(sent_at);
+                task::sleep(CONFIRM_INTERVAL).await;
+            }
+            Ok(None) | Err(_) => task::sleep(RETRY_PAUSE).await,
+        }
+        let age = direct.state().freshness.age(since_boot()).unwrap_or_default();
+        direct.metrics.configuration_age.set(i64::try_from(age.0).unwrap_or(i64::MAX));
+    }
+}
+
+/// Watches the replicas, after an exact listing.
+pub(super) async fn follow_replicas(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    let mut is_well = true;
+    loop {
+        let listing = store.replicas().await;
+        direct.note_call("list replicas", &mut is_well, &listing);
+        let Ok(listing) = listing else {
+            task::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let mut at = listing.at;
+        direct.learn_replicas(listing);
+        loop {
+            let watched = store.watch_replicas(at, WATCH_TIME).await;
+            direct.note_call("watch replicas", &mut is_well, &watched);
+            let Ok((changes, seen)) = watched else { break };
+            direct.change_replicas(changes, seen);
+            at = seen;
+        }
+        task::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Lists the replicas exactly, again and again, because a watch may miss changes.
+pub(super) async fn confirm_replicas(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    let mut is_well = true;
+    task::sleep(LIST_INTERVAL).await;
+    loop {
+        let listing = store.replicas().await;
+        direct.note_call("list replicas", &mut is_well, &listing);
+        match listing {
+            Ok(listing) => {
+                direct.learn_replicas(listing);
+                task::sleep(LIST_INTERVAL).await;
+            }
+            Err(_logged) => task::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Watches the orders, after an exact listing.
+pub(super) async fn follow_orders(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    let mut is_well = true;
+    loop {
+        let listing = store.orders().await;
+        direct.note_call("list orders", &mut is_well, &listing);
+        let Ok(listing) = listing else {
+            task::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        for (name, error) in &listing.unreadable {
+            warn!(direct.log, "order: not understood"; "name" => name, "error" => error);
+        }
+        direct.learn_orders(listing.items.into_iter().map(|(order, _)| order).collect());
+        let mut at = listing.at;
+        loop {
+            let watched = store.watch_orders(at, WATCH_TIME).await;
+            direct.note_call("watch orders", &mut is_well, &watched);
+            let Ok((changes, seen)) = watched else { break };
+            let written = changes.into_iter().filter_map(|change| match change {
+                Change::Written(order, _) => Some(order),
+                Change::Removed(name) => {
+                    info!(direct.log, "order: removed"; "name" => name);
+                    None
+                }
+                Change::Unreadable(name, error) => {
+                    warn!(direct.log, "order: not understood"; "name" => name, "error" => error);
+                    None
+                }
+            });
+            direct.learn_orders(written.collect());
+            at = seen;
+        }
+        task::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/metrics.rs
@@ -0,0 +1,107 @@
+//! Metrics of a direct entry.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use std::{sync::Arc, time::Duration};
+
+/// Upper bounds of the histograms, in seconds; the users' latency objectives are among them.
+const BOUNDS: [f64; 12] = [0.01, 0.03, 0.06, 0.15, 0.3, 0.6, 1.0, 1.5, 2.0, 4.0, 10.0, 25.0];
+
+/// Labels of an ended request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    pub(crate) route: String,
+    pub(crate) outcome: String,
+}
+
+/// Labels of a latency.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RouteLabels {
+    pub(crate) route: String,
+    pub(crate) organisation: String,
+}
+
+/// Labels of an ended attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    pub(crate) end: String,
+}
+
+type Histograms = Family<RouteLabels, Histogram>;
+
+/// Metrics of a direct entry; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct DirectMetrics {
+    registry: Arc<Registry>,
+    outcomes: Family<OutcomeLabels, Counter>,
+    attempts: Family<AttemptLabels, Counter>,
+    first: Histograms,
+    whole: Histograms,
+    /// Calls to the store.
+    pub(crate) store_calls: Counter,
+    /// Calls to the store that failed.
+    pub(crate) store_failures: Counter,
+    /// Age of the configuration in milliseconds.
+    pub(crate) configuration_age: Gauge,
+    /// Replicas listed.
+    pub(crate) replicas: Gauge,
+    /// Peers heard of lately.
+    pub(crate) peers: Gauge,
+}
+
+impl DirectMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("ibissail_direct");
+        let metrics = Self {
+            registry: Arc::default(),
+            outcomes: Family::default(),
+            attempts: Family::default(),
+            first: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
+            whole: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            configuration_age: Gauge::default(),
+            replicas: Gauge::default(),
+            peers: Gauge::default(),
+        };
+        registry.register("requests", "Ended requests", metrics.outcomes.clone());
+        registry.register("attempts", "Ended attempts", metrics.attempts.clone());
+        registry.register("first_seconds", "Time until the first bytes", metrics.first.clone());
+        registry.register("whole_seconds", "Time until the whole answer", metrics.whole.clone());
+        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
+        let failures = metrics.store_failures.clone();
+        registry.register("store_failures", "Calls to the store that failed", failures);
+        let age = metrics.configuration_age.clone();
+        registry.register("configuration_age_ms", "Age of the configuration", age);
+        registry.register("replicas", "Replicas listed", metrics.replicas.clone());
+        registry.register("peers", "Peers heard of lately", metrics.peers.clone());
+        Self { registry: Arc::new(registry), ..metrics }
+    }
+
+    pub(crate) fn outcome(&self, route: &str, outcome: &str) {
+        let labels = OutcomeLabels { route: route.to_owned(), outcome: outcome.to_owned() };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn attempt(&self, end: &str) {
+        self.attempts.get_or_create(&AttemptLabels { end: end.to_owned() }).inc();
+    }
+
+    pub(crate) fn first(&self, labels: &RouteLabels, time: Duration) {
+        self.first.get_or_create(labels).observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn whole(&self, labels: &RouteLabels, time: Duration) {
+        self.whole.get_or_create(labels).observe(time.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        let _infallible = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/mod.rs
@@ -0,0 +1,151 @@
+//! The entry that calls upstreams directly: no sidecar stands between it and the replicas.
+
+mod accept;
+mod answer;
+mod attempt;
+mod drive;
+mod follow;
+mod metrics;
+mod orders;
+mod peers;
+mod pick;
+mod readiness;
+mod relay;
+mod serve;
+mod state;
+
+use crate::{StartError, cli::LogLevel, clock::since_boot, log, process::listen};
+use async_signal::{Signal, Signals};
+use async_std::{net::UdpSocket, stream::StreamExt, task};
+use ibissail_core::Millis;
+use ibissail_direct::DirectSettings;
+use ibissail_platform::read_boot;
+use ibissail_transport::stop_pair;
+use metrics::DirectMetrics;
+use slog::{Logger, error, info, warn};
+use state::State;
+use std::{
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// Part of the grace time that is kept for the end of the process itself.
+const EXIT_MARGIN: Millis = Millis(500);
+/// Time in which the balancer notices that an entry takes no new connections: two questions a
+/// second apart, and the way there.
+const BALANCER_TIME: Millis = Millis(2_500);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What the tasks of a direct entry share.
+#[derive(Debug)]
+pub(crate) struct Direct {
+    settings: DirectSettings,
+    log: Logger,
+    metrics: DirectMetrics,
+    state: Mutex<State>,
+    is_stopping: AtomicBool,
+    stopping_since: Mutex<Option<Millis>>,
+    open_connections: AtomicUsize,
+}
+
+impl Direct {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether idle connections of callers may be closed: the balancer sends no more of them.
+    fn closes_idle(&self) -> bool {
+        let since = *self.stopping_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.is_some_and(|since| since_boot().since(since) > BALANCER_TIME)
+    }
+}
+
+/// Runs a direct entry until it is asked to stop.
+pub(crate) async fn run(
+    settings: DirectSettings,
+    path: PathBuf,
+    level: LogLevel,
+) -> Result<(), StartError> {
+    let log = log::stdout(level);
+    info!(log, "entry: started"; "vm" => %settings.vm, "zone" => %settings.zone,
+        "callers" => %settings.callers, "store" => %settings.store);
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|error| StartError::Signals(error.to_string()))?;
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let metrics_listener = listen(settings.metrics).await?;
+    let peers = UdpSocket::bind(settings.peers)
+        .await
+        .map_err(|error| StartError::Listen(settings.peers, error.kind().to_string()))?;
+    let direct = Arc::new(Direct {
+        state: Mutex::new(State::new(&settings)),
+        metrics: DirectMetrics::new(),
+        is_stopping: AtomicBool::new(false),
+        stopping_since: Mutex::new(None),
+        open_connections: AtomicUsize::new(0),
+        settings,
+        log,
+    });
+    let (_servers_end, servers_stop) = stop_pair();
+    task::spawn(readiness::serve_readiness(Arc::clone(&direct), readiness, servers_stop.clone()));
+    task::spawn(readiness::serve_metrics(Arc::clone(&direct), metrics_listener, servers_stop));
+    task::spawn(follow::follow_configuration(Arc::clone(&direct)));
+    task::spawn(follow::confirm_configuration(Arc::clone(&direct)));
+    task::spawn(follow::follow_replicas(Arc::clone(&direct)));
+    task::spawn(follow::confirm_replicas(Arc::clone(&direct)));
+    task::spawn(follow::follow_orders(Arc::clone(&direct)));
+    task::spawn(orders::work_on_orders(Arc::clone(&direct)));
+    task::spawn(peers::exchange_reports(Arc::clone(&direct), peers));
+    task::spawn(accept::accept_callers(Arc::clone(&direct), callers));
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(&direct, &path),
+            Ok(signal) => {
+                info!(direct.log, "entry: stopping"; "signal" => format!("{signal:?}"));
+                break;
+            }
+            Err(error) => error!(direct.log, "entry: signal lost"; "error" => %error),
+        }
+    }
+    wait_for_open_requests(&direct).await;
+    Ok(())
+}
+
+/// Reads the settings file again; addresses and bounds of a running process stay.
+fn reload(direct: &Direct, path: &Path) {
+    match read_boot(path) {
+        Ok(settings) => {
+            direct.state().peers.set_seeds(&settings.seeds);
+            info!(direct.log, "entry: settings read again"; "seeds" => settings.seeds.len());
+        }
+        Err(error) => warn!(direct.log, "entry: settings kept"; "error" => %error),
+    }
+}
+
+/// Finishes what is in progress, for as long as the grace time allows.
+async fn wait_for_open_requests(direct: &Direct) {
+    let started = since_boot();
+    *direct.stopping_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
+    direct.is_stopping.store(true, Ordering::Relaxed);
+    let end = started.plus(Millis(direct.settings.grace.0.saturating_sub(EXIT_MARGIN.0)));
+    while since_boot() < end {
+        let is_idle = direct.open_connections.load(Ordering::Relaxed) == 0;
+        if is_idle && direct.closes_idle() {
+            break;
+        }
+        task::sleep(STOP_CHECK_INTERVAL).await;
+    }
+    let open = direct.open_connections.load(Ordering::Relaxed);
+    info!(direct.log, "entry: stopped"; "open_connections" => open,
+        "after_ms" => since_boot().since(started).0);
+    // Logs are written by another thread; give it a moment.
+    task::sleep(STOP_CHECK_INTERVAL).await;
+}
--- /dev/null
+++ b/crates/daemon/src/direct/orders.rs
@@ -0,0 +1,217 @@
+//! Carries out orders to move a service to another version.
+
+use super::{Direct, State};
+use crate::clock::{since_boot, unix_millis};
+use async_std::task;
+use ibissail_core::{InstanceId, Millis, ServiceId, VersionId};
+use ibissail_direct::{
+    Evidence, Order, OrderState, Phase, RolloutView, Sample, Schedule, Verdict, judge,
+};
+use ibissail_platform::{Store, StoreError};
+use slog::{info, warn};
+use std::{sync::Arc, time::Duration};
+
+/// Time between two looks at the orders; a bad version must be left within seconds.
+const WORK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time by which each entry waits longer than the one before it in the order of names, so that
+/// mostly one writes the status.
+const RANK_DELAY: Millis = Millis(500);
+
+/// An order and what this entry has seen of it.
+#[derive(Debug, Clone)]
+pub(crate) struct OrderProgress {
+    pub(crate) order: Order,
+    /// When any entry first saw the order, by this entry's clock.
+    pub(crate) first_seen: Millis,
+    /// Answers that this entry has seen.
+    pub(crate) evidence: Evidence,
+    /// What was decided; it is not taken back.
+    pub(crate) verdict: Verdict,
+    /// Requests of this entry that run on the old version.
+    pub(crate) old_running: u32,
+    wanted: Option<(OrderState, Millis)>,
+}
+
+impl OrderProgress {
+    fn new(order: Order, now: Millis) -> Self {
+        let running_for = order
+            .started_unix_ms
+            .map(|started| Millis(unix_millis()).since(Millis(started)))
+            .unwrap_or_default();
+        Self {
+            order,
+            first_seen: now.since(running_for),
+            evidence: Evidence::default(),
+            verdict: Verdict::Open,
+            old_running: 0,
+            wanted: None,
+        }
+    }
+
+    pub(crate) fn schedule(&self, now: Millis) -> Schedule {
+        Schedule { elapsed: now.since(self.first_seen), duration: self.order.duration }
+    }
+
+    pub(crate) fn view(&self, now: Millis) -> RolloutView {
+        RolloutView::new(&self.order, &self.schedule(now), self.verdict.is_bad())
+    }
+}
+
+impl State {
+    /// Takes over an order, or the newer status of one.
+    pub(super) fn learn_order(&mut self, order: Order, now: Millis) {
+        let service = order.service.clone();
+        if order.state == OrderState::Succeeded {
+            self.baselines.insert(service.clone(), order.target.clone());
+        }
+        match self.orders.get_mut(&service) {
+            Some(known)
+                if known.order.target == order.target
+                    && (order.state.is_final() || !known.order.state.is_final()) =>
+            {
+                known.order = order;
+            }
+            _ => {
+                self.orders.insert(service, OrderProgress::new(order, now));
+            }
+        }
+    }
+
+    /// Counts an answer as evidence, if the service has an order in progress.
+    pub(super) fn note_answer(
+        &mut self,
+        service: &ServiceId,
+        version: &VersionId,
+        sample: &Sample,
+    ) {
+        let Some(progress) = self.orders.get_mut(service) else { return };
+        if progress.order.state.is_final() {
+            return;
+        }
+        let is_new = *version == progress.order.target;
+        let counts = if is_new { &mut progress.evidence.new } else { &mut progress.evidence.old };
+        counts.note(sample);
+    }
+
+    /// Counts the start or the end of a request on the old version.
+    pub(super) fn count_old(&mut self, service: &ServiceId, instance: &InstanceId, is_start: bool) {
+        let version = self.replicas.get(instance).map(|replica| replica.version.clone());
+        let Some(progress) = self.orders.get_mut(service) else { return };
+        if version.is_some_and(|version| version != progress.order.target) {
+            progress.old_running = if is_start {
+                progress.old_running + 1
+            } else {
+                progress.old_running.saturating_sub(1)
+            };
+        }
+    }
+
+    /// The status that an order should get now, if another than it has.
+    fn next_status(&mut self, service: &ServiceId, now: Millis) -> Option<(OrderState, Verdict)> {
+        let peers = self.peers.order_reports(service, now);
+        let progress = self.orders.get_mut(service)?;
+        if progress.order.state.is_final() {
+            return None;
+        }
+        let mut evidence = progress.evidence.clone();
+        let mut old_running = progress.old_running;
+        for report in peers.iter().filter(|report| report.target == progress.order.target) {
+            evidence.merge(&report.evidence);
+            old_running += report.old_running;
+            progress.first_seen = progress.first_seen.min(now.since(report.elapsed));
+            if report.is_bad && !progress.verdict.is_bad() {
+                progress.verdict = Verdict::Failing;
+            }
+        }
+        if !progress.verdict.is_bad() {
+            progress.verdict = judge(&evidence);
+        }
+        let phase = progress.schedule(now).phase();
+        let wanted = match (progress.verdict.is_bad(), progress.order.state, phase) {
+            (true, ..) => OrderState::RolledBack,
+            (false, _, Phase::Due) => OrderState::Succeeded,
+            (false, _, Phase::Settling) if old_running == 0 => OrderState::Succeeded,
+            (false, OrderState::Pending, _) => OrderState::Running,
+            _ => {
+                progress.wanted = None;
+                return None;
+            }
+        };
+        Some((wanted, progress.verdict))
+    }
+}
+
+impl Direct {
+    /// The write that this entry should make now for an order.
+    fn due_write(&self, service: &ServiceId, now: Millis) -> Option<Order> {
+        let mut state = self.state();
+        let (wanted, verdict) = state.next_status(service, now)?;
+        let rank = state.peers.rank(now);
+        let progress = state.orders.get_mut(service)?;
+        let since = match progress.wanted {
+            Some((known, since)) if known == wanted => since,
+            _ => {
+                info!(self.log, "order: decided"; "service" => %service,
+                    "target" => %progress.order.target, "state" => %wanted,
+                    "verdict" => %verdict, "phase" => %progress.schedule(now).phase(),
+                    "elapsed_ms" => now.since(progress.first_seen).0,
+                    "evidence" => format!("{:?}", progress.evidence));
+                progress.wanted = Some((wanted, now));
+                now
+            }
+        };
+        if now.since(since) < Millis(RANK_DELAY.0 * rank) {
+            return None;
+        }
+        let mut order = progress.order.clone();
+        order.state = wanted;
+        let running_for = now.since(progress.first_seen);
+        order.started_unix_ms = Some(Millis(unix_millis()).since(running_for).0);
+        Some(order)
+    }
+}
+
+/// Judges the orders in progress and writes their status.
+pub(super) async fn work_on_orders(direct: Arc<Direct>) {
+    let mut store = Store::new(direct.settings.store);
+    loop {
+        task::sleep(WORK_INTERVAL).await;
+        let services: Vec<ServiceId> = direct.state().orders.keys().cloned().collect();
+        for service in services {
+            if let Some(order) = direct.due_write(&service, since_boot()) {
+                write_status(&direct, &mut store, order).await;
+            }
+        }
+    }
+}
+
+async fn write_status(direct: &Direct, store: &mut Store, order: Order) {
+    direct.metrics.store_calls.inc();
+    let written = store.write_status(&order).await;
+    match written {
+        Ok(()) => {
+            info!(direct.log, "order: status written"; "service" => %order.service,
+                "target" => %order.target, "state" => %order.state,
+                "revision" => order.revision.0);
+            direct.state().learn_order(order, since_boot());
+        }
+        Err(error) => {
+            warn!(direct.log, "order: status not written"; "service" => %order.service,
+                "state" => %order.state, "revision" => order.revision.0, "error" => %error);
+            if matches!(error, StoreError::Conflict | StoreError::MaybeDone(_)) {
+                read_orders(direct, store).await;
+            }
+        }
+    }
+}
+
+/// Reads what stands, after another writer was first or an answer was lost.
+async fn read_orders(direct: &Direct, store: &mut Store) {
+    direct.metrics.store_calls.inc();
+    match store.orders().await {
+        Ok(listing) => {
+            direct.learn_orders(listing.items.into_iter().map(|(order, _)| order).collect());
+        }
+        Err(error) => warn!(direct.log, "order: not read"; "error" => %error),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/peers.rs
@@ -0,0 +1,274 @@
+//! Reports between entries over UDP: loads on replicas and evidence of roll-outs.
+//!
+//! A lost report is replaced by the next; nothing that must last depends on them.
+
+use super::Direct;
+use crate::clock::since_boot;
+use async_std::{net::UdpSocket, task};
+use futures_lite::FutureExt;
+use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
+use ibissail_direct::{DirectSettings, Evidence, stable_hash};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Time between two reports; loads older than a prompt's reading time would mislead.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a peer's loads no longer count.
+const LOAD_TIME: Millis = Millis(1_500);
+/// Time after which a silent peer no longer counts.
+const PEER_TIME: Millis = Millis(3_000);
+/// Time after which a silent address is no longer tried, unless it is a seed.
+const CONTACT_TIME: Millis = Millis(30_000);
+/// Reports between two tries of silent addresses.
+const SILENT_EVERY: u64 = 4;
+/// Most peers that get a report at once; larger fleets take turns.
+const MAX_RECEIVERS: usize = 24;
+/// Addresses passed on in a report.
+const MAX_CONTACTS: usize = 8;
+/// Largest report that arrives in one datagram.
+const MAX_REPORT_BYTES: usize = 1_400;
+
+/// What an entry says of an order in progress.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct OrderReport {
+    pub(crate) service: ServiceId,
+    pub(crate) target: VersionId,
+    /// Time since any entry first saw the order.
+    pub(crate) elapsed: Millis,
+    pub(crate) is_bad: bool,
+    /// Requests of the reporting entry on the old version.
+    pub(crate) old_running: u32,
+    pub(crate) evidence: Evidence,
+}
+
+/// Load that an entry has put on a replica.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct LoadReport {
+    replica: u32,
+    running: u32,
+    unread: Tokens,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Report {
+    vm: VmId,
+    address: SocketAddr,
+    contacts: Vec<SocketAddr>,
+    loads: Vec<LoadReport>,
+    orders: Vec<OrderReport>,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    heard: Millis,
+    report: Report,
+}
+
+/// The other entries, as far as they have been heard of.
+#[derive(Debug)]
+pub(crate) struct PeerTable {
+    own: VmId,
+    own_address: SocketAddr,
+    peers: BTreeMap<VmId, Peer>,
+    seeds: BTreeSet<SocketAddr>,
+    contacts: BTreeMap<SocketAddr, Millis>,
+    turn: u64,
+}
+
+/// The short hash by which reports name a replica.
+pub(crate) fn replica_hash(id: &InstanceId) -> u32 {
+    short(stable_hash(&[id.as_str()]))
+}
+
+/// The lower half of a hash.
+pub(crate) fn short(hash: u64) -> u32 {
+    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+}
+
+impl PeerTable {
+    pub(crate) fn new(settings: &DirectSettings) -> Self {
+        let mut table = Self {
+            own: settings.vm.clone(),
+            own_address: settings.peers,
+            peers: BTreeMap::new(),
+            seeds: BTreeSet::new(),
+            contacts: BTreeMap::new(),
+            turn: 0,
+        };
+        table.set_seeds(&settings.seeds);
+        table
+    }
+
+    /// Replaces the addresses of the first contact; all entries use the same port.
+    pub(crate) fn set_seeds(&mut self, seeds: &[IpAddr]) {
+        let port = self.own_address.port();
+        let own = self.own_address;
+        let seeds = seeds.iter().map(|ip| SocketAddr::new(*ip, port));
+        self.seeds = seeds.filter(|seed| *seed != own).collect();
+    }
+
+    fn live(&self, now: Millis) -> impl Iterator<Item = (&VmId, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < PEER_TIME)
+    }
+
+    /// Entries that are alive, with this one.
+    pub(crate) fn entries(&self, now: Millis) -> usize {
+        self.live(now).count() + 1
+    }
+
+    /// How many live entries come before this one in the order of names.
+    pub(crate) fn rank(&self, now: Millis) -> u64 {
+        self.live(now).filter(|(vm, _)| **vm < self.own).count() as u64
+    }
+
+    /// What live peers say of a service's order.
+    pub(crate) fn order_reports(&self, service: &ServiceId, now: Millis) -> Vec<OrderReport> {
+        let reports = self.live(now).flat_map(|(_, peer)| &peer.report.orders);
+        reports.filter(|report| report.service == *service).cloned().collect()
+    }
+
+    /// Requests and unread prompt tokens that peers have at each replica, by its short hash.
+    pub(crate) fn loads(&self, now: Millis) -> BTreeMap<u32, (u32, Tokens)> {
+        let mut loads: BTreeMap<u32, (u32, Tokens)> = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| now.since(peer.heard) < LOAD_TIME) {
+            for load in &peer.report.loads {
+                let sum = loads.entry(load.replica).or_default();
+                sum.0 += load.running;
+                sum.1.0 += load.unread.0;
+            }
+        }
+        loads
+    }
+
+    /// Takes over a report; returns whether its sender was not known to be alive.
+    fn learn(&mut self, report: Report, now: Millis) -> bool {
+        let is_new =
+            self.peers.get(&report.vm).is_none_or(|peer| now.since(peer.heard) >= PEER_TIME);
+        for contact in &report.contacts {
+            if *contact != self.own_address {
+                self.contacts.entry(*contact).or_insert(now);
+            }
+        }
+        self.contacts.insert(report.address, now);
+        let peer = Peer { address: report.address, heard: now, report };
+        self.peers.insert(peer.report.vm.clone(), peer);
+        is_new
+    }
+
+    /// Where the next report goes.
+    fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.turn += 1;
+        self.contacts.retain(|_, heard| now.since(*heard) < CONTACT_TIME);
+        self.peers.retain(|_, peer| now.since(peer.heard) < CONTACT_TIME);
+        let mut receivers: Vec<SocketAddr> = self.live(now).map(|(_, peer)| peer.address).collect();
+        if receivers.len() > MAX_RECEIVERS {
+            let turn = usize::try_from(self.turn).unwrap_or_default() * MAX_RECEIVERS;
+            let from = turn % receivers.len();
+            receivers.rotate_left(from);
+            receivers.truncate(MAX_RECEIVERS);
+        }
+        if self.turn % SILENT_EVERY == 1 {
+            let known: BTreeSet<SocketAddr> = receivers.iter().copied().collect();
+            let silent = self.seeds.iter().chain(self.contacts.keys());
+            let silent: BTreeSet<SocketAddr> =
+                silent.filter(|address| !known.contains(address)).copied().collect();
+            receivers.extend(silent.into_iter().take(MAX_RECEIVERS));
+        }
+        receivers
+    }
+
+    fn contacts(&self, now: Millis) -> Vec<SocketAddr> {
+        self.live(now).map(|(_, peer)| peer.address).take(MAX_CONTACTS).collect()
+    }
+}
+
+impl Direct {
+    fn report(&self, now: Millis) -> (Vec<SocketAddr>, Report) {
+        let mut state = self.state();
+        let loads = state.loads.iter().filter(|(_, load)| load.running > 0);
+        let loads = loads.map(|(id, load)| LoadReport {
+            replica: replica_hash(id),
+            running: load.running,
+            unread: load.unread,
+        });
+        let loads = loads.collect();
+        let orders = state.orders.values().filter(|progress| !progress.order.state.is_final());
+        let orders = orders.map(|progress| OrderReport {
+            service: progress.order.service.clone(),
+            target: progress.order.target.clone(),
+            elapsed: now.since(progress.first_seen),
+            is_bad: progress.verdict.is_bad(),
+            old_running: progress.old_running,
+            evidence: progress.evidence.clone(),
+        });
+        let orders = orders.collect();
+        let receivers = state.peers.receivers(now);
+        let report = Report {
+            vm: self.settings.vm.clone(),
+            address: self.settings.peers,
+            contacts: state.peers.contacts(now),
+            loads,
+            orders,
+        };
+        let live = state.peers.live(now).count();
+        self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
+        (receivers, report)
+    }
+
+    fn learn_report(&self, bytes: &[u8]) {
+        match rmp_serde::from_slice::<Report>(bytes) {
+            Ok(report) => {
+                let (vm, address) = (report.vm.clone(), report.address);
+                if self.state().peers.learn(report, since_boot()) {
+                    info!(self.log, "peers: heard"; "vm" => %vm, "address" => %address);
+                }
+            }
+            Err(error) => warn!(self.log, "peers: report ignored"; "error" => %error),
+        }
+    }
+}
+
+/// Sends and receives reports.
+pub(super) async fn exchange_reports(direct: Arc<Direct>, socket: UdpSocket) {
+    let sending = async {
+        loop {
+            send_report(&direct, &socket).await;
+            task::sleep(REPORT_INTERVAL).await;
+        }
+    };
+    let receiving = async {
+        let mut buf = [0; 2 * MAX_REPORT_BYTES];
+        loop {
+            match socket.recv_from(&mut buf).await {
+                Ok((length, _from)) => direct.learn_report(&buf[..length]),
+                // An earlier datagram met a closed port; the next may not.
+                Err(_refused) => task::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    };
+    sending.or(receiving).await;
+}
+
+async fn send_report(direct: &Direct, socket: &UdpSocket) {
+    let (receivers, report) = direct.report(since_boot());
+    if receivers.is_empty() {
+        return;
+    }
+    match rmp_serde::to_vec(&report) {
+        Ok(bytes) if bytes.len() <= MAX_REPORT_BYTES => {
+            for receiver in receivers {
+                // A datagram that is not sent is like one that is lost.
+                let _lost = socket.send_to(&bytes, receiver).await;
+            }
+        }
+        Ok(bytes) => warn!(direct.log, "peers: report too long"; "bytes" => bytes.len()),
+        Err(error) => warn!(direct.log, "peers: report not encoded"; "error" => %error),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/pick.rs
@@ -0,0 +1,203 @@
+//! Picks the replica for the next attempt of a request.
+
+use super::{
+    Direct, State, drive::Progress, peers::replica_hash, serve::Work, state::SessionVersion,
+};
+use crate::clock::since_boot;
+use ibissail_core::{InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
+use ibissail_direct::{Candidate, Demand, Replica, place, stable_hash};
+use std::net::SocketAddr;
+
+/// Time after which a version that no order names is used like the others.
+const UNORDERED_TIME: Millis = Millis(3_000);
+/// One in so many replicas stays in the choice whatever their failures: half of them carry the
+/// usual load of a day.
+const MIN_CHOICE_DIVISOR: usize = 2;
+
+/// The replica for an attempt.
+#[derive(Debug, Clone)]
+pub(crate) struct Picked {
+    pub(crate) id: InstanceId,
+    pub(crate) address: SocketAddr,
+    pub(crate) version: VersionId,
+    /// Tokens that the replica probably has to read.
+    pub(crate) unread: Tokens,
+    /// Replicas that were in the choice.
+    pub(crate) choice: usize,
+}
+
+/// Which versions a request may go to.
+#[derive(Debug, Clone)]
+enum Versions {
+    All,
+    Only(VersionId),
+    Except(VersionId),
+}
+
+impl Versions {
+    fn allow(&self, version: &VersionId) -> bool {
+        match self {
+            Self::All => true,
+            Self::Only(only) => version == only,
+            Self::Except(excepted) => version != excepted,
+        }
+    }
+}
+
+impl Direct {
+    /// The replica for the next attempt; `None` when no replica may take the request now.
+    pub(crate) fn pick(
+        &self,
+        work: &Work,
+        progress: &Progress,
+        model: Option<&ModelId>,
+    ) -> Option<Picked> {
+        let now = since_boot();
+        let mut state = self.state();
+        let versions = state.versions(work, progress, now);
+        let zone = &self.settings.zone;
+        let mut choice = state.candidates(work, progress, model, &versions, zone, now);
+        if choice.is_empty() && progress.version.is_none() && progress.sends == 0 {
+            // No replica of the preferred version is left: any allowed one serves the caller.
+            let fallback = state.fallback_versions(&work.service);
+            choice = state.candidates(work, progress, model, &fallback, zone, now);
+        }
+        let demand = model.map_or(Demand::Call, |model| Demand::Prompt(model, &work.call.prompt));
+        let draw = stable_hash(&[&work.call.id, &progress.sends.to_string()]);
+        let chosen = place(&choice, demand, draw)?;
+        let candidate = &choice[chosen];
+        let replica = state.replicas.get(&candidate.id)?.clone();
+        if let Some(session) = &work.call.session {
+            let used = SessionVersion { version: replica.version.clone(), last_used: now };
+            state.sessions.insert(session.clone(), used);
+            let pause = self.settings.session_pause;
+            state.sessions.retain(|_, session| now.since(session.last_used) < pause);
+        }
+        let unread = work.call.prompt.input.0.saturating_sub(candidate.cached.0);
+        Some(Picked {
+            id: replica.id,
+            address: replica.address,
+            version: replica.version,
+            unread: Tokens(unread),
+            choice: choice.len(),
+        })
+    }
+}
+
+impl State {
+    fn versions(&mut self, work: &Work, progress: &Progress, now: Millis) -> Versions {
+        if let Some(version) = &progress.version {
+            return Versions::Only(version.clone());
+        }
+        let service = &work.service;
+        if let Some(order) = self.orders.get(service) {
+            let view = order.view(now);
+            let is_done = order.order.state.is_final();
+            if is_done && view.share < 1.0 {
+                return Versions::Except(view.target);
+            }
+            if !is_done {
+                let session = work.call.session.as_deref();
+                let known = session.and_then(|session| self.sessions.get(session));
+                let takes = match known {
+                    // A session stays where it is until all move.
+                    Some(known) if view.share > 0.0 && view.share < 1.0 => {
+                        known.version == view.target
+                    }
+                    _ => view.takes(stable_hash(&[session.unwrap_or(&work.call.id)])),
+                };
+                let takes = takes && !progress.avoids_new_version;
+                return if takes {
+                    Versions::Only(view.target)
+                } else {
+                    Versions::Except(view.target)
+                };
+            }
+        }
+        self.unordered_versions(service, now)
+    }
+
+    /// Without an order in progress, a version that has just appeared may belong to one that is
+    /// not known yet.
+    fn unordered_versions(&mut self, service: &ServiceId, now: Millis) -> Versions {
+        let mut seen: Vec<VersionId> = Vec::new();
+        for replica in self.replicas.ready(service, now) {
+            if !seen.contains(&replica.version) {
+                seen.push(replica.version.clone());
+            }
+        }
+        match (seen.as_slice(), self.baselines.get(service).cloned()) {
+            ([], _) => Versions::All,
+            ([only], known) => {
+                if known.as_ref() != Some(only) {
+                    self.baselines.insert(service.clone(), only.clone());
+                }
+                self.mixed_since.remove(service);
+                Versions::All
+            }
+            (_, Some(known)) if seen.contains(&known) => {
+                let since = *self.mixed_since.entry(service.clone()).or_insert(now);
+                if now.since(since) < UNORDERED_TIME {
+                    Versions::Only(known)
+                } else {
+                    Versions::All
+                }
+            }
+            _ => Versions::All,
+        }
+    }
+
+    /// Versions for a request that finds no replica of the version it should go to.
+    fn fallback_versions(&self, service: &ServiceId) -> Versions {
+        match self.orders.get(service) {
+            Some(order) if order.verdict.is_bad() => Versions::Except(order.order.target.clone()),
+            _ => Versions::All,
+        }
+    }
+
+    fn candidates(
+        &self,
+        work: &Work,
+        progress: &Progress,
+        model: Option<&ModelId>,
+        versions: &Versions,
+        zone: &ZoneId,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let peers = self.peers.loads(now);
+        let allowed = |replica: &&Replica| {
+            versions.allow(&replica.version)
+                && !progress.tried.contains(&replica.id)
+                && model
+                    .is_none_or(|model| replica.models.is_empty() || replica.models.contains(model))
+        };
+        let candidate = |replica: &Replica| {
+            let own = self.loads.get(&replica.id).copied().unwrap_or_default();
+            let (running, unread) =
+                peers.get(&replica_hash(&replica.id)).copied().unwrap_or_default();
+            let health = self.health.get(&replica.id).copied().unwrap_or_default();
+            let cached = model.map_or(Tokens(0), |model| {
+                self.prefixes.cached(&replica.id, model, &work.call.prompt, now)
+            });
+            let candidate = Candidate {
+                id: replica.id.clone(),
+                is_near: replica.zone == *zone,
+                slots: replica.slots.0,
+                running: own.running + running,
+                unread: Tokens(own.unread.0 + unread.0),
+                cached,
+                failure_share: health.failure_share(),
+            };
+            (candidate, health.is_ejected(now))
+        };
+        let all: Vec<(Candidate, bool)> =
+            self.replicas.ready(&work.service, now).filter(allowed).map(candidate).collect();
+        let least = all.len().div_ceil(MIN_CHOICE_DIVISOR);
+        let sound = all.iter().filter(|(_, is_ejected)| !is_ejected).count();
+        let keeps_all = sound < least.max(1);
+        all.into_iter()
+            .filter(|(_, is_ejected)| keeps_all || !is_ejected)
+            .map(|(candidate, _)| candidate)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/state.rs
@@ -0,0 +1,79 @@
+//! What a direct entry knows, and the loads it has put on replicas.
+
+use super::{orders::OrderProgress, peers::PeerTable};
+use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VersionId};
+use ibissail_direct::{
+    BudgetLimits, DirectSettings, Freshness, Health, PrefixBelief, ReplicaSet, RetryBudget,
+    RoutingTable,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Requests that this entry has at one replica.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct OwnLoad {
+    /// Requests sent and not ended.
+    pub(crate) running: u32,
+    /// Prompt tokens of those that have no first event yet.
+    pub(crate) unread: Tokens,
+    /// When any byte last came from the replica.
+    pub(crate) last_byte: Millis,
+}
+
+/// A session's version, while its requests follow each other closely.
+#[derive(Debug, Clone)]
+pub(crate) struct SessionVersion {
+    pub(crate) version: VersionId,
+    pub(crate) last_used: Millis,
+}
+
+/// What a direct entry knows.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) table: Option<Arc<RoutingTable>>,
+    pub(crate) freshness: Freshness,
+    pub(crate) replicas: ReplicaSet,
+    pub(crate) health: BTreeMap<InstanceId, Health>,
+    pub(crate) loads: BTreeMap<InstanceId, OwnLoad>,
+    pub(crate) prefixes: PrefixBelief,
+    pub(crate) peers: PeerTable,
+    pub(crate) orders: BTreeMap<ServiceId, OrderProgress>,
+    pub(crate) baselines: BTreeMap<ServiceId, VersionId>,
+    /// Since when a service has replicas of several versions without an order.
+    pub(crate) mixed_since: BTreeMap<ServiceId, Millis>,
+    pub(crate) sessions: BTreeMap<String, SessionVersion>,
+    budgets: BTreeMap<ServiceId, RetryBudget>,
+    budget_limits: BudgetLimits,
+}
+
+impl State {
+    pub(crate) fn new(settings: &DirectSettings) -> Self {
+        Self {
+            table: None,
+            freshness: Freshness::new(settings.key_age_limit),
+            replicas: ReplicaSet::default(),
+            health: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            prefixes: PrefixBelief::default(),
+            peers: PeerTable::new(settings),
+            orders: BTreeMap::new(),
+            baselines: BTreeMap::new(),
+            mixed_since: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            budget_limits: settings.budget,
+        }
+    }
+
+    /// The share of the retry budget towards a service.
+    pub(crate) fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        let limits = self.budget_limits;
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    /// Forgets replicas that are no longer listed and carry no request.
+    pub(crate) fn forget_gone_replicas(&mut self) {
+        let replicas = &self.replicas;
+        self.health.retain(|id, _| replicas.get(id).is_some());
+        self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
+    }
+}
--- a/crates/daemon/src/entry/billing.rs
+++ b/crates/daemon/src/entry/billing.rs
@@ -9,7 +9,7 @@
 use ibissail_billing::{Outbox, UsageRecord};
 use ibissail_core::{Millis, RequestId};
 use ibissail_execution::{ConfirmRequest, Confirmation, RunKey, SettleRequest, paths};
-use ibissail_platform::VmRole;
+use ibissail_object_store::VmRole;
 use rand::seq::IteratorRandom;
 use slog::debug;
 use std::{
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -14,7 +14,7 @@
     Claim, ClaimNumber, ClaimStep, ClaimView, HeldClaim, Outcome, RunKey, TokenCounts, claim_key,
     next_step,
 };
-use ibissail_platform::{Object, PlatformError};
+use ibissail_object_store::{Object, PlatformError};
 use slog::info;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a daemon does not start, and its exit codes.
 
+use ibissail_platform::BootError;
 use ibissail_settings::Mistakes;
 use quick_error::quick_error;
 use std::net::SocketAddr;
@@ -17,6 +18,15 @@
             from()
             display("the settings have mistakes:\n{}", mistakes)
         }
+        /// Nothing names the settings file.
+        NoSettings(variable: String) {
+            display("no settings: give `--settings FILE` or set the variable {}", variable)
+        }
+        /// The settings file of the platform cannot be used.
+        Boot(error: BootError) {
+            from()
+            display("{}", error)
+        }
         /// A sidecar needs an upstream.
         NoUpstream(file: String) {
             display("{}: the key `upstream` is missing; a sidecar needs it", file)
@@ -62,7 +72,11 @@
     #[must_use]
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Unreadable(..) | Self::Settings(_) | Self::NoUpstream(_) => ExitCode::Settings,
+            Self::Unreadable(..)
+            | Self::Settings(_)
+            | Self::NoUpstream(_)
+            | Self::NoSettings(_)
+            | Self::Boot(_) => ExitCode::Settings,
             Self::Listen(..) | Self::Platform(_) | Self::Signals(_) => ExitCode::Failure,
         }
     }
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use ibissail_billing::{Ledger, LedgerKey, UsageRecord, counted};
-use ibissail_platform::{Object, PlatformError};
+use ibissail_object_store::{Object, PlatformError};
 use slog::{debug, error};
 
 /// Writers of the same ledger that may come in between before this one tries again later.
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -10,14 +10,41 @@
 /// Events that may wait to be written; more are dropped and counted.
 const MAX_WAITING_EVENTS: usize = 4_096;
 
-/// The root logger of a process.
-pub(crate) fn root(format: LogFormat, level: LogLevel) -> Logger {
-    let level = match level {
+/// A logger that writes JSON to standard output, for processes whose logs the platform collects.
+pub(crate) fn stdout(level: LogLevel) -> Logger {
+    let drain = json(io::stdout());
+    Logger::root(LevelFilter::new(waiting(drain), slog_level(level)).fuse(), o!())
+}
+
+fn slog_level(level: LogLevel) -> Level {
+    match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warning,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
-    };
+    }
+}
+
+fn json<W>(output: W) -> slog::Fuse<Json<W>>
+where
+    W: io::Write,
+{
+    Json::new(output)
+        .set_newlines(true)
+        .add_key_value(o!(
+            "ts" => PushFnValue(move |_: &Record<'_>, ser| {
+                ser.emit(crate::clock::unix_millis())
+            }),
+            "level" => FnValue(move |record: &Record<'_>| record.level().as_short_str()),
+            "msg" => PushFnValue(move |record: &Record<'_>, ser| ser.emit(record.msg())),
+        ))
+        .build()
+        .fuse()
+}
+
+/// The root logger of a process.
+pub(crate) fn root(format: LogFormat, level: LogLevel) -> Logger {
+    let level = slog_level(level);
     match format {
         LogFormat::Text => {
             let decorator = TermDecorator::new().stderr().build();
@@ -25,17 +52,7 @@
             Logger::root(LevelFilter::new(waiting(drain), level).fuse(), o!())
         }
         LogFormat::Json => {
-            let drain = Json::new(io::stderr())
-                .set_newlines(true)
-                .add_key_value(o!(
-                    "ts" => PushFnValue(move |_: &Record<'_>, ser| {
-                        ser.emit(crate::clock::unix_seconds())
-                    }),
-                    "level" => FnValue(move |record: &Record<'_>| record.level().as_short_str()),
-                    "msg" => PushFnValue(move |record: &Record<'_>, ser| ser.emit(record.msg())),
-                ))
-                .build()
-                .fuse();
+            let drain = json(io::stderr());
             Logger::root(LevelFilter::new(waiting(drain), level).fuse(), o!())
         }
     }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -14,7 +14,7 @@
 use ibissail_catalogue::{Catalogue, Document, Exchange};
 use ibissail_core::{Incarnation, Millis};
 use ibissail_execution::Refusal;
-use ibissail_platform::{HttpPlatform, ObjectApi};
+use ibissail_object_store::{HttpPlatform, ObjectApi};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{CallError, Envelope, Keyring, Pool, PoolOptions, Stop, call};
 use serde::{Serialize, de::DeserializeOwned};
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -5,7 +5,7 @@
 use ibissail_catalogue::choose_peers;
 use ibissail_core::VmId;
 use ibissail_execution::paths;
-use ibissail_platform::{VmRecord, VmRole};
+use ibissail_object_store::{VmRecord, VmRole};
 use ibissail_settings::LocalSettings;
 use slog::debug;
 use std::{
--- a/crates/daemon/src/node/promotion.rs
+++ b/crates/daemon/src/node/promotion.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use async_std::task;
 use ibissail_catalogue::{WITHDRAWALS_KEY, Withdrawals};
-use ibissail_platform::PlatformError;
+use ibissail_object_store::PlatformError;
 use rand::Rng;
 use slog::{debug, info};
 use std::{sync::Arc, time::Duration};
--- a/crates/daemon/src/node/watching.rs
+++ b/crates/daemon/src/node/watching.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use ibissail_catalogue::{CONFIG_PREFIX, Document, is_watcher};
 use ibissail_core::Revision;
-use ibissail_platform::{Change, Object, PlatformError};
+use ibissail_object_store::{Change, Object, PlatformError};
 use rand::Rng;
 use slog::{debug, info};
 use std::{sync::Arc, time::Duration};
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -4,9 +4,17 @@
     StartError,
     cli::{Cli, Command, LogFormat, LogLevel, Standin},
 };
+use ibissail_direct::DirectSettings;
+use ibissail_platform::{SETTINGS_VARIABLE, read_boot};
 use ibissail_settings::{LocalSettings, UpstreamSettings, parse_local};
 use ibissail_standin::EngineOptions;
-use std::{fs, net::SocketAddr, num::NonZeroUsize, path::Path, time::Duration};
+use std::{
+    env, fs,
+    net::SocketAddr,
+    num::NonZeroUsize,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 /// Checked options of the daemon.
 #[derive(Debug)]
@@ -28,6 +36,8 @@
     Entry(Box<LocalSettings>),
     /// A sidecar and the upstream beside it.
     Sidecar(Box<LocalSettings>, UpstreamSettings),
+    /// An entry that calls upstreams directly, and the file that its settings came from.
+    Direct(Box<DirectSettings>, PathBuf),
     /// The whole path; the port is for callers.
     Dev(u16),
     /// The platform stand-in.
@@ -48,6 +58,7 @@
         let role = match cli.command {
             Command::Entry { settings } => Role::Entry(Box::new(read(&settings)?)),
             Command::Sidecar { settings } => sidecar(&settings)?,
+            Command::Direct { settings } => direct(settings)?,
             Command::Dev { port } => Role::Dev(port),
             Command::Standin { kind } => standin(kind),
         };
@@ -75,6 +86,13 @@
     }
 }
 
+fn direct(path: Option<PathBuf>) -> Result<Role, StartError> {
+    let path = path
+        .or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| StartError::NoSettings(SETTINGS_VARIABLE.to_owned()))?;
+    Ok(Role::Direct(Box::new(read_boot(&path)?), path))
+}
+
 fn standin(kind: Standin) -> Role {
     match kind {
         Standin::Platform { listen } => Role::Platform(listen),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts what the options ask for, and stops it on a signal.
 
 use crate::{
-    Options, StartError, dev, entry::Entry, log, options::Role, sidecar::Sidecar, standin,
+    Options, StartError, dev, direct, entry::Entry, log, options::Role, sidecar::Sidecar, standin,
 };
 use async_global_executor::{GlobalExecutorConfig, init_with_config};
 use async_signal::{Signal, Signals};
@@ -32,6 +32,7 @@
                 sidecar.stop().await;
                 Ok(())
             }
+            Role::Direct(settings, path) => direct::run(*settings, path, options.log_level).await,
             Role::Dev(port) => dev::run(port, log).await,
             Role::Platform(address) => standin::platform(address).await,
             Role::Engine(address, options) => standin::engine(address, options).await,
--- a/crates/daemon/src/sidecar/claims.rs
+++ b/crates/daemon/src/sidecar/claims.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use ibissail_core::Revision;
 use ibissail_execution::{Claim, HeldClaim, Outcome, RunKey, RunRequest, claim_key};
-use ibissail_platform::{Object, PlatformError};
+use ibissail_object_store::{Object, PlatformError};
 use slog::{debug, warn};
 use std::time::Duration;
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use gate::Gate;
 use http::{Answer, get, send};
-use ibissail_platform::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
+use ibissail_object_store::{HttpPlatform, ObjectApi, VmRecord, VmRole, VmState};
 use ibissail_standin::{
     EngineCounts, EngineFaults, PlatformCounts, PlatformFaults, ServiceCounts, ServiceFaults,
 };
--- a/crates/daemon/tests/double_failures.rs
+++ b/crates/daemon/tests/double_failures.rs
@@ -9,7 +9,7 @@
     http::{self, Answer},
     wait_until,
 };
-use ibissail_platform::VmState;
+use ibissail_object_store::VmState;
 use ibissail_standin::PlatformFaults;
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use std::{
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Cluster, EndOnDrop, http, wait_until};
-use ibissail_platform::VmState;
+use ibissail_object_store::VmState;
 use ibissail_standin::{EngineFaults, PlatformFaults};
 use std::{
     io::Read,
--- /dev/null
+++ b/crates/direct/src/evidence.rs
@@ -0,0 +1,193 @@
+//! Compares the answers of a new version with those of the old one.
+//!
+//! Answers the load of a roll-out: few requests reach the new version, and replicas of both fail
+//! for reasons of their own meanwhile.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Fewest bad answers that condemn a version.
+const MIN_BAD: u32 = 4;
+/// Share of bad answers above the old version's that condemns a version.
+const BAD_SHARE: f64 = 0.15;
+/// The same on a single route, where there are fewer answers.
+const BAD_SHARE_ON_ROUTE: f64 = 0.25;
+/// Fewest answers of each version for a comparison of times.
+const MIN_TIMED: u32 = 10;
+/// How many times as long the new version's answers may take.
+const SLOW_FACTOR: f64 = 2.2;
+/// The same on a single route.
+const SLOW_FACTOR_ON_ROUTE: f64 = 3.0;
+/// Replicas that must have given bad answers; one alone may be broken by itself.
+const MIN_BAD_REPLICAS: usize = 2;
+
+/// One answer of a replica.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    /// Short hash of the route's name and the model.
+    pub route: u32,
+    /// Stable hash of the replica's name.
+    pub replica: u64,
+    /// Whether the replica answered with a failure of its own.
+    pub is_bad: bool,
+    /// Time until the whole answer, in milliseconds; `None` when it was not seen to its end.
+    pub time_ms: Option<u64>,
+}
+
+/// Answers on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteCounts {
+    /// Answers.
+    pub answers: u32,
+    /// Answers that were failures.
+    pub bad: u32,
+    /// Answers whose time is known.
+    pub timed: u32,
+    /// Sum of those times, in milliseconds.
+    pub time_ms: u64,
+}
+
+impl RouteCounts {
+    fn add(&mut self, other: &Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+        self.timed += other.timed;
+        self.time_ms += other.time_ms;
+    }
+
+    fn bad_share(&self) -> f64 {
+        f64::from(self.bad) / f64::from(self.answers.max(1))
+    }
+
+    fn mean_ms(&self) -> f64 {
+        self.time_ms as f64 / f64::from(self.timed.max(1))
+    }
+}
+
+/// Answers of one version, by route.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct VersionCounts {
+    /// Counts by the short hash of the route's name and the model.
+    pub routes: BTreeMap<u32, RouteCounts>,
+    /// Stable hashes of the replicas that gave bad answers.
+    pub bad_replicas: BTreeSet<u64>,
+}
+
+impl VersionCounts {
+    /// Counts one answer.
+    pub fn note(&mut self, sample: &Sample) {
+        let counts = self.routes.entry(sample.route).or_default();
+        counts.answers += 1;
+        if sample.is_bad {
+            counts.bad += 1;
+            self.bad_replicas.insert(sample.replica);
+        } else if let Some(time) = sample.time_ms {
+            counts.timed += 1;
+            counts.time_ms += time;
+        }
+    }
+
+    /// Adds the counts of another entry.
+    pub fn merge(&mut self, other: &Self) {
+        for (route, counts) in &other.routes {
+            self.routes.entry(*route).or_default().add(counts);
+        }
+        self.bad_replicas.extend(&other.bad_replicas);
+    }
+
+    fn total(&self) -> RouteCounts {
+        let mut total = RouteCounts::default();
+        for counts in self.routes.values() {
+            total.add(counts);
+        }
+        total
+    }
+}
+
+/// Answers of both versions of a service during a roll-out.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Answers of the new version.
+    pub new: VersionCounts,
+    /// Answers of the old version.
+    pub old: VersionCounts,
+}
+
+impl Evidence {
+    /// Adds the counts of another entry.
+    pub fn merge(&mut self, other: &Self) {
+        self.new.merge(&other.new);
+        self.old.merge(&other.old);
+    }
+}
+
+/// What the evidence says of the new version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Verdict {
+    /// Nothing speaks against it so far.
+    #[display("no difference")]
+    Open,
+    /// It fails more often.
+    #[display("more failures")]
+    Failing,
+    /// It is slower.
+    #[display("slower answers")]
+    Slow,
+}
+
+impl Verdict {
+    /// Whether the version must be rolled back.
+    #[must_use]
+    pub fn is_bad(self) -> bool {
+        self != Self::Open
+    }
+}
+
+/// Compares the versions.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_direct::{Evidence, Sample, Verdict, judge};
+/// let mut evidence = Evidence::default();
+/// for replica in 0..6 {
+///     let sample = Sample { route: 1, replica, is_bad: true, time_ms: None };
+///     evidence.new.note(&sample);
+/// }
+/// assert_eq!(judge(&evidence), Verdict::Failing);
+/// ```
+#[must_use]
+pub fn judge(evidence: &Evidence) -> Verdict {
+    let (new, old) = (evidence.new.total(), evidence.old.total());
+    if evidence.new.bad_replicas.len() >= MIN_BAD_REPLICAS {
+        let is_failing = |new: &RouteCounts, old: &RouteCounts, share: f64| {
+            new.bad >= MIN_BAD && new.bad_share() > share + 2.0 * old.bad_share()
+        };
+        let on_route = evidence.new.routes.iter().any(|(route, new)| {
+            let old = evidence.old.routes.get(route).copied().unwrap_or_default();
+            is_failing(new, &old, BAD_SHARE_ON_ROUTE)
+        });
+        if on_route || is_failing(&new, &old, BAD_SHARE) {
+            return Verdict::Failing;
+        }
+    }
+    if is_slow(evidence) { Verdict::Slow } else { Verdict::Open }
+}
+
+fn is_slow(evidence: &Evidence) -> bool {
+    let (mut spent, mut expected, mut timed) = (0.0, 0.0, 0);
+    for (route, new) in &evidence.new.routes {
+        let Some(old) = evidence.old.routes.get(route) else { continue };
+        if old.timed < MIN_TIMED {
+            continue;
+        }
+        if new.timed >= MIN_TIMED && new.mean_ms() > SLOW_FACTOR_ON_ROUTE * old.mean_ms() {
+            return true;
+        }
+        spent += new.time_ms as f64;
+        expected += old.mean_ms() * f64::from(new.timed);
+        timed += new.timed;
+    }
+    timed >= 2 * MIN_TIMED && spent > SLOW_FACTOR * expected
+}
--- /dev/null
+++ b/crates/direct/src/hash.rs
@@ -0,0 +1,23 @@
+//! A hash that all builds and processes compute alike.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// The hash of some texts, the same in every process and build.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_direct::stable_hash;
+/// assert_eq!(stable_hash(&["a", "b"]), stable_hash(&["a", "b"]));
+/// assert_ne!(stable_hash(&["a", "b"]), stable_hash(&["ab"]));
+/// ```
+#[must_use]
+pub fn stable_hash(texts: &[&str]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for text in texts {
+        hasher.write(text.as_bytes());
+        hasher.write(&[0xff]);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/direct/src/models.rs
@@ -0,0 +1,44 @@
+//! Which model answers first, and when its answer is replaced by a larger model's.
+
+use crate::Prompt;
+use ibissail_core::ModelId;
+
+/// Confidence, of 100, below which a small model's answer is replaced.
+const MIN_CONFIDENCE: u8 = 45;
+
+/// A model in the order of trying.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// The model.
+    pub model: ModelId,
+    /// Least confidence with which its answer is taken; `None` takes any.
+    pub min_confidence: Option<u8>,
+}
+
+/// How models are chosen on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ModelChoice {
+    /// The largest model answers all requests.
+    Largest,
+    /// The smallest model answers all requests.
+    Smallest,
+    /// The smallest model answers, and the largest where it is not confident.
+    Cascade,
+}
+
+impl ModelChoice {
+    /// The models to try in order, from those of a route, smallest first.
+    #[must_use]
+    pub fn steps(self, models: &[ModelId], _prompt: &Prompt) -> Vec<Step> {
+        let last = |model: &ModelId| Step { model: model.clone(), min_confidence: None };
+        match (self, models) {
+            (_, []) => Vec::new(),
+            (Self::Smallest, [smallest, ..]) => vec![last(smallest)],
+            (Self::Cascade, [smallest, .., largest]) => {
+                let first = Step { model: smallest.clone(), min_confidence: Some(MIN_CONFIDENCE) };
+                vec![first, last(largest)]
+            }
+            (Self::Largest | Self::Cascade, [.., largest]) => vec![last(largest)],
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/placing.rs
@@ -0,0 +1,117 @@
+//! Chooses the replica for a request.
+//!
+//! Answers the load of prompts of very unequal length with shared beginnings, sent by several
+//! entries that each see only their own requests and their peers' reports.
+
+use crate::{Prompt, stable_hash};
+use ibissail_core::{InstanceId, ModelId, Tokens};
+
+/// Tokens that an engine reads in a millisecond, where nothing better is known.
+const READ_TOKENS_PER_MS: f64 = 60.0;
+/// Delay that each running request adds, in milliseconds.
+const RUNNING_COST_MS: f64 = 6.0;
+/// Delay that a request adds at a plain service whose places are all taken, in milliseconds.
+const PLAIN_COST_MS: f64 = 60.0;
+/// Cost of another availability zone, in milliseconds: the way there and back, and its price.
+const ZONE_COST_MS: f64 = 8.0;
+/// Cost of a failure, in milliseconds, times the share of requests that fail.
+const FAILURE_COST_MS: f64 = 1_500.0;
+/// Share of the shared parts that the home replica of a prompt probably keeps.
+const HOME_CACHED: f64 = 0.8;
+/// Weight of reading a token again, which also delays all requests beside it.
+const READ_WEIGHT: f64 = 2.0;
+
+/// A replica that may take the request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Its name.
+    pub id: InstanceId,
+    /// Whether it is in the entry's availability zone.
+    pub is_near: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests of all entries that it has, as far as known.
+    pub running: u32,
+    /// Prompt tokens that it has yet to read, as far as known.
+    pub unread: Tokens,
+    /// Tokens of this prompt's beginning that it probably keeps.
+    pub cached: Tokens,
+    /// Share of its recent requests that failed.
+    pub failure_share: f64,
+}
+
+/// What the request asks of a replica.
+#[derive(Debug, Clone, Copy)]
+pub enum Demand<'r> {
+    /// An answer of a model to a prompt.
+    Prompt(&'r ModelId, &'r Prompt),
+    /// A call of a plain service.
+    Call,
+}
+
+/// Expected delay at a candidate, with the delay it causes others, in milliseconds.
+#[must_use]
+pub fn cost(candidate: &Candidate, demand: Demand<'_>, is_home: bool) -> f64 {
+    let zone = if candidate.is_near { 0.0 } else { ZONE_COST_MS };
+    let failing = candidate.failure_share * FAILURE_COST_MS;
+    let running = f64::from(candidate.running);
+    let slots = f64::from(candidate.slots.max(1));
+    let full = if running >= slots { running - slots + 1.0 } else { 0.0 };
+    match demand {
+        Demand::Call => {
+            let busy = running / slots;
+            zone + failing + PLAIN_COST_MS * (busy * busy + 2.0 * full)
+        }
+        Demand::Prompt(_, prompt) => {
+            let shared = prompt.shared_tokens().0 as f64;
+            let assumed = if is_home { shared * HOME_CACHED } else { 0.0 };
+            let cached = (candidate.cached.0 as f64).max(assumed);
+            let unread = (prompt.input.0 as f64 - cached).max(0.0);
+            let read = (unread * READ_WEIGHT + candidate.unread.0 as f64) / READ_TOKENS_PER_MS;
+            zone + failing + read + running * RUNNING_COST_MS + full * 20.0 * RUNNING_COST_MS
+        }
+    }
+}
+
+/// The cheapest candidate; all entries prefer the same home for the same shared parts.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_core::Tokens;
+/// use ibissail_direct::{Candidate, Demand, place};
+/// let candidate = |id: &str, running| Candidate {
+///     id: id.parse().unwrap(),
+///     is_near: true,
+///     slots: 4,
+///     running,
+///     unread: Tokens(0),
+///     cached: Tokens(0),
+///     failure_share: 0.0,
+/// };
+/// let candidates = [candidate("a", 3), candidate("b", 0)];
+/// assert_eq!(place(&candidates, Demand::Call, 0), Some(1));
+/// ```
+#[must_use]
+pub fn place(candidates: &[Candidate], demand: Demand<'_>, draw: u64) -> Option<usize> {
+    let home = home(candidates, demand);
+    let costs: Vec<f64> = candidates
+        .iter()
+        .enumerate()
+        .map(|(place, candidate)| cost(candidate, demand, Some(place) == home))
+        .collect();
+    let least = costs.iter().copied().min_by(f64::total_cmp)?;
+    // Equal candidates are drawn from, so that entries do not all take the first.
+    let equal: Vec<usize> = (0..costs.len()).filter(|place| costs[*place] - least < 0.5).collect();
+    let drawn = usize::try_from(draw % equal.len() as u64).unwrap_or_default();
+    equal.get(drawn).copied()
+}
+
+/// The candidate with the highest hash for the prompt's shared parts.
+fn home(candidates: &[Candidate], demand: Demand<'_>) -> Option<usize> {
+    let Demand::Prompt(model, prompt) = demand else { return None };
+    let deepest = prompt.shared_parts().last()?;
+    let weight =
+        |candidate: &Candidate| stable_hash(&[candidate.id.as_str(), model.as_str(), &deepest.id]);
+    (0..candidates.len()).max_by_key(|place| weight(&candidates[*place]))
+}
--- /dev/null
+++ b/crates/direct/src/rollout.rs
@@ -0,0 +1,151 @@
+//! Moves a service's requests to a new version in steps.
+//!
+//! Every entry computes the same step from the time since the order and the shared evidence, so
+//! no entry has to lead; the order's status, changed by conditional update, is what lasts.
+
+use derive_more::Display;
+use ibissail_core::{Millis, Revision, ServiceId, VersionId};
+
+/// Share of requests that a version gets while it is on trial.
+const TRIAL_SHARE: f64 = 0.08;
+/// Share of requests in the step after the trial.
+const SECOND_SHARE: f64 = 0.35;
+/// Part of the order's time that the trial takes.
+const TRIAL_PART: f64 = 0.5;
+/// Part of the order's time at which all requests go to the new version.
+const FULL_PART: f64 = 0.62;
+/// Part of the order's time from which success may be recorded.
+const SUCCESS_PART: f64 = 0.78;
+/// Part of the order's time at which success is recorded though old requests still run.
+const LAST_PART: f64 = 0.92;
+
+/// How far an order has come, as its status says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum OrderState {
+    /// Nobody has taken it up.
+    #[display("pending")]
+    Pending,
+    /// It is in progress.
+    #[display("running")]
+    Running,
+    /// The new version has taken over.
+    #[display("succeeded")]
+    Succeeded,
+    /// The old version has stayed.
+    #[display("rolled back")]
+    RolledBack,
+}
+
+impl OrderState {
+    /// Whether the order is over.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Succeeded | Self::RolledBack)
+    }
+}
+
+/// An operator's order to move a service to another version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version.
+    pub target: VersionId,
+    /// Time in which the order is to be done.
+    pub duration: Millis,
+    /// Revision of the object that holds it.
+    pub revision: Revision,
+    /// How far it has come.
+    pub state: OrderState,
+    /// Unix time at which an entry took it up, in milliseconds.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// What the entries do for an order at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Phase {
+    /// A small share is on trial.
+    #[display("trial")]
+    Trial,
+    /// A larger share follows the trial.
+    #[display("second step")]
+    Second,
+    /// All requests go to the new version.
+    #[display("full")]
+    Full,
+    /// Success may be recorded once no request runs on the old version.
+    #[display("settling")]
+    Settling,
+    /// Success is to be recorded.
+    #[display("due")]
+    Due,
+}
+
+/// An order and the time since it was first seen.
+#[derive(Debug, Clone, Copy)]
+pub struct Schedule {
+    /// Time since the order was first seen by any entry.
+    pub elapsed: Millis,
+    /// Time in which the order is to be done.
+    pub duration: Millis,
+}
+
+impl Schedule {
+    /// The phase at this moment.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::{Phase, Schedule};
+    /// let schedule = Schedule { elapsed: Millis(1_000), duration: Millis(12_000) };
+    /// assert_eq!(schedule.phase(), Phase::Trial);
+    /// ```
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        let part = self.elapsed.0 as f64 / self.duration.0.max(1) as f64;
+        match part {
+            part if part < TRIAL_PART => Phase::Trial,
+            part if part < FULL_PART => Phase::Second,
+            part if part < SUCCESS_PART => Phase::Full,
+            part if part < LAST_PART => Phase::Settling,
+            _ => Phase::Due,
+        }
+    }
+}
+
+/// How an entry divides the requests of a service at a moment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutView {
+    /// The new version.
+    pub target: VersionId,
+    /// Share of requests that it gets.
+    pub share: f64,
+}
+
+impl RolloutView {
+    /// The division that an order asks for.
+    #[must_use]
+    pub fn new(order: &Order, schedule: &Schedule, is_bad: bool) -> Self {
+        let share = match order.state {
+            OrderState::Succeeded => 1.0,
+            OrderState::RolledBack => 0.0,
+            OrderState::Pending | OrderState::Running if is_bad => 0.0,
+            OrderState::Pending | OrderState::Running => match schedule.phase() {
+                Phase::Trial => TRIAL_SHARE,
+                Phase::Second => SECOND_SHARE,
+                Phase::Full | Phase::Settling | Phase::Due => 1.0,
+            },
+        };
+        Self { target: order.target.clone(), share }
+    }
+
+    /// Whether a request with this hash goes to the new version.
+    ///
+    /// The same hash stays with the new version while the share grows.
+    #[must_use]
+    pub fn takes(&self, hash: u64) -> bool {
+        let place = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        place < self.share
+    }
+}
--- /dev/null
+++ b/crates/direct/src/table.rs
@@ -0,0 +1,81 @@
+//! Finds the route and the organisation of a request.
+
+use crate::{Configuration, Limits, Organisation, OrganisationKey, Route, Upstream};
+use ibissail_core::{Revision, ServiceId};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// A configuration indexed for look-ups.
+#[derive(Debug, Clone)]
+pub struct RoutingTable {
+    /// Revision of the object that held the configuration.
+    pub revision: Revision,
+    /// The operators' version number.
+    pub version: u64,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
+    organisations: Option<BTreeMap<OrganisationKey, Arc<Organisation>>>,
+    upstreams: BTreeMap<ServiceId, Upstream>,
+}
+
+impl RoutingTable {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(configuration: Configuration) -> Self {
+        let mut hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>> = BTreeMap::new();
+        for route in configuration.routes {
+            let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            host.insert(route.prefix.clone(), Arc::new(route));
+        }
+        let upstreams = configuration.upstreams.into_iter();
+        Self {
+            revision: configuration.revision,
+            version: configuration.version,
+            limits: configuration.limits,
+            hosts,
+            organisations: configuration.organisations.map(index_keys),
+            upstreams: upstreams.map(|upstream| (upstream.service.clone(), upstream)).collect(),
+        }
+    }
+
+    /// The route with the longest prefix of the path, among those of the host.
+    ///
+    /// The time grows with the number of slashes in the path, not with the number of routes.
+    #[must_use]
+    pub fn route(&self, host: &str, target: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
+        let path = target.split_once('?').map_or(target, |(path, _query)| path);
+        let mut slashes = path.rmatch_indices('/').map(|(place, _)| place);
+        slashes.find_map(|place| routes.get(&path[..=place]))
+    }
+
+    /// Whether requests need a key at all.
+    #[must_use]
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.is_some()
+    }
+
+    /// The organisation that holds a key.
+    #[must_use]
+    pub fn organisation(&self, key: &OrganisationKey) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.get(key)
+    }
+
+    /// What is configured of a service.
+    #[must_use]
+    pub fn upstream(&self, service: &ServiceId) -> Option<&Upstream> {
+        self.upstreams.get(service)
+    }
+}
+
+fn index_keys(organisations: Vec<Organisation>) -> BTreeMap<OrganisationKey, Arc<Organisation>> {
+    let mut index = BTreeMap::new();
+    for organisation in organisations {
+        let organisation = Arc::new(organisation);
+        for key in &organisation.keys {
+            index.insert(key.clone(), Arc::clone(&organisation));
+        }
+    }
+    index
+}
--- a/crates/routing/benches/decision_time.rs
+++ b/crates/routing/benches/decision_time.rs
@@ -2,7 +2,7 @@
 
 use ibissail_core::{Incarnation, Millis, Target, VmId, ZoneId};
 use ibissail_execution::{Load, ProbeReply, SidecarState};
-use ibissail_platform::{VmRecord, VmRole, VmState};
+use ibissail_object_store::{VmRecord, VmRole, VmState};
 use ibissail_routing::{Membership, choose};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{collections::BTreeSet, fs, hint::black_box, time::Instant};
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -2,7 +2,7 @@
 
 use ibissail_core::{Incarnation, Millis, Target, VmId, ZoneId};
 use ibissail_execution::{Load, ProbeReply, SidecarState};
-use ibissail_platform::{VmRecord, VmRole, VmState};
+use ibissail_object_store::{VmRecord, VmRole, VmState};
 use rand::{Rng, seq::IteratorRandom};
 use std::{
     collections::{BTreeMap, hash_map::DefaultHasher},
--- a/crates/routing/tests/membership_sources.rs
+++ b/crates/routing/tests/membership_sources.rs
@@ -2,7 +2,7 @@
 
 use ibissail_core::{Incarnation, Millis, Target, VmId};
 use ibissail_execution::{Load, ProbeReply, SidecarState};
-use ibissail_platform::{VmRecord, VmRole, VmState};
+use ibissail_object_store::{VmRecord, VmRole, VmState};
 use ibissail_routing::{Fate, Health, Membership, choose};
 use rand::{SeedableRng, rngs::StdRng};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,7 +10,7 @@
     headers::{IF_MATCH, IF_NONE_MATCH},
 };
 use ibissail_core::Revision;
-use ibissail_platform::{
+use ibissail_object_store::{
     ChangesBody, ListingBody, OBJECTS_PATH, ObjectBody, VMS_PATH, VmRecord, WATCH_PATH,
 };
 use ibissail_transport::{Caller, ServerOptions, Stop, serve};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -2,7 +2,7 @@
 
 use async_std::channel::Sender;
 use ibissail_core::Revision;
-use ibissail_platform::{Change, Object, VmRecord};
+use ibissail_object_store::{Change, Object, VmRecord};
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
