--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -55,8 +55,8 @@
                 Self { on_request: limit, on_replica: limit }
             }
             RequestKind::ResumableStream => Self {
-                on_request: Millis((objective.0 * 9 / 10).max(1_500)),
-                on_replica: Millis((objective.0 * 2 / 5).clamp(800, 1_200)),
+                on_request: Millis(objective.0.max(2_500)),
+                on_replica: Millis((objective.0 * 2 / 5).max(1_500)),
             },
         }
     }
@@ -67,7 +67,7 @@
         if !has_alternative || work.route.kind != RequestKind::ResumableStream {
             return Self::UNBOUNDED;
         }
-        Self { on_request: gap, on_replica: Millis(gap.0 * 3 / 5) }
+        Self { on_request: Millis(gap.0 * 2), on_replica: gap }
     }
 }
 
