--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -83,6 +83,30 @@
     }
 }
 
+/// Events of a stream that take as long as everything else about an attempt.
+const FIXED_EVENTS: u64 = 4;
+
+/// How far an answer was seen, as evidence on the replica's version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerEnd {
+    /// Only its head.
+    Head,
+    /// To its end.
+    Whole,
+    /// The replica failed, or was silent for too long.
+    Failure,
+}
+
+impl AnswerEnd {
+    /// Answers of different lengths are compared apart; failures count with the whole ones.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Whole | Self::Failure => "whole",
+        }
+    }
+}
+
 /// What an attempt leads to.
 #[derive(Debug)]
 enum Next {
@@ -114,7 +138,10 @@
             return finish(connection, work, progress, refusal).await;
         };
         let started = since_boot();
-        let attempt = Attempt { direct, work, picked: &picked, model: model.as_ref(), step };
+        let events = progress.splitter.events();
+        let model_ref = model.as_ref();
+        let attempt =
+            Attempt { started, events, direct, work, picked: &picked, model: model_ref, step };
         let next = attempt.run(connection, progress).await;
         let took = since_boot().since(started);
         let end = match &next {
@@ -207,7 +234,11 @@
     }
 }
 
+/// One attempt at one replica.
 struct Attempt<'a> {
+    started: Millis,
+    /// Events that the caller had before the attempt.
+    events: u64,
     direct: &'a Arc<Direct>,
     work: &'a Work,
     picked: &'a Picked,
@@ -240,7 +271,10 @@
                 Next::Again("not_sent")
             }
             Err(NoHead::Lost(error)) => self.broken(progress, "lost", &error),
-            Err(NoHead::Stalled(error)) => self.broken(progress, "stalled", &error),
+            Err(NoHead::Stalled(error)) => {
+                self.note_answer(progress, AnswerEnd::Failure);
+                self.broken(progress, "stalled", &error)
+            }
         }
     }
 
@@ -251,6 +285,9 @@
         info!(self.direct.log, "attempt: broken"; "id" => &work.call.id,
             "replica" => %self.picked.id, "reason" => reason, "error" => error);
         progress.splitter.discard_partial_event();
+        if !progress.has_begun_answer {
+            progress.version = None;
+        }
         if work.route.kind.may_repeat() {
             progress.avoids_new_version = true;
             return Next::Again(reason);
@@ -272,31 +309,28 @@
         let work = self.work;
         if work.route.kind.is_stream() && upstream.reply.status == 200 {
             if self.is_unconfident(progress, &upstream) {
-                self.note_answer(progress, false, None);
+                self.note_answer(progress, AnswerEnd::Head);
                 return Next::Larger;
             }
             progress.version = Some(self.picked.version.clone());
-            let started = since_boot();
             let patience = Patience::for_event(work, has_alternative);
             let end = relay_stream(connection, work, progress, &mut upstream, patience).await;
             return match end {
                 StreamEnd::Whole => {
-                    self.note_answer(progress, false, Some(since_boot().since(started)));
+                    self.note_answer(progress, AnswerEnd::Whole);
                     Next::End(End::Answered(upstream.reply.status))
                 }
                 StreamEnd::CallerGone => Next::End(End::CallerGone),
-                StreamEnd::Broken(error) => {
-                    if !progress.has_begun_answer {
-                        progress.version = None;
-                    }
-                    self.broken(progress, "broken", &error)
+                StreamEnd::Stalled(error) => {
+                    self.note_answer(progress, AnswerEnd::Failure);
+                    self.broken(progress, "stalled", &error)
                 }
+                StreamEnd::Broken(error) => self.broken(progress, "broken", &error),
             };
         }
         if progress.has_begun_answer {
             return self.broken(progress, "refused", "another replica did not go on");
         }
-        let started = since_boot();
         let limit = Patience::for_head(work, has_alternative);
         let reading = upstream.body.read_all(&mut upstream.connection, MAX_ANSWER_BYTES);
         let body = match upstream.place.wait(reading, limit).await {
@@ -305,7 +339,8 @@
             Err(silence) => return self.broken(progress, "stalled", &silence),
         };
         let is_failure = upstream.reply.status >= 500;
-        self.note_answer(progress, is_failure, Some(since_boot().since(started)));
+        let answer = if is_failure { AnswerEnd::Failure } else { AnswerEnd::Whole };
+        self.note_answer(progress, answer);
         if is_failure {
             self.direct.note_failure(&self.picked.id);
             if work.route.kind.may_repeat() {
@@ -334,15 +369,19 @@
             && progress.sends < self.work.route.max_attempts.0
     }
 
-    fn note_answer(&self, progress: &Progress, is_bad: bool, took: Option<Millis>) {
+    /// Counts an answer, or the lack of one, as evidence on the replica's version.
+    fn note_answer(&self, progress: &Progress, answer: AnswerEnd) {
         let work = self.work;
         let now = since_boot();
         let model = self.model.map_or("-", ModelId::as_str);
+        let events = progress.splitter.events().saturating_sub(self.events);
+        let took = now.since(self.started).0 / (events + FIXED_EVENTS);
+        let is_bad = answer == AnswerEnd::Failure;
         let sample = Sample {
-            route: short(stable_hash(&[&work.route.name, model])),
+            route: short(stable_hash(&[&work.route.name, model, answer.name()])),
             replica: stable_hash(&[self.picked.id.as_str()]),
             is_bad,
-            time_ms: took.filter(|_| progress.sends == 1).map(|_| now.since(work.arrived).0),
+            time_ms: (self.events == 0).then_some(took),
         };
         let mut state = self.direct.state();
         state.note_answer(&work.service, &self.picked.version, &sample);
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -18,7 +18,7 @@
 use async_signal::{Signal, Signals};
 use async_std::{net::UdpSocket, stream::StreamExt, task};
 use ibissail_core::Millis;
-use ibissail_direct::DirectSettings;
+use ibissail_direct::{DirectSettings, stop_admits, stop_end};
 use ibissail_platform::read_boot;
 use ibissail_transport::stop_pair;
 use metrics::DirectMetrics;
@@ -33,8 +33,6 @@
     time::Duration,
 };
 
-/// Part of the grace time that is kept for the end of the process itself.
-const EXIT_MARGIN: Millis = Millis(500);
 /// Time in which the balancer notices that an entry takes no new connections: two questions a
 /// second apart, and the way there.
 const BALANCER_TIME: Millis = Millis(2_500);
@@ -61,6 +59,13 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether a request that may last until `until` is still taken: after the balancer has had
+    /// time to notice the stop, only one that ends before the process does.
+    fn takes(&self, until: Millis) -> bool {
+        let since = *self.stopping_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.is_none_or(|since| stop_admits(self.settings.grace, since, since_boot(), until))
+    }
+
     /// Whether idle connections of callers may be closed: the balancer sends no more of them.
     fn closes_idle(&self) -> bool {
         let since = *self.stopping_since.lock().unwrap_or_else(PoisonError::into_inner);
@@ -135,7 +140,7 @@
     let started = since_boot();
     *direct.stopping_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
     direct.is_stopping.store(true, Ordering::Relaxed);
-    let end = started.plus(Millis(direct.settings.grace.0.saturating_sub(EXIT_MARGIN.0)));
+    let end = stop_end(direct.settings.grace, started);
     while since_boot() < end {
         let is_idle = direct.open_connections.load(Ordering::Relaxed) == 0;
         if is_idle && direct.closes_idle() {
--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use ibissail_core::{InstanceId, Millis, ServiceId, VersionId};
 use ibissail_direct::{
-    Evidence, Order, OrderState, Phase, RolloutView, Sample, Schedule, Verdict, judge,
+    Evidence, MIN_ANSWERS, Order, OrderState, Phase, RolloutView, Sample, Schedule, Verdict, judge,
 };
 use ibissail_platform::{Store, StoreError};
 use slog::{info, warn};
@@ -13,6 +13,8 @@
 
 /// Time between two looks at the orders; a bad version must be left within seconds.
 const WORK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time in which a new entry hears of its peers' evidence.
+const LISTENING_TIME: Duration = Duration::from_secs(2);
 /// Time by which each entry waits longer than the one before it in the order of names, so that
 /// mostly one writes the status.
 const RANK_DELAY: Millis = Millis(500);
@@ -29,6 +31,8 @@
     pub(crate) verdict: Verdict,
     /// Requests of this entry that run on the old version.
     pub(crate) old_running: u32,
+    /// Answers of the new version that all entries have seen.
+    pub(crate) answers: u32,
     wanted: Option<(OrderState, Millis)>,
 }
 
@@ -44,6 +48,7 @@
             evidence: Evidence::default(),
             verdict: Verdict::Open,
             old_running: 0,
+            answers: 0,
             wanted: None,
         }
     }
@@ -53,7 +58,8 @@
     }
 
     pub(crate) fn view(&self, now: Millis) -> RolloutView {
-        RolloutView::new(&self.order, &self.schedule(now), self.verdict.is_bad())
+        let schedule = self.schedule(now);
+        RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.answers)
     }
 }
 
@@ -126,11 +132,14 @@
         if !progress.verdict.is_bad() {
             progress.verdict = judge(&evidence);
         }
+        progress.answers = evidence.new.answers();
+        let is_tried = progress.answers >= MIN_ANSWERS;
         let phase = progress.schedule(now).phase();
         let wanted = match (progress.verdict.is_bad(), progress.order.state, phase) {
-            (true, ..) => OrderState::RolledBack,
-            (false, _, Phase::Due) => OrderState::Succeeded,
-            (false, _, Phase::Settling) if old_running == 0 => OrderState::Succeeded,
+            (false, _, Phase::Due) if is_tried => OrderState::Succeeded,
+            // Without evidence the old version is the safe one.
+            (true, ..) | (false, _, Phase::Due) => OrderState::RolledBack,
+            (false, _, Phase::Settling) if old_running == 0 && is_tried => OrderState::Succeeded,
             (false, OrderState::Pending, _) => OrderState::Running,
             _ => {
                 progress.wanted = None;
@@ -174,6 +183,8 @@
 /// Judges the orders in progress and writes their status.
 pub(super) async fn work_on_orders(direct: Arc<Direct>) {
     let mut store = Store::new(direct.settings.store);
+    // An entry that has just started decides nothing before its peers have reported.
+    task::sleep(LISTENING_TIME).await;
     loop {
         task::sleep(WORK_INTERVAL).await;
         let services: Vec<ServiceId> = direct.state().orders.keys().cloned().collect();
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -16,6 +16,8 @@
     Whole,
     /// The replica did not bring it to its end.
     Broken(String),
+    /// The replica has been silent for longer than a sound one would be.
+    Stalled(String),
     /// The caller does not take it any more.
     CallerGone,
 }
@@ -33,7 +35,7 @@
         let piece = match upstream.place.wait(next, patience).await {
             Ok(Ok(piece)) => piece,
             Ok(Err(error)) => return StreamEnd::Broken(error.to_string()),
-            Err(silence) => return StreamEnd::Broken(silence),
+            Err(silence) => return StreamEnd::Stalled(silence),
         };
         let mut bytes = Vec::new();
         let is_end = piece.is_none();
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -184,9 +184,12 @@
         let Some(service) = draw_service(&route, &call.id) else {
             return Err(refuse(ErrorKind::NoReplica, "the route names no service"));
         };
+        let rest = call.rest.map_or(route.timeout, |rest| rest.min(route.timeout));
+        if !self.takes(now.plus(rest)) {
+            return Err(refuse(ErrorKind::Draining, "the process ends before the request might"));
+        }
         state.budget(&service).count_request(now);
         drop(state);
-        let rest = call.rest.map_or(route.timeout, |rest| rest.min(route.timeout));
         let urgency = organisation.as_ref().and_then(|organisation| organisation.urgency);
         Ok(Work {
             urgency: urgency.unwrap_or(route.urgency),
--- a/crates/direct/src/evidence.rs
+++ b/crates/direct/src/evidence.rs
@@ -29,9 +29,10 @@
     pub route: u32,
     /// Stable hash of the replica's name.
     pub replica: u64,
-    /// Whether the replica answered with a failure of its own.
+    /// Whether the replica answered with a failure of its own, or not in time.
     pub is_bad: bool,
-    /// Time until the whole answer, in milliseconds; `None` when it was not seen to its end.
+    /// Time that the replica took, for each event of a stream, in milliseconds; `None` when only
+    /// a part of the answer was asked for.
     pub time_ms: Option<u64>,
 }
 
@@ -96,6 +97,12 @@
         self.bad_replicas.extend(&other.bad_replicas);
     }
 
+    /// Answers on all routes.
+    #[must_use]
+    pub fn answers(&self) -> u32 {
+        self.total().answers
+    }
+
     fn total(&self) -> RouteCounts {
         let mut total = RouteCounts::default();
         for counts in self.routes.values() {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,6 +23,7 @@
 mod request;
 mod rollout;
 mod settings;
+mod stop;
 mod table;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -39,6 +40,7 @@
 pub use refusal::retry_after;
 pub use replicas::{Replica, ReplicaSet, ReplicaState};
 pub use request::{Prompt, PromptPart};
-pub use rollout::{Order, OrderState, Phase, RolloutView, Schedule};
+pub use rollout::{MIN_ANSWERS, Order, OrderState, Phase, RolloutView, Schedule};
 pub use settings::DirectSettings;
+pub use stop::{stop_admits, stop_end};
 pub use table::RoutingTable;
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -10,6 +10,8 @@
 const TRIAL_SHARE: f64 = 0.08;
 /// Share of requests in the step after the trial.
 const SECOND_SHARE: f64 = 0.35;
+/// Fewest answers of the new version before it gets more than the trial's share.
+pub const MIN_ANSWERS: u32 = 20;
 /// Part of the order's time that the trial takes.
 const TRIAL_PART: f64 = 0.5;
 /// Part of the order's time at which all requests go to the new version.
@@ -124,13 +126,16 @@
 }
 
 impl RolloutView {
-    /// The division that an order asks for.
+    /// The division that an order asks for, after `answers` of the new version.
+    ///
+    /// Without enough answers the trial goes on, as after all entries have been restarted.
     #[must_use]
-    pub fn new(order: &Order, schedule: &Schedule, is_bad: bool) -> Self {
+    pub fn new(order: &Order, schedule: &Schedule, is_bad: bool, answers: u32) -> Self {
         let share = match order.state {
             OrderState::Succeeded => 1.0,
             OrderState::RolledBack => 0.0,
             OrderState::Pending | OrderState::Running if is_bad => 0.0,
+            OrderState::Pending | OrderState::Running if answers < MIN_ANSWERS => TRIAL_SHARE,
             OrderState::Pending | OrderState::Running => match schedule.phase() {
                 Phase::Trial => TRIAL_SHARE,
                 Phase::Second => SECOND_SHARE,
