--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -13,6 +13,8 @@
 
 /// Time between two looks at the orders; a bad version must be left within seconds.
 const WORK_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a write that failed, which also spares a store that is overloaded.
+const WRITE_PAUSE: Duration = Duration::from_millis(700);
 /// Time in which a new entry hears of its peers' evidence.
 const LISTENING_TIME: Duration = Duration::from_secs(2);
 /// Time by which each entry waits longer than the one before it in the order of names, so that
@@ -189,14 +191,16 @@
         task::sleep(WORK_INTERVAL).await;
         let services: Vec<ServiceId> = direct.state().orders.keys().cloned().collect();
         for service in services {
-            if let Some(order) = direct.due_write(&service, since_boot()) {
-                write_status(&direct, &mut store, order).await;
+            let Some(order) = direct.due_write(&service, since_boot()) else { continue };
+            if !write_status(&direct, &mut store, order).await {
+                task::sleep(WRITE_PAUSE).await;
             }
         }
     }
 }
 
-async fn write_status(direct: &Direct, store: &mut Store, order: Order) {
+/// Writes an order's status; returns whether the store took it.
+async fn write_status(direct: &Direct, store: &mut Store, order: Order) -> bool {
     direct.metrics.store_calls.inc();
     let written = store.write_status(&order).await;
     match written {
@@ -205,6 +209,7 @@
                 "target" => %order.target, "state" => %order.state,
                 "revision" => order.revision.0);
             direct.state().learn_order(order, since_boot());
+            true
         }
         Err(error) => {
             warn!(direct.log, "order: status not written"; "service" => %order.service,
@@ -212,6 +217,7 @@
             if matches!(error, StoreError::Conflict | StoreError::MaybeDone(_)) {
                 read_orders(direct, store).await;
             }
+            false
         }
     }
 }
--- a/crates/daemon/src/direct/pick.rs
+++ b/crates/daemon/src/direct/pick.rs
@@ -8,6 +8,8 @@
 use ibissail_direct::{Candidate, Demand, Replica, place, stable_hash};
 use std::net::SocketAddr;
 
+/// Time for which one replica carries the trial of a version.
+const TRIAL_TURN: Millis = Millis(2_000);
 /// Time after which a version that no order names is used like the others.
 const UNORDERED_TIME: Millis = Millis(3_000);
 /// One in so many replicas stays in the choice whatever their failures: half of them carry the
@@ -62,6 +64,7 @@
             let fallback = state.fallback_versions(&work.service);
             choice = state.candidates(work, progress, model, &fallback, zone, now);
         }
+        state.narrow_trial(work, &mut choice, now);
         let demand = model.map_or(Demand::Call, |model| Demand::Prompt(model, &work.call.prompt));
         let draw = stable_hash(&[&work.call.id, &progress.sends.to_string()]);
         let chosen = place(&choice, demand, draw)?;
@@ -117,6 +120,24 @@
         self.unordered_versions(service, now)
     }
 
+    /// Keeps a version on trial to one replica at a time, which gets as much load as it will have
+    /// when all requests go to the version.
+    fn narrow_trial(&self, work: &Work, choice: &mut Vec<Candidate>, now: Millis) {
+        let Some(order) = self.orders.get(&work.service) else { return };
+        let view = order.view(now);
+        let is_new = |candidate: &Candidate| {
+            let replica = self.replicas.get(&candidate.id);
+            replica.is_some_and(|replica| replica.version == view.target)
+        };
+        if !view.is_trial || !choice.iter().all(is_new) {
+            return;
+        }
+        choice.sort_by_key(|candidate| stable_hash(&[candidate.id.as_str()]));
+        let turn = order.schedule(now).elapsed.0 / TRIAL_TURN.0;
+        let chosen = usize::try_from(turn).unwrap_or_default() % choice.len().max(1);
+        *choice = choice.drain(..).skip(chosen).take(1).collect();
+    }
+
     /// Without an order in progress, a version that has just appeared may belong to one that is
     /// not known yet.
     fn unordered_versions(&mut self, service: &ServiceId, now: Millis) -> Versions {
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -7,7 +7,7 @@
 use ibissail_core::{Millis, Revision, ServiceId, VersionId};
 
 /// Share of requests that a version gets while it is on trial.
-const TRIAL_SHARE: f64 = 0.08;
+const TRIAL_SHARE: f64 = 0.1;
 /// Share of requests in the step after the trial.
 const SECOND_SHARE: f64 = 0.35;
 /// Fewest answers of the new version before it gets more than the trial's share.
@@ -123,6 +123,8 @@
     pub target: VersionId,
     /// Share of requests that it gets.
     pub share: f64,
+    /// Whether the share is a trial's.
+    pub is_trial: bool,
 }
 
 impl RolloutView {
@@ -142,7 +144,8 @@
                 Phase::Full | Phase::Settling | Phase::Due => 1.0,
             },
         };
-        Self { target: order.target.clone(), share }
+        let is_trial = !order.state.is_final() && share <= TRIAL_SHARE;
+        Self { target: order.target.clone(), share, is_trial }
     }
 
     /// Whether a request with this hash goes to the new version.
