Test the direct entry as a process against stand-ins of the platform

Found: a larger model could not be asked of the replica that ran the smaller one; with one replica left an unconfident answer ended in a refusal.

--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -310,6 +310,8 @@
         if work.route.kind.is_stream() && upstream.reply.status == 200 {
             if self.is_unconfident(progress, &upstream) {
                 self.note_answer(progress, AnswerEnd::Head);
+                // The larger model may have its place on the same replica.
+                progress.tried.remove(&self.picked.id);
                 return Next::Larger;
             }
             progress.version = Some(self.picked.version.clone());
--- /dev/null
+++ b/crates/daemon/tests/direct/mod.rs
@@ -0,0 +1,174 @@
+//! A direct entry as a process of its own, with stand-ins of the users' platform.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use ibissail_platform_standin::{
+    Answer, Ask, Behaviour, ConfigurationText, ReplicaStandin, StoreStandin, ask, boot_file, order,
+    replica_entry,
+};
+use std::{
+    fs::{self, File},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until the condition holds.
+pub fn wait_until<F>(what: &str, mut condition: F)
+where
+    F: FnMut() -> bool,
+{
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < PATIENCE, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+static NEXT_ADDRESS: AtomicU16 = AtomicU16::new(1);
+
+/// An entry, its store and its replicas.
+#[derive(Debug)]
+pub struct World {
+    pub store: StoreStandin,
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    dir: PathBuf,
+    child: Option<Child>,
+}
+
+impl World {
+    /// Starts a store with a configuration, and an entry.
+    pub fn start(test: &str, configuration: &ConfigurationText) -> Self {
+        let store = StoreStandin::start();
+        configuration.apply(&store);
+        let mut world = Self::without_entry(test, store);
+        world.start_entry();
+        world
+    }
+
+    /// A world whose entry has not been started.
+    pub fn without_entry(test: &str, store: StoreStandin) -> Self {
+        // Each world has an address of its own, so that internal ports never clash.
+        let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+        let host = format!("127.{}.{}.{}", 10 + std::process::id() % 100, test.len() % 250, number);
+        let dir =
+            std::env::temp_dir().join(format!("ibissail-direct-{test}-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("the directory can be made");
+        Self { store, callers: free(&host), readiness: free(&host), dir, child: None }
+    }
+
+    /// Starts the entry, or starts it again.
+    pub fn start_entry(&mut self) {
+        let ports = (
+            free(&self.callers.ip().to_string()).port(),
+            free(&self.callers.ip().to_string()).port(),
+        );
+        let boot = boot_file("entry-1", &self.store, self.callers, self.readiness, ports);
+        let path = self.dir.join("boot.json");
+        fs::write(&path, boot).expect("the settings can be written");
+        let log = File::create(self.dir.join("entry.log")).expect("the log can be created");
+        let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
+            .args(["--threads", "1", "direct", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+        wait_until("the entry listens", || TcpStream::connect(self.callers).is_ok());
+    }
+
+    /// Starts a replica and lists it.
+    pub fn add_replica(&self, id: &str, service: &str, behaviour: Behaviour) -> ReplicaStandin {
+        self.add_version(id, service, "v1", behaviour)
+    }
+
+    /// Starts a replica of a version and lists it.
+    pub fn add_version(
+        &self,
+        id: &str,
+        service: &str,
+        version: &str,
+        behaviour: Behaviour,
+    ) -> ReplicaStandin {
+        let replica = ReplicaStandin::start(id, behaviour);
+        self.store.put("servers", id, &replica_entry(&replica, service, version, false));
+        replica
+    }
+
+    /// Lists a replica as leaving.
+    pub fn drain(&self, replica: &ReplicaStandin, service: &str) {
+        self.store.put("servers", replica.id(), &replica_entry(replica, service, "v1", true));
+    }
+
+    /// Orders a service to move to a version.
+    pub fn order(&self, service: &str, target: &str, seconds: f64) {
+        self.store.put("rollouts", service, &order(service, target, seconds));
+    }
+
+    /// State of an order.
+    pub fn order_state(&self, service: &str) -> String {
+        self.store.status("rollouts", service)["state"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Asks the entry.
+    pub fn ask(&self, request: &Ask) -> Answer {
+        ask(self.callers, request)
+    }
+
+    /// Waits until the entry says that it is ready.
+    pub fn wait_ready(&self) {
+        wait_until("the entry is ready", || self.is_ready());
+    }
+
+    /// Whether the entry says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
+        let request = b"GET /-/ready HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n";
+        let _limit = stream.set_read_timeout(Some(Duration::from_secs(2)));
+        let mut answer = String::new();
+        stream.write_all(request).is_ok()
+            && stream.read_to_string(&mut answer).is_ok()
+            && answer.starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends the entry a signal.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.as_ref().expect("the entry runs").id().to_string();
+        let status = Command::new("kill").args([signal, &id]).status();
+        assert!(status.expect("kill runs").success(), "the entry takes {signal}");
+    }
+
+    /// Whether the entry has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut().expect("the entry was started");
+        child.try_wait().expect("the entry can be looked at").is_some()
+    }
+
+    /// What the entry has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.dir.join("entry.log")).expect("the log can be read")
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _gone = child.kill();
+            let _ended = child.wait();
+        }
+        let _removed = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn free(host: &str) -> SocketAddr {
+    let listener = TcpListener::bind((host, 0)).expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
--- /dev/null
+++ b/crates/daemon/tests/direct_beliefs.rs
@@ -0,0 +1,229 @@
+//! What a direct entry believes of the configuration, the replicas and the orders.
+
+mod direct;
+
+use direct::{World, wait_until};
+use ibissail_platform_standin::{
+    Ask, Behaviour, ConfigurationText, Outage, RouteText, StoreStandin,
+};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+const AT_ONCE: Behaviour = Behaviour::Answer(200, Duration::ZERO);
+
+fn configuration(version: u64, prefixes: &[&str], keys: &[&str]) -> ConfigurationText {
+    let route = |prefix: &&str| RouteText::new(prefix, "safe", "records");
+    let mut routes: Vec<RouteText> = prefixes.iter().map(route).collect();
+    let mut members = RouteText::new("/members/", "safe", "records");
+    members.is_anonymous = false;
+    routes.push(members);
+    let keys = keys.iter().map(|key| (*key).to_owned()).collect();
+    ConfigurationText { version, routes, organisations: vec![("huts".into(), keys)] }
+}
+
+fn member(key: &str) -> Ask {
+    let mut ask = Ask::new("GET", "/members/1", "id-1");
+    ask.key = Some(key.to_owned());
+    ask
+}
+
+#[test]
+fn entry_without_a_configuration_says_so() {
+    let world = {
+        let mut world = World::without_entry("no_configuration", StoreStandin::start());
+        world.start_entry();
+        world
+    };
+    let answer = world.ask(&Ask::new("GET", "/look/1", "id-1"));
+    assert_eq!((answer.status, answer.kind().as_str()), (503, "settings_missing"));
+    assert!(answer.retry_after().is_some());
+    assert!(!world.is_ready());
+}
+
+#[test]
+fn configuration_in_force_through_a_deaf_watch() {
+    let world = World::start("deaf_watch", &configuration(1, &["/old/"], &[]));
+    world.add_replica("r-1", "records", AT_ONCE);
+    world.wait_ready();
+    world.store.set_outage(Outage::Deaf);
+    configuration(2, &["/new/"], &[]).apply(&world.store);
+    let applied = Instant::now();
+    wait_until("the new route serves", || {
+        world.ask(&Ask::new("GET", "/new/1", "id-1")).status == 200
+    });
+    assert!(applied.elapsed() < Duration::from_secs(2), "{:?}", applied.elapsed());
+    assert_eq!(world.ask(&Ask::new("GET", "/old/1", "id-2")).status, 404);
+}
+
+#[test]
+fn configuration_after_lost_history() {
+    let world = World::start("lost_history", &configuration(1, &["/old/"], &[]));
+    world.add_replica("r-1", "records", AT_ONCE);
+    world.wait_ready();
+    world.store.compact();
+    configuration(2, &["/new/"], &[]).apply(&world.store);
+    world.store.compact();
+    let applied = Instant::now();
+    wait_until("the new route serves", || {
+        world.ask(&Ask::new("GET", "/new/1", "id-1")).status == 200
+    });
+    assert!(applied.elapsed() < Duration::from_secs(2), "{:?}", applied.elapsed());
+}
+
+#[test]
+fn key_is_refused_when_the_configuration_is_too_old() {
+    let world = World::start("stale_key", &configuration(1, &["/look/"], &["key-1"]));
+    let replica = world.add_replica("r-1", "records", AT_ONCE);
+    world.wait_ready();
+    assert_eq!(world.ask(&member("key-1")).status, 200);
+    for outage in [Outage::Silent, Outage::Busy] {
+        world.store.set_outage(outage);
+        // The settings allow keys for two seconds after the last confirmation.
+        thread::sleep(Duration::from_secs(2));
+        let answer = world.ask(&member("key-1"));
+        assert_eq!((answer.status, answer.kind().as_str()), (503, "settings_stale"), "{outage:?}");
+        let without_key = world.ask(&Ask::new("GET", "/look/1", "id-2"));
+        assert_eq!(without_key.status, 200, "requests without a key go on");
+        world.store.set_outage(Outage::None);
+        wait_until("keys are accepted again", || world.ask(&member("key-1")).status == 200);
+    }
+    assert!(replica.runs() >= 3);
+}
+
+#[test]
+fn suspended_entry_refuses_a_key_first() {
+    let world = World::start("suspended", &configuration(1, &["/look/"], &["key-1"]));
+    let replica = world.add_replica("r-1", "records", AT_ONCE);
+    world.wait_ready();
+    world.signal("-STOP");
+    world.store.set_outage(Outage::Silent);
+    configuration(2, &["/look/"], &[]).apply(&world.store);
+    thread::sleep(Duration::from_millis(2_300));
+    let before = replica.runs();
+    world.signal("-CONT");
+    let answer = world.ask(&member("key-1"));
+    assert_ne!(answer.status, 200, "{answer:?}");
+    assert_eq!(replica.runs(), before);
+}
+
+#[test]
+fn leaving_replica_gets_nothing_more() {
+    let world = World::start("leaving", &configuration(1, &["/look/"], &[]));
+    let leaving = world.add_replica("r-1", "records", AT_ONCE);
+    let staying = world.add_replica("r-2", "records", AT_ONCE);
+    world.wait_ready();
+    world.store.set_outage(Outage::Deaf);
+    world.drain(&leaving, "records");
+    thread::sleep(Duration::from_millis(1_900));
+    let before = leaving.arrivals().len();
+    for number in 0..20 {
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("id-{number}")));
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(leaving.arrivals().len(), before);
+    assert!(staying.runs() >= 20);
+}
+
+#[test]
+fn spoilt_entry_names_no_replica() {
+    let world = World::start("spoilt", &configuration(1, &["/look/"], &[]));
+    let sound = world.add_replica("r-1", "records", AT_ONCE);
+    let spoilt = world.add_replica("r-2", "records", AT_ONCE);
+    world.wait_ready();
+    let mut entry = ibissail_platform_standin::replica_entry(&spoilt, "records", "v1", false);
+    entry["state"] = 7.into();
+    world.store.put("servers", "r-2", &entry);
+    world.store.put("servers", "r-3", &"no object at all".into());
+    thread::sleep(Duration::from_millis(300));
+    let before = spoilt.arrivals().len();
+    for number in 0..20 {
+        assert_eq!(world.ask(&Ask::new("GET", "/look/1", &format!("id-{number}"))).status, 200);
+    }
+    assert_eq!(spoilt.arrivals().len(), before);
+    assert!(sound.runs() >= 20);
+}
+
+/// Asks about fifty times a second until the order has an end.
+fn load_until_final(world: &World, service: &str) -> String {
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("load-{number}")));
+        assert!(answer.status == 200 || answer.status == 500, "{answer:?}");
+        let state = world.order_state(service);
+        if state == "succeeded" || state == "rolled_back" {
+            return state;
+        }
+        thread::sleep(Duration::from_millis(15));
+    }
+    world.order_state(service)
+}
+
+#[test]
+fn good_version_takes_over() {
+    let world = World::start("good_version", &configuration(1, &["/look/"], &[]));
+    world.add_version("old-1", "records", "v1", AT_ONCE);
+    world.wait_ready();
+    thread::sleep(Duration::from_millis(2_200));
+    let new = world.add_version("new-1", "records", "v2", AT_ONCE);
+    world.order("records", "v2", 8.0);
+    assert_eq!(load_until_final(&world, "records"), "succeeded");
+    assert!(new.runs() > 20);
+}
+
+#[test]
+fn bad_version_is_rolled_back_early() {
+    let world = World::start("bad_version", &configuration(1, &["/look/"], &[]));
+    world.add_version("old-1", "records", "v1", AT_ONCE);
+    world.wait_ready();
+    thread::sleep(Duration::from_millis(2_200));
+    let bad = Behaviour::Answer(500, Duration::ZERO);
+    let new = [
+        world.add_version("new-1", "records", "v2", bad.clone()),
+        world.add_version("new-2", "records", "v2", bad),
+    ];
+    world.order("records", "v2", 16.0);
+    assert_eq!(load_until_final(&world, "records"), "rolled_back");
+    let runs: usize = new.iter().map(ibissail_platform_standin::ReplicaStandin::runs).sum();
+    assert!(runs <= 30, "{runs} requests of the bad version");
+    let before = runs;
+    for number in 0..30 {
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("after-{number}")));
+        assert_eq!(answer.status, 200);
+    }
+    let after: usize = new.iter().map(ibissail_platform_standin::ReplicaStandin::runs).sum();
+    assert_eq!(after, before);
+}
+
+#[test]
+fn status_of_an_earlier_order_starts_no_clock() {
+    let world = World::start("earlier_order", &configuration(1, &["/look/"], &[]));
+    world.add_version("old-1", "records", "v1", AT_ONCE);
+    world.wait_ready();
+    world.order("records", "v2", 4.0);
+    wait_until("the first order is taken up", || world.order_state("records") == "running");
+    thread::sleep(Duration::from_secs(3));
+    let new = world.add_version("new-1", "records", "v3", AT_ONCE);
+    world.order("records", "v3", 30.0);
+    thread::sleep(Duration::from_millis(700));
+    for number in 0..60 {
+        let _answer = world.ask(&Ask::new("GET", "/look/1", &format!("id-{number}")));
+    }
+    assert!(new.runs() < 20, "a new order begins with its trial: {} of 60", new.runs());
+}
+
+#[test]
+fn lost_answer_of_a_status_write() {
+    let world = World::start("lost_status", &configuration(1, &["/look/"], &[]));
+    world.add_version("old-1", "records", "v1", AT_ONCE);
+    world.wait_ready();
+    world.store.set_outage(Outage::LosesAnswers);
+    world.order("records", "v2", 20.0);
+    wait_until("the status is there", || world.order_state("records") == "running");
+    let calls = world.store.calls();
+    thread::sleep(Duration::from_secs(2));
+    assert!(world.store.calls() - calls < 15, "a write that took effect is not repeated");
+}
--- /dev/null
+++ b/crates/daemon/tests/direct_stop.rs
@@ -0,0 +1,86 @@
+//! Planned stops of a direct entry cut no request.
+
+mod direct;
+
+use direct::{World, wait_until};
+use ibissail_platform_standin::{Ask, Behaviour, ConfigurationText, Ending, RouteText, ask};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+fn configuration() -> ConfigurationText {
+    let mut drafts = RouteText::new("/drafts/", "stream", "writers");
+    drafts.timeout_ms = 20_000;
+    ConfigurationText {
+        version: 1,
+        routes: vec![drafts, RouteText::new("/look/", "safe", "records")],
+        organisations: Vec::new(),
+    }
+}
+
+fn slow_stream(seconds: u64) -> Behaviour {
+    let events = seconds * 20;
+    let pause = Duration::from_millis(50);
+    Behaviour::Stream { events, made: events, pause, ending: Ending::Whole, confidence: 90 }
+}
+
+fn draft(id: &str) -> Ask {
+    let mut ask = Ask::new("POST", "/drafts/1", id);
+    ask.deadline_ms = 20_000;
+    ask
+}
+
+#[test]
+fn open_stream_ends_whole() {
+    let mut world = World::start("stop_stream", &configuration());
+    world.add_replica("r-1", "writers", slow_stream(2));
+    world.add_replica("r-2", "records", Behaviour::Answer(200, Duration::ZERO));
+    world.wait_ready();
+    let entry = world.callers;
+    let caller = thread::spawn(move || ask(entry, &draft("d1")));
+    thread::sleep(Duration::from_millis(300));
+    world.signal("-TERM");
+    thread::sleep(Duration::from_millis(200));
+    assert!(!world.is_ready(), "not ready at once");
+    let late = world.ask(&Ask::new("GET", "/look/1", "id-1"));
+    assert_eq!(late.status, 200, "a request that comes before the balancer knows is served");
+    let answer = caller.join().expect("the caller ends");
+    assert!(answer.is_whole && answer.event_ids().len() == 40, "{answer:?}");
+    wait_until("the entry ends within its grace time", || world.has_ended());
+}
+
+#[test]
+fn request_that_the_stop_would_cut_is_refused() {
+    let world = World::start("stop_late", &configuration());
+    let replica = world.add_replica("r-1", "writers", slow_stream(6));
+    let other = world.add_replica("r-2", "records", Behaviour::Answer(200, Duration::ZERO));
+    world.wait_ready();
+    let entry = world.callers;
+    // An open stream keeps the process until the end of its grace time of four seconds.
+    let _caller = thread::spawn(move || ask(entry, &draft("d0")));
+    thread::sleep(Duration::from_millis(200));
+    let stopped = Instant::now();
+    world.signal("-TERM");
+    thread::sleep(Duration::from_millis(2_900));
+    let answer = world.ask(&draft("d1"));
+    assert_eq!((answer.status, answer.kind().as_str()), (503, "draining"), "{answer:?}");
+    assert!(answer.retry_after().is_some());
+    assert!(replica.arrivals().iter().all(|arrival| arrival.id != "d1"));
+    assert!(stopped.elapsed() < Duration::from_secs(4));
+    assert_eq!(other.runs(), 0);
+}
+
+#[test]
+fn hangup_reads_the_settings_again() {
+    let mut world = World::start("hangup", &configuration());
+    world.add_replica("r-2", "records", Behaviour::Answer(200, Duration::ZERO));
+    world.wait_ready();
+    for number in 0..5 {
+        world.signal("-HUP");
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("id-{number}")));
+        assert_eq!(answer.status, 200);
+    }
+    wait_until("it is logged", || world.log().contains("settings read again"));
+    assert!(!world.has_ended());
+}
