Tell peers of running sessions before a trial, keep reports short, gather changes of replicas

Also: an entry that cannot read the store takes an order's end from its peers; a caller refused for old settings is led to another connection.

--- a/crates/daemon/src/direct/follow.rs
+++ b/crates/daemon/src/direct/follow.rs
@@ -22,7 +22,9 @@
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between exact listings of the replicas: inside the two seconds in which a leaving
 /// replica must be left alone.
-const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+const LIST_INTERVAL: Duration = Duration::from_millis(1_800);
+/// Pause between two watches of the replicas, so that many changes at once come in one answer.
+const GATHERING_TIME: Duration = Duration::from_millis(200);
 /// Time between two looks at whether the store is back.
 const RETURN_CHECK: Duration = Duration::from_millis(50);
 
@@ -224,6 +226,7 @@
             let Ok((changes, seen)) = watched else { break };
             direct.change_replicas(changes, seen);
             at = seen;
+            task::sleep(GATHERING_TIME).await;
         }
         direct.wait_for_store(&mut backoff).await;
     }
--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// The evidence for peers; of an order that is over, nobody needs it.
+    pub(crate) fn reported_evidence(&self) -> Evidence {
+        if self.order.state.is_final() { Evidence::default() } else { self.evidence.clone() }
+    }
+
     pub(crate) fn view(&self, now: Millis) -> RolloutView {
         let schedule = self.schedule(now);
         RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.answers)
@@ -134,6 +139,11 @@
             evidence.merge(&report.evidence);
             old_running += report.old_running;
             progress.first_seen = progress.first_seen.min(now.since(report.elapsed));
+            if report.state.is_final() {
+                // A peer has read what this entry may be unable to read.
+                progress.order.state = report.state;
+                return None;
+            }
             if report.is_bad && !progress.verdict.is_bad() {
                 progress.verdict = Verdict::Failing;
             }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -7,10 +7,11 @@
 use async_std::{net::UdpSocket, task};
 use futures_lite::FutureExt;
 use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
-use ibissail_direct::{DirectSettings, Evidence, stable_hash};
+use ibissail_direct::{DirectSettings, Evidence, OrderState, stable_hash};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -31,6 +32,8 @@
 const MAX_RECEIVERS: usize = 24;
 /// Addresses passed on in a report.
 const MAX_CONTACTS: usize = 8;
+/// Sessions named in a report.
+pub(super) const MAX_HELD_SESSIONS: usize = 64;
 /// Largest report that arrives in one datagram.
 const MAX_REPORT_BYTES: usize = 1_400;
 
@@ -39,6 +42,7 @@
 pub(crate) struct OrderReport {
     pub(crate) service: ServiceId,
     pub(crate) target: VersionId,
+    pub(crate) state: OrderState,
     /// Time since any entry first saw the order.
     pub(crate) elapsed: Millis,
     pub(crate) is_bad: bool,
@@ -62,6 +66,8 @@
     contacts: Vec<SocketAddr>,
     loads: Vec<LoadReport>,
     orders: Vec<OrderReport>,
+    /// Short hashes of running sessions that a trial must leave on the old version.
+    held_sessions: Vec<u32>,
 }
 
 #[derive(Debug, Clone)]
@@ -134,6 +140,11 @@
         reports.filter(|report| report.service == *service).cloned().collect()
     }
 
+    /// Whether a live peer has the session on the old version.
+    pub(crate) fn holds_session(&self, session: u32, now: Millis) -> bool {
+        self.live(now).any(|(_, peer)| peer.report.held_sessions.contains(&session))
+    }
+
     /// Requests and unread prompt tokens that peers have at each replica, by its short hash.
     pub(crate) fn loads(&self, now: Millis) -> BTreeMap<u32, (u32, Tokens)> {
         let mut loads: BTreeMap<u32, (u32, Tokens)> = BTreeMap::new();
@@ -199,14 +210,14 @@
             unread: load.unread,
         });
         let loads = loads.collect();
-        let orders = state.orders.values().filter(|progress| !progress.order.state.is_final());
-        let orders = orders.map(|progress| OrderReport {
+        let orders = state.orders.values().map(|progress| OrderReport {
             service: progress.order.service.clone(),
             target: progress.order.target.clone(),
+            state: progress.order.state,
             elapsed: now.since(progress.first_seen),
             is_bad: progress.verdict.is_bad(),
             old_running: progress.old_running,
-            evidence: progress.evidence.clone(),
+            evidence: progress.reported_evidence(),
         });
         let orders = orders.collect();
         let receivers = state.peers.receivers(now);
@@ -216,6 +227,7 @@
             contacts: state.peers.contacts(now),
             loads,
             orders,
+            held_sessions: state.held_sessions(self.settings.session_pause, now),
         };
         let live = state.peers.live(now).count();
         self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
@@ -244,7 +256,7 @@
         }
     };
     let receiving = async {
-        let mut buf = [0; 2 * MAX_REPORT_BYTES];
+        let mut buf = [0; 4 * MAX_REPORT_BYTES];
         loop {
             match socket.recv_from(&mut buf).await {
                 Ok((length, _from)) => direct.learn_report(&buf[..length]),
@@ -261,14 +273,25 @@
     if receivers.is_empty() {
         return;
     }
-    match rmp_serde::to_vec(&report) {
-        Ok(bytes) if bytes.len() <= MAX_REPORT_BYTES => {
+    match encode(report) {
+        Ok(bytes) => {
             for receiver in receivers {
                 // A datagram that is not sent is like one that is lost.
                 let _lost = socket.send_to(&bytes, receiver).await;
             }
         }
-        Ok(bytes) => warn!(direct.log, "peers: report too long"; "bytes" => bytes.len()),
         Err(error) => warn!(direct.log, "peers: report not encoded"; "error" => %error),
     }
 }
+
+/// Encodes a report for one datagram; the smallest loads are left out where all do not fit.
+fn encode(mut report: Report) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    report.loads.sort_by_key(|load| Reverse((load.unread, load.running)));
+    loop {
+        let bytes = rmp_serde::to_vec(&report)?;
+        if bytes.len() <= MAX_REPORT_BYTES || report.loads.is_empty() {
+            return Ok(bytes);
+        }
+        report.loads.truncate(report.loads.len() * 3 / 4);
+    }
+}
--- a/crates/daemon/src/direct/pick.rs
+++ b/crates/daemon/src/direct/pick.rs
@@ -7,11 +7,16 @@
 )]
 
 use super::{
-    Direct, State, drive::Progress, peers::replica_hash, serve::Work, state::SessionVersion,
+    Direct, State,
+    drive::Progress,
+    orders::OrderProgress,
+    peers::{MAX_HELD_SESSIONS, replica_hash, short},
+    serve::Work,
+    state::SessionVersion,
 };
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
-use ibissail_direct::{Candidate, Demand, PromptDemand, Replica, place, stable_hash};
+use ibissail_direct::{Candidate, Demand, PromptDemand, Replica, RolloutView, place, stable_hash};
 use std::net::SocketAddr;
 
 /// Time for which one replica carries the trial of a version.
@@ -119,12 +124,16 @@
             if !is_done {
                 let session = work.call.session.as_deref();
                 let known = session.and_then(|session| self.sessions.get(session));
+                let hash = stable_hash(&[session.unwrap_or(&work.call.id)]);
                 let takes = match known {
                     // A session stays where it is until all move.
                     Some(known) if view.share > 0.0 && view.share < 1.0 => {
                         known.version == view.target
                     }
-                    _ => view.takes(stable_hash(&[session.unwrap_or(&work.call.id)])),
+                    None if session.is_some() && view.share < 1.0 => {
+                        view.takes(hash) && !self.peers.holds_session(short(hash), now)
+                    }
+                    _ => view.takes(hash),
                 };
                 let takes = takes && !progress.avoids_new_version;
                 return if takes {
@@ -137,6 +146,20 @@
         self.unordered_versions(service, now)
     }
 
+    /// Running sessions on an old version that a trial would otherwise take.
+    pub(super) fn held_sessions(&self, pause: Millis, now: Millis) -> Vec<u32> {
+        let is_held = |(session, known): &(&String, &SessionVersion)| {
+            let is_old = |progress: &OrderProgress| {
+                !progress.order.state.is_final() && progress.order.target != known.version
+            };
+            now.since(known.last_used) < pause
+                && self.orders.values().any(is_old)
+                && RolloutView::would_try(stable_hash(&[session]), self.exposure)
+        };
+        let held = self.sessions.iter().filter(is_held);
+        held.map(|(session, _)| short(stable_hash(&[session]))).take(MAX_HELD_SESSIONS).collect()
+    }
+
     /// Keeps a version on trial to one replica at a time, which gets as much load as it will have
     /// when all requests go to the version.
     fn narrow_trial(&self, work: &Work, choice: &mut Vec<Candidate>, now: Millis) {
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -77,6 +77,7 @@
             info!(direct.log, "request: refused"; "id" => id, "kind" => refusal.kind.code(),
                 "detail" => &refusal.detail);
             direct.metrics.outcome("none", refusal.kind.code());
+            let after = if leads_elsewhere(refusal.kind) { After::Close } else { after };
             return finish(refusal.write(connection, after).await.is_ok(), after);
         }
     };
@@ -94,6 +95,11 @@
     after
 }
 
+/// Whether the caller is better served by another entry, which a new connection may reach.
+fn leads_elsewhere(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::SettingsStale | ErrorKind::SettingsMissing | ErrorKind::Draining)
+}
+
 fn finish(is_written: bool, after: After) -> After {
     if is_written { after } else { After::Close }
 }
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -2,12 +2,11 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 use ibissail_platform_standin::{
-    Answer, Ask, Behaviour, ConfigurationText, ReplicaStandin, StoreStandin, ask, boot_file, order,
-    replica_entry,
+    Answer, Ask, Behaviour, ConfigurationText, ReplicaStandin, StoreStandin, ask, boot_file,
+    is_ready, order, replica_entry,
 };
 use std::{
     fs::{self, File},
-    io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -130,13 +129,7 @@
 
     /// Whether the entry says that it is ready.
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
-        let request = b"GET /-/ready HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n";
-        let _limit = stream.set_read_timeout(Some(Duration::from_secs(2)));
-        let mut answer = String::new();
-        stream.write_all(request).is_ok()
-            && stream.read_to_string(&mut answer).is_ok()
-            && answer.starts_with("HTTP/1.1 200")
+        is_ready(self.readiness)
     }
 
     /// Sends the entry a signal.
--- a/crates/daemon/tests/direct_beliefs.rs
+++ b/crates/daemon/tests/direct_beliefs.rs
@@ -4,7 +4,7 @@
 
 use direct::{World, wait_until};
 use ibissail_platform_standin::{
-    Ask, Behaviour, ConfigurationText, Outage, RouteText, StoreStandin,
+    Ask, Behaviour, ConfigurationText, Outage, RouteText, StoreStandin, head_lines, send_raw,
 };
 use std::{
     thread,
@@ -84,6 +84,10 @@
         thread::sleep(Duration::from_secs(2));
         let answer = world.ask(&member("key-1"));
         assert_eq!((answer.status, answer.kind().as_str()), (503, "settings_stale"), "{outage:?}");
+        let kept_open = head_lines("GET", "/members/1", "id-3") + "\r\n";
+        let asked = Instant::now();
+        assert_eq!(send_raw(world.callers, kept_open.as_bytes()).status, 503);
+        assert!(asked.elapsed() < Duration::from_secs(1), "the connection leads elsewhere");
         let without_key = world.ask(&Ask::new("GET", "/look/1", "id-2"));
         assert_eq!(without_key.status, 200, "requests without a key go on");
         world.store.set_outage(Outage::None);
@@ -171,7 +175,12 @@
     let new = world.add_version("new-1", "records", "v2", AT_ONCE);
     world.order("records", "v2", 8.0);
     assert_eq!(load_until_final(&world, "records"), "succeeded");
-    assert!(new.runs() > 20);
+    let before = new.runs();
+    for number in 0..30 {
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("after-{number}")));
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(new.runs() - before, 30, "all requests go to the new version");
 }
 
 #[test]
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -4,7 +4,8 @@
 
 use direct::{World, wait_until};
 use ibissail_platform_standin::{
-    Ask, Behaviour, ConfigurationText, Ending, RouteText, ask_and_leave, send_raw,
+    Ask, Behaviour, ConfigurationText, Ending, RouteText, ask_and_leave, forged_headers,
+    head_lines, send_raw,
 };
 use std::{thread, time::Duration};
 
@@ -50,7 +51,7 @@
     world.wait_ready();
     let mut ask = Ask::new("POST", "/records/new?x=1", "id-1");
     ask.body = b"first ascent".to_vec();
-    ask.extra = "Pin-Ms: 9\r\nHold: h\r\nKv-From: x\r\nTenant: forged\r\n".to_owned();
+    ask.extra = forged_headers();
     let answer = world.ask(&ask);
     assert_eq!((answer.status, answer.body.as_str()), (200, "answer of r-1 to id-1"));
     assert!(answer.is_signed() && answer.is_whole);
@@ -263,7 +264,7 @@
     let world = World::start("bad_input", &configuration());
     let replica = world.add_replica("r-1", "records", AT_ONCE);
     world.wait_ready();
-    let head = "POST /records/new HTTP/1.1\r\nHost: guides.example\r\nAttempt-Id: id-1\r\n";
+    let head = head_lines("POST", "/records/new", "id-1");
     let cases = [
         (format!("{head}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"), 400),
         (format!("{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400),
@@ -274,7 +275,7 @@
         (format!("{head}Content-Length: 70000\r\n\r\n{}", "a".repeat(70_000)), 413),
         ("nonsense\r\n\r\n".to_owned(), 400),
         ("POST /records/new HTTP/1.1\r\nHost: guides.example\r\n\r\n".to_owned(), 400),
-        (head.to_owned(), 408),
+        (head.clone(), 408),
     ];
     for (bytes, status) in cases {
         let answer = send_raw(world.callers, bytes.as_bytes());
--- a/crates/direct/src/evidence.rs
+++ b/crates/direct/src/evidence.rs
@@ -27,6 +27,8 @@
 const MIN_DELAY_MS: f64 = 10.0;
 /// Replicas that must have given bad answers; one alone may be broken by itself.
 const MIN_BAD_REPLICAS: usize = 2;
+/// Replicas with bad answers that are remembered by one entry; reports have to stay short.
+const MAX_BAD_REPLICAS: usize = 8;
 
 /// One answer of a replica.
 #[derive(Debug, Clone, PartialEq)]
@@ -88,7 +90,9 @@
         counts.answers += 1;
         if sample.is_bad {
             counts.bad += 1;
-            self.bad_replicas.insert(sample.replica);
+            if self.bad_replicas.len() < MAX_BAD_REPLICAS {
+                self.bad_replicas.insert(sample.replica);
+            }
         } else if let Some(time) = sample.time_ms {
             counts.timed += 1;
             counts.time_ms += time;
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 use ibissail_core::{Millis, Revision, ServiceId, VersionId};
+use serde::{Deserialize, Serialize};
 
 /// Part of the allowed exposure that the trial uses.
 const TRIAL_PART: f64 = 0.4;
@@ -14,11 +15,14 @@
 /// Part of the allowed exposure, as time before the order's end, at which success is recorded
 /// though requests still run on the old version.
 const LAST_PART: f64 = 0.2;
+/// Time after an order in which no request goes to the new version: entries tell each other which
+/// sessions are running on the old one.
+const TRIAL_DELAY: Millis = Millis(1_200);
 /// Fewest answers of the new version before it gets more than the trial's share.
 pub const MIN_ANSWERS: u32 = 5;
 
 /// How far an order has come, as its status says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 pub enum OrderState {
     /// Nobody has taken it up.
     #[display("pending")]
@@ -131,6 +135,7 @@
             OrderState::Succeeded => 1.0,
             OrderState::RolledBack => 0.0,
             OrderState::Pending | OrderState::Running if is_bad => 0.0,
+            OrderState::Pending | OrderState::Running if schedule.elapsed < TRIAL_DELAY => 0.0,
             OrderState::Pending | OrderState::Running if answers < MIN_ANSWERS => trial_share,
             OrderState::Pending | OrderState::Running => match schedule.phase() {
                 Phase::Trial => trial_share,
@@ -141,12 +146,22 @@
         Self { target: order.target.clone(), share, is_trial }
     }
 
+    /// Whether a session with this hash is among those that a trial takes.
+    #[must_use]
+    pub fn would_try(hash: u64, exposure: f64) -> bool {
+        fraction(hash) < TRIAL_PART * exposure
+    }
+
     /// Whether a request with this hash goes to the new version.
     ///
     /// The same hash stays with the new version while the share grows.
     #[must_use]
     pub fn takes(&self, hash: u64) -> bool {
-        let place = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        place < self.share
+        fraction(hash) < self.share
     }
 }
+
+/// A hash as a number from 0 to 1.
+fn fraction(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
