--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -8,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 
 /// Part of the allowed exposure that the trial uses.
-const TRIAL_PART: f64 = 0.4;
+const TRIAL_PART: f64 = 0.35;
 /// Part of the allowed exposure that the full step uses before success is recorded; a version may
 /// turn bad only under the load of all requests, so the step comes last and is short.
-const FULL_PART: f64 = 0.5;
+const FULL_PART: f64 = 0.55;
 /// Part of the allowed exposure, as time before the order's end, at which success is recorded
 /// though requests still run on the old version.
-const LAST_PART: f64 = 0.2;
+const LAST_PART: f64 = 0.3;
 /// Time after an order in which no request goes to the new version: entries tell each other which
 /// sessions are running on the old one.
 const TRIAL_DELAY: Millis = Millis(1_200);
