--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -139,6 +139,21 @@
         assert!(status.expect("kill runs").success(), "the entry takes {signal}");
     }
 
+    /// Ends the entry without notice, as a loss of power does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the entry can be killed");
+            child.wait().expect("the entry ends");
+        }
+    }
+
+    /// Waits for the end of an entry that was asked to stop.
+    pub fn wait_for_end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.wait().expect("the entry ends");
+        }
+    }
+
     /// Whether the entry has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut().expect("the entry was started");
