Close the door before the last look for open requests, and read the store before refusing the first

Restarted entries refused callers in the milliseconds before their first read. Ruled out: the time limit of the stop (6.3 s of 8 s had passed). Measured: the new tests failed before (a request that ran got no answer; 503 after a start) and pass.

--- a/crates/daemon/src/direct/accept.rs
+++ b/crates/daemon/src/direct/accept.rs
@@ -36,12 +36,18 @@
     Close,
 }
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the process is about to end.
 pub(super) async fn accept_callers(direct: Arc<Direct>, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _peer)) => stream,
-            Err(error) => {
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            let _closed = direct.accepting.1.recv().await;
+            None
+        };
+        let stream = match accepted.or(closed).await {
+            None => return,
+            Some(Ok((stream, _peer))) => stream,
+            Some(Err(error)) => {
                 warn!(direct.log, "callers: not accepted"; "error" => %error.kind());
                 task::sleep(ACCEPT_PAUSE).await;
                 continue;
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod state;
 
 use crate::{StartError, cli::LogLevel, clock::since_boot, log, process::listen};
+use async_channel::{Receiver, Sender};
 use async_signal::{Signal, Signals};
 use async_std::{net::UdpSocket, stream::StreamExt, task};
 use ibissail_core::Millis;
@@ -45,11 +46,14 @@
     log: Logger,
     metrics: DirectMetrics,
     state: Mutex<State>,
+    started: Millis,
     is_stopping: AtomicBool,
     /// Whether the last exact read of the configuration was answered.
     is_store_well: AtomicBool,
     stopping_since: Mutex<Option<Millis>>,
     open_connections: AtomicUsize,
+    /// Closed when callers are no longer accepted.
+    accepting: (Sender<()>, Receiver<()>),
 }
 
 impl Direct {
@@ -94,11 +98,13 @@
         .map_err(|error| StartError::Listen(settings.peers, error.kind().to_string()))?;
     let direct = Arc::new(Direct {
         state: Mutex::new(State::new(&settings)),
+        started: since_boot(),
         metrics: DirectMetrics::new(),
         is_stopping: AtomicBool::new(false),
         is_store_well: AtomicBool::new(true),
         stopping_since: Mutex::new(None),
         open_connections: AtomicUsize::new(0),
+        accepting: async_channel::bounded(1),
         settings,
         log,
     });
@@ -138,19 +144,28 @@
     }
 }
 
-/// Finishes what is in progress, for as long as the grace time allows.
-async fn wait_for_open_requests(direct: &Direct) {
-    let started = since_boot();
-    *direct.stopping_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
-    direct.is_stopping.store(true, Ordering::Relaxed);
-    let end = stop_end(direct.settings.grace, started);
+/// Waits until callers know of the stop and none has a connection, or until the end.
+async fn wait_until_idle(direct: &Direct, end: Millis) {
     while since_boot() < end {
         let is_idle = direct.open_connections.load(Ordering::Relaxed) == 0;
         if is_idle && direct.closes_idle() {
-            break;
+            return;
         }
         task::sleep(STOP_CHECK_INTERVAL).await;
     }
+}
+
+/// Finishes what is in progress, for as long as the grace time allows.
+async fn wait_for_open_requests(direct: &Direct) {
+    let started = since_boot();
+    *direct.stopping_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
+    direct.is_stopping.store(true, Ordering::Relaxed);
+    let end = stop_end(direct.settings.grace, started);
+    wait_until_idle(direct, end).await;
+    // A caller may have come after the last look: close the door, then look again.
+    direct.accepting.0.close();
+    task::sleep(STOP_CHECK_INTERVAL).await;
+    wait_until_idle(direct, end).await;
     let open = direct.open_connections.load(Ordering::Relaxed);
     info!(direct.log, "entry: stopped"; "open_connections" => open,
         "after_ms" => since_boot().since(started).0);
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -20,6 +20,9 @@
 
 /// Time over which refused callers are spread when they come back.
 const RETURN_SPREAD: Millis = Millis(600);
+/// Time after its start in which a process keeps callers waiting for its first reads.
+const FIRST_READ_TIME: Millis = Millis(400);
+const FIRST_READ_CHECK: Duration = Duration::from_millis(10);
 /// Time between two looks at a caller that has sent bytes ahead.
 const GONE_CHECK: Duration = Duration::from_millis(200);
 
@@ -71,6 +74,7 @@
 ) -> After {
     let after =
         if head.keep_alive && !direct.is_stopping() { After::KeepOpen } else { After::Close };
+    direct.wait_for_first_beliefs().await;
     let work = match direct.admit(head, body, after) {
         Ok(work) => work,
         Err((id, refusal)) => {
@@ -148,6 +152,20 @@
     }
 }
 
+impl Direct {
+    /// Lets a process that has just started read the store before it refuses its first callers.
+    async fn wait_for_first_beliefs(&self) {
+        while !self.has_beliefs() && since_boot().since(self.started) < FIRST_READ_TIME {
+            task::sleep(FIRST_READ_CHECK).await;
+        }
+    }
+
+    fn has_beliefs(&self) -> bool {
+        let state = self.state();
+        state.table.is_some() && !state.replicas.is_empty()
+    }
+}
+
 type Unadmitted = (String, Refusal);
 
 impl Direct {
--- a/crates/daemon/tests/direct_beliefs.rs
+++ b/crates/daemon/tests/direct_beliefs.rs
@@ -42,6 +42,27 @@
     assert!(!world.is_ready());
 }
 
+#[test]
+fn first_request_after_a_start_is_served() {
+    let store = StoreStandin::start();
+    configuration(1, &["/look/"], &[]).apply(&store);
+    let mut world = World::without_entry("first_request", store);
+    world.add_replica("r-1", "records", AT_ONCE);
+    for number in 0..3 {
+        // The first reads fail, as they may while many processes start at once.
+        world.store.set_outage(Outage::Busy);
+        world.start_entry();
+        let mending = world.store.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(40));
+            mending.set_outage(Outage::None);
+        });
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("id-{number}")));
+        assert_eq!(answer.status, 200, "{answer:?}");
+        world.kill();
+    }
+}
+
 #[test]
 fn configuration_in_force_through_a_deaf_watch() {
     let world = World::start("deaf_watch", &configuration(1, &["/old/"], &[]));
--- a/crates/daemon/tests/direct_stop.rs
+++ b/crates/daemon/tests/direct_stop.rs
@@ -71,6 +71,40 @@
     assert_eq!(other.runs(), 0);
 }
 
+#[test]
+fn request_that_comes_as_the_process_ends() {
+    for round in 0..3 {
+        let mut world = World::start(&format!("stop_end{round}"), &configuration());
+        let slow = Behaviour::Answer(200, Duration::from_millis(40));
+        let replica = world.add_replica("r-1", "records", slow);
+        world.wait_ready();
+        let entry = world.callers;
+        world.signal("-TERM");
+        // The process has nothing to do, and may end once the balancer knows.
+        thread::sleep(Duration::from_millis(2_300));
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                thread::spawn(move || {
+                    let asks = (0..40).map(|number| {
+                        thread::sleep(Duration::from_millis(45));
+                        let id = format!("{caller}-{number}");
+                        (id.clone(), ask(entry, &Ask::new("GET", "/look/1", &id)).status)
+                    });
+                    asks.collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        let answers: Vec<(String, u16)> =
+            callers.into_iter().flat_map(|caller| caller.join().expect("it ends")).collect();
+        wait_until("the entry ends", || world.has_ended());
+        for arrival in replica.arrivals() {
+            let status =
+                answers.iter().find(|(id, _)| *id == arrival.id).map(|(_, status)| *status);
+            assert_eq!(status, Some(200), "{arrival:?}");
+        }
+    }
+}
+
 #[test]
 fn hangup_reads_the_settings_again() {
     let mut world = World::start("hangup", &configuration());
