Move a service only to a version that somebody has watched, and keep doubtful answers that are on time

Ruled out: the comparison of times alone (17 s gave 20 answers of it, then all entries were restarted). Change: an entry must have watched the version for 0.4 of the order's time; fewer answers condemn a slow version; a small model's answer is kept while the larger model's would be late. Tests wait until replicas are known: one that did not failed once.

--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -144,8 +144,17 @@
         let started = since_boot();
         let events = progress.splitter.events();
         let model_ref = model.as_ref();
-        let attempt =
-            Attempt { started, events, direct, work, picked: &picked, model: model_ref, step };
+        let larger = steps.get(place + 1);
+        let attempt = Attempt {
+            started,
+            events,
+            direct,
+            work,
+            picked: &picked,
+            model: model_ref,
+            step,
+            larger,
+        };
         let next = attempt.run(connection, progress).await;
         let took = since_boot().since(started);
         let end = match &next {
@@ -252,6 +261,7 @@
     picked: &'a Picked,
     model: Option<&'a ModelId>,
     step: Option<&'a Step>,
+    larger: Option<&'a Step>,
 }
 
 impl Attempt<'_> {
@@ -316,15 +326,16 @@
     ) -> Next {
         let work = self.work;
         if work.route.kind.is_stream() && upstream.reply.status == 200 {
+            // The larger model may have its place on the same replica.
+            progress.tried.remove(&self.picked.id);
             if self.is_unconfident(progress, &upstream)
                 && self.direct.take_repeat(work, FAILURE_RESERVE)
             {
                 progress.holds_repeat = true;
                 self.note_answer(progress, AnswerEnd::Head);
-                // The larger model may have its place on the same replica.
-                progress.tried.remove(&self.picked.id);
                 return Next::Larger;
             }
+            progress.tried.insert(self.picked.id.clone());
             progress.version = Some(self.picked.version.clone());
             let patience = Patience::for_event(work, has_alternative);
             let end = relay_stream(connection, work, progress, &mut upstream, patience).await;
@@ -372,13 +383,21 @@
 
     /// Whether a small model's answer is to be replaced by a larger one's.
     fn is_unconfident(&self, progress: &Progress, upstream: &Upstream) -> bool {
-        let least = self.step.and_then(|step| step.min_confidence);
-        let (Some(least), Some(confidence)) = (least, upstream.reply.confidence) else {
+        let (Some(step), Some(confidence)) = (self.step, upstream.reply.confidence) else {
             return false;
         };
-        !progress.has_begun_answer()
-            && confidence < least
-            && progress.sends < self.work.route.max_attempts.0
+        let is_open = !progress.has_begun_answer()
+            && step.is_below(confidence)
+            && progress.sends < self.work.route.max_attempts.0;
+        if !is_open {
+            return false;
+        }
+        let larger = self
+            .larger
+            .and_then(|larger| self.direct.pick(self.work, progress, Some(&larger.model)));
+        let objective = self.work.arrived.plus(self.work.route.objective);
+        let rest = objective.since(since_boot());
+        larger.is_some_and(|larger| step.is_replaced(confidence, larger.wait, rest))
     }
 
     /// Counts an answer, or the lack of one, as evidence on the replica's version.
--- a/crates/daemon/src/direct/follow.rs
+++ b/crates/daemon/src/direct/follow.rs
@@ -19,12 +19,14 @@
 const WATCH_TIME: Millis = Millis(20_000);
 /// Time between exact reads of the configuration: well inside the two seconds in which a change
 /// must be in force, and the age up to which keys are accepted.
-const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Time between exact listings of the replicas: inside the two seconds in which a leaving
 /// replica must be left alone.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_800);
 /// Pause between two watches of the replicas, so that many changes at once come in one answer.
 const GATHERING_TIME: Duration = Duration::from_millis(200);
+/// Names of replicas in one log line.
+const MAX_LOGGED_NAMES: usize = 64;
 /// Time between two looks at whether the store is back.
 const RETURN_CHECK: Duration = Duration::from_millis(50);
 
@@ -74,6 +76,8 @@
 
     fn learn_replicas(&self, listing: Listing<Replica>) {
         let now = since_boot();
+        let names = listing.items.iter().take(MAX_LOGGED_NAMES);
+        let names: Vec<String> = names.map(|(replica, _)| replica.id.to_string()).collect();
         let mut state = self.state();
         for (name, error) in &listing.unreadable {
             warn!(self.log, "replicas: entry ignored"; "replica" => name, "error" => error);
@@ -82,13 +86,14 @@
         self.metrics.replicas.set(i64::try_from(state.replicas.len()).unwrap_or(i64::MAX));
         if is_changed {
             info!(self.log, "replicas: listed"; "count" => state.replicas.len(),
-                "revision" => listing.at.0);
+                "names" => names.join(" "), "revision" => listing.at.0);
             state.forget_gone_replicas();
         }
     }
 
     fn change_replicas(&self, changes: Vec<Change<Replica>>, at: Revision) {
         let now = since_boot();
+        let brings_changes = !changes.is_empty();
         let mut state = self.state();
         for change in changes {
             match change {
@@ -111,6 +116,16 @@
             }
         }
         state.replicas.reach(at);
+        if brings_changes {
+            state.replicas_heard = Some(now);
+        }
+    }
+
+    /// Time until a listing is due: changes that a watch brings prove that it hears.
+    fn listing_due_in(&self) -> Duration {
+        let heard = self.state().replicas_heard;
+        let age = heard.map(|heard| since_boot().since(heard).duration());
+        age.map(|age| LIST_INTERVAL.saturating_sub(age)).unwrap_or_default()
     }
 
     pub(super) fn learn_orders(&self, orders: Vec<Order>) {
@@ -239,6 +254,11 @@
     let mut backoff = Backoff::default();
     task::sleep(LIST_INTERVAL).await;
     loop {
+        let due_in = direct.listing_due_in();
+        if due_in > Duration::ZERO {
+            task::sleep(due_in).await;
+            continue;
+        }
         let listing = store.replicas().await;
         direct.note_call("list replicas", &mut is_well, &listing);
         match listing {
--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use ibissail_core::{InstanceId, Millis, ServiceId, VersionId};
 use ibissail_direct::{
-    Evidence, MIN_ANSWERS, Order, OrderState, Phase, RolloutView, Sample, Schedule, Verdict, judge,
+    Evidence, Order, OrderState, Phase, RolloutView, Sample, Schedule, Trial, Verdict, judge,
 };
 use ibissail_platform::{Store, StoreError};
 use slog::{info, warn};
@@ -33,8 +33,10 @@
     pub(crate) verdict: Verdict,
     /// Requests of this entry that run on the old version.
     pub(crate) old_running: u32,
-    /// Answers of the new version that all entries have seen.
-    pub(crate) answers: u32,
+    /// How well all entries together have tried the new version.
+    pub(crate) trial: Trial,
+    /// Since when this entry has watched the new version.
+    pub(crate) watched_since: Millis,
     /// Share of requests that a bad version may get.
     exposure: f64,
     wanted: Option<(OrderState, Millis)>,
@@ -52,7 +54,8 @@
             evidence: Evidence::default(),
             verdict: Verdict::Open,
             old_running: 0,
-            answers: 0,
+            trial: Trial::default(),
+            watched_since: now,
             exposure,
             wanted: None,
         }
@@ -73,7 +76,7 @@
 
     pub(crate) fn view(&self, now: Millis) -> RolloutView {
         let schedule = self.schedule(now);
-        RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.answers)
+        RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.trial)
     }
 }
 
@@ -135,9 +138,11 @@
         }
         let mut evidence = progress.evidence.clone();
         let mut old_running = progress.old_running;
+        let mut watched_by_peers = Millis(0);
         for report in peers.iter().filter(|report| report.target == progress.order.target) {
             evidence.merge(&report.evidence);
             old_running += report.old_running;
+            watched_by_peers = watched_by_peers.max(report.watched);
             progress.first_seen = progress.first_seen.min(now.since(report.elapsed));
             if report.state.is_final() {
                 // A peer has read what this entry may be unable to read.
@@ -151,8 +156,9 @@
         if !progress.verdict.is_bad() {
             progress.verdict = judge(&evidence);
         }
-        progress.answers = evidence.new.answers();
-        let is_tried = progress.answers >= MIN_ANSWERS;
+        let watched = now.since(progress.watched_since).max(watched_by_peers);
+        progress.trial = Trial { answers: evidence.new.answers(), watched };
+        let is_tried = progress.trial.suffices(progress.order.duration);
         let phase = progress.schedule(now).phase();
         let wanted = match (progress.verdict.is_bad(), progress.order.state, phase) {
             (false, _, Phase::Due) if is_tried => OrderState::Succeeded,
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -45,6 +45,8 @@
     pub(crate) state: OrderState,
     /// Time since any entry first saw the order.
     pub(crate) elapsed: Millis,
+    /// Time for which the reporting entry has watched the new version.
+    pub(crate) watched: Millis,
     pub(crate) is_bad: bool,
     /// Requests of the reporting entry on the old version.
     pub(crate) old_running: u32,
@@ -215,6 +217,7 @@
             target: progress.order.target.clone(),
             state: progress.order.state,
             elapsed: now.since(progress.first_seen),
+            watched: now.since(progress.watched_since),
             is_bad: progress.verdict.is_bad(),
             old_running: progress.old_running,
             evidence: progress.reported_evidence(),
--- a/crates/daemon/src/direct/pick.rs
+++ b/crates/daemon/src/direct/pick.rs
@@ -16,7 +16,9 @@
 };
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
-use ibissail_direct::{Candidate, Demand, PromptDemand, Replica, RolloutView, place, stable_hash};
+use ibissail_direct::{
+    Candidate, Demand, PromptDemand, Replica, RolloutView, expected_wait, place, stable_hash,
+};
 use std::net::SocketAddr;
 
 /// Time for which one replica carries the trial of a version.
@@ -37,6 +39,8 @@
     pub(crate) unread: Tokens,
     /// Replicas that were in the choice.
     pub(crate) choice: usize,
+    /// Expected time until the replica has read the prompt.
+    pub(crate) wait: Millis,
 }
 
 /// Which versions a request may go to.
@@ -92,6 +96,10 @@
             let pause = self.settings.session_pause;
             state.sessions.retain(|_, session| now.since(session.last_used) < pause);
         }
+        let wait = match demand {
+            Demand::Prompt(asked) => expected_wait(candidate, &asked),
+            Demand::Call => Millis(0),
+        };
         let unread = prompt.input.0.saturating_sub(candidate.cached.0) as f64 * pace;
         Some(Picked {
             id: replica.id,
@@ -99,6 +107,7 @@
             version: replica.version,
             unread: Tokens(unread as u64),
             choice: choice.len(),
+            wait,
         })
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -32,6 +32,8 @@
     pub(crate) table: Option<Arc<RoutingTable>>,
     pub(crate) freshness: Freshness,
     pub(crate) replicas: ReplicaSet,
+    /// When a watch last brought changes of replicas.
+    pub(crate) replicas_heard: Option<Millis>,
     pub(crate) health: BTreeMap<InstanceId, Health>,
     pub(crate) loads: BTreeMap<InstanceId, OwnLoad>,
     pub(crate) prefixes: PrefixBelief,
@@ -53,6 +55,7 @@
             table: None,
             freshness: Freshness::new(settings.key_age_limit),
             replicas: ReplicaSet::default(),
+            replicas_heard: None,
             health: BTreeMap::new(),
             loads: BTreeMap::new(),
             prefixes: PrefixBelief::default(),
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -127,6 +127,11 @@
         wait_until("the entry is ready", || self.is_ready());
     }
 
+    /// Waits until the entry knows a replica.
+    pub fn wait_known(&self, replica: &ReplicaStandin) {
+        wait_until("the entry knows the replica", || self.log().contains(replica.id()));
+    }
+
     /// Whether the entry says that it is ready.
     pub fn is_ready(&self) -> bool {
         is_ready(self.readiness)
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -86,6 +86,7 @@
     let refusing = world.add_replica("r-1", "records", Behaviour::Refuse);
     let sound = world.add_replica("r-2", "records", AT_ONCE);
     world.wait_ready();
+    world.wait_known(&sound);
     for number in 0..8 {
         let answer = world.ask(&Ask::new("POST", "/records/new", &format!("id-{number}")));
         assert_eq!(answer.status, 200, "{answer:?}");
@@ -111,8 +112,8 @@
         let bad = world.add_replica("r-1", "records", broken.clone());
         let good = world.add_replica("r-2", "records", AT_ONCE);
         world.wait_ready();
-        // Both replicas must be known before the first request.
-        thread::sleep(Duration::from_millis(300));
+        world.wait_known(&bad);
+        world.wait_known(&good);
         for request in 0..12 {
             let answer = world.ask(&Ask::new("GET", "/look/1", &format!("id-{request}")));
             assert_eq!(answer.status, 200, "{broken:?}: {answer:?}");
@@ -167,7 +168,8 @@
     let torn = world.add_replica("r-1", "writers", stream(12, 5, Ending::Torn, 90));
     let sound = world.add_replica("r-2", "writers", stream(12, 12, Ending::Whole, 90));
     world.wait_ready();
-    thread::sleep(Duration::from_millis(200));
+    world.wait_known(&torn);
+    world.wait_known(&sound);
     // Each prompt has a replica of its own, until the first is torn.
     for number in 0..20 {
         let answer = world.ask(&draft(&format!("d{number}")));
--- a/crates/direct/src/evidence.rs
+++ b/crates/direct/src/evidence.rs
@@ -19,8 +19,12 @@
 const CONDEMNING_ODDS_ON_ROUTE: f64 = 6.9;
 /// Fewest answers of each version for a comparison of times.
 const MIN_TIMED: u32 = 10;
-/// How many times as long the new version's answers may take.
-const SLOW_FACTOR: f64 = 2.2;
+/// Fewest answers of the new version, on all routes, for a comparison of times.
+const MIN_TIMED_ON_ALL: u32 = 12;
+/// How many times as long the new version's answers may take, when there are many of them.
+const SLOW_FACTOR: f64 = 2.0;
+/// Added to that factor, divided by the number of answers: few answers vary more.
+const SLOW_FACTOR_OF_FEW: f64 = 10.0;
 /// The same on a single route.
 const SLOW_FACTOR_ON_ROUTE: f64 = 3.0;
 /// Mean delay below which a slower version is not bad; the users' shortest objective is 150 ms.
@@ -214,5 +218,6 @@
         timed += new.timed;
     }
     let is_delayed = spent > expected + MIN_DELAY_MS * f64::from(timed);
-    timed >= 2 * MIN_TIMED && is_delayed && spent > SLOW_FACTOR * expected
+    let factor = SLOW_FACTOR + SLOW_FACTOR_OF_FEW / f64::from(timed.max(1));
+    timed >= MIN_TIMED_ON_ALL && is_delayed && spent > factor * expected
 }
--- a/crates/direct/src/models.rs
+++ b/crates/direct/src/models.rs
@@ -1,6 +1,6 @@
 //! Which model answers first, and when its answer is replaced by a larger model's.
 
-use ibissail_core::ModelId;
+use ibissail_core::{Millis, ModelId};
 
 /// Confidence, of 100, below which a small model's answer is replaced on the most urgent routes.
 const MIN_CONFIDENCE: u8 = 55;
@@ -9,6 +9,10 @@
 /// Confidence below which an answer is replaced whatever its rank.
 const LEAST_CONFIDENCE: u8 = 47;
 
+/// Confidence from which an answer is better than a larger model's that comes late: the users
+/// count a late answer as three tenths of one on time.
+const BETTER_THAN_LATE: u8 = 25;
+
 /// A model in the order of trying.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
@@ -18,6 +22,36 @@
     pub min_confidence: Option<u8>,
 }
 
+impl Step {
+    /// Whether a larger model would be asked if its answer came in time.
+    #[must_use]
+    pub fn is_below(&self, confidence: u8) -> bool {
+        self.min_confidence.is_some_and(|least| confidence < least)
+    }
+
+    /// Whether an answer of this confidence is replaced by the next model's.
+    ///
+    /// Answers the load of bursts: while the larger model's answers come late, a doubtful answer
+    /// on time serves the caller better and leaves the larger model to others.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::Step;
+    /// let step = Step { model: "small".parse()?, min_confidence: Some(50) };
+    /// assert!(step.is_replaced(30, Millis(200), Millis(1_000)));
+    /// assert!(!step.is_replaced(30, Millis(2_000), Millis(1_000)));
+    /// assert!(step.is_replaced(10, Millis(2_000), Millis(1_000)));
+    /// # Ok::<(), ibissail_core::UnitError>(())
+    /// ```
+    #[must_use]
+    pub fn is_replaced(&self, confidence: u8, expected_wait: Millis, rest: Millis) -> bool {
+        let comes_late = expected_wait > rest;
+        self.is_below(confidence) && (!comes_late || confidence < BETTER_THAN_LATE)
+    }
+}
+
 /// How models are chosen on a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ModelChoice {
--- a/crates/direct/src/placing.rs
+++ b/crates/direct/src/placing.rs
@@ -4,7 +4,7 @@
 //! entries that each see only their own requests and their peers' reports.
 
 use crate::{Prompt, stable_hash};
-use ibissail_core::{ByteSize, InstanceId, ModelId, Tokens};
+use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, Tokens};
 
 /// Tokens that an engine's largest model reads in a millisecond: the users' engines read 18 to 37.
 const READ_TOKENS_PER_MS: f64 = 25.0;
@@ -106,6 +106,13 @@
     }
 }
 
+/// Expected time until a candidate has read a prompt, behind those that it has yet to read.
+#[must_use]
+pub fn expected_wait(candidate: &Candidate, asked: &PromptDemand<'_>) -> Millis {
+    let own = asked.prompt.input.0.saturating_sub(candidate.cached.0) as f64 * asked.pace;
+    Millis(((candidate.unread.0 as f64 + own) / READ_TOKENS_PER_MS) as u64)
+}
+
 /// The cheapest candidate; all entries prefer the same home for the same shared parts.
 ///
 /// # Examples
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -18,8 +18,11 @@
 /// Time after an order in which no request goes to the new version: entries tell each other which
 /// sessions are running on the old one.
 const TRIAL_DELAY: Millis = Millis(1_200);
+/// Part of the order's time that some entry must have watched the new version before success:
+/// restarts lose evidence, and a version that nobody has watched stays on trial.
+const MIN_WATCHED_PART: f64 = 0.4;
 /// Fewest answers of the new version before it gets more than the trial's share.
-pub const MIN_ANSWERS: u32 = 5;
+const MIN_ANSWERS: u32 = 5;
 
 /// How far an order has come, as its status says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
@@ -88,6 +91,34 @@
     pub exposure: f64,
 }
 
+/// How well the new version has been tried.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Trial {
+    /// Answers of the new version that all entries have seen.
+    pub answers: u32,
+    /// Longest time for which one entry has watched it without a restart.
+    pub watched: Millis,
+}
+
+impl Trial {
+    /// Whether the version may get all requests.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::Trial;
+    /// let duration = Millis(20_000);
+    /// assert!(Trial { answers: 30, watched: Millis(15_000) }.suffices(duration));
+    /// assert!(!Trial { answers: 30, watched: Millis(2_000) }.suffices(duration));
+    /// ```
+    #[must_use]
+    pub fn suffices(&self, duration: Millis) -> bool {
+        let needed = duration.0 as f64 * MIN_WATCHED_PART;
+        self.answers >= MIN_ANSWERS && self.watched.0 as f64 >= needed
+    }
+}
+
 impl Schedule {
     /// The phase at this moment.
     ///
@@ -125,18 +156,20 @@
 }
 
 impl RolloutView {
-    /// The division that an order asks for, after `answers` of the new version.
+    /// The division that an order asks for.
     ///
-    /// Without enough answers the trial goes on, as after all entries have been restarted.
+    /// Until the version has been tried enough the trial goes on.
     #[must_use]
-    pub fn new(order: &Order, schedule: &Schedule, is_bad: bool, answers: u32) -> Self {
+    pub fn new(order: &Order, schedule: &Schedule, is_bad: bool, trial: Trial) -> Self {
         let trial_share = TRIAL_PART * schedule.exposure;
         let share = match order.state {
             OrderState::Succeeded => 1.0,
             OrderState::RolledBack => 0.0,
             OrderState::Pending | OrderState::Running if is_bad => 0.0,
             OrderState::Pending | OrderState::Running if schedule.elapsed < TRIAL_DELAY => 0.0,
-            OrderState::Pending | OrderState::Running if answers < MIN_ANSWERS => trial_share,
+            OrderState::Pending | OrderState::Running if !trial.suffices(order.duration) => {
+                trial_share
+            }
             OrderState::Pending | OrderState::Running => match schedule.phase() {
                 Phase::Trial => trial_share,
                 Phase::Full | Phase::Due => 1.0,
--- a/crates/direct/tests/rollout_judgement.rs
+++ b/crates/direct/tests/rollout_judgement.rs
@@ -3,12 +3,13 @@
 
 use ibissail_core::{Millis, Revision};
 use ibissail_direct::{
-    Evidence, MIN_ANSWERS, Order, OrderState, Phase, RolloutView, Sample, Schedule, judge,
-    stable_hash,
+    Evidence, Order, OrderState, Phase, RolloutView, Sample, Schedule, Trial, judge, stable_hash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const ROUTES: u32 = 3;
+/// A version that has been tried enough.
+const TRIED: Trial = Trial { answers: 60, watched: Millis(20_000) };
 
 fn order(state: OrderState) -> Order {
     Order {
@@ -137,7 +138,7 @@
     for elapsed in (0..24_000).step_by(500) {
         let schedule =
             Schedule { elapsed: Millis(elapsed), duration: order.duration, exposure: 0.15 };
-        let view = RolloutView::new(&order, &schedule, false, MIN_ANSWERS);
+        let view = RolloutView::new(&order, &schedule, false, TRIED);
         let hashes = (0..500_u64).map(|number| stable_hash(&[&number.to_string()]));
         let now: Vec<u64> = hashes.filter(|hash| view.takes(*hash)).collect();
         assert!(taken.iter().all(|hash| now.contains(hash)), "after {elapsed} ms");
@@ -158,7 +159,7 @@
         for elapsed in (0..24_000).step_by(20) {
             let schedule =
                 Schedule { elapsed: Millis(elapsed), duration: order.duration, exposure };
-            let view = RolloutView::new(&order, &schedule, false, MIN_ANSWERS);
+            let view = RolloutView::new(&order, &schedule, false, TRIED);
             all += 1;
             new += u32::from(view.takes(stable_hash(&[&elapsed.to_string()])));
         }
@@ -168,9 +169,14 @@
 }
 
 #[test]
-fn version_without_answers_stays_on_trial() {
+fn version_that_was_not_tried_stays_on_trial() {
     let order = order(OrderState::Running);
     let schedule = Schedule { elapsed: Millis(23_000), duration: order.duration, exposure: 0.15 };
-    assert!(RolloutView::new(&order, &schedule, false, MIN_ANSWERS - 1).is_trial);
-    assert!(RolloutView::new(&order, &schedule, true, 500).share.abs() < f64::EPSILON);
+    let few = Trial { answers: 2, ..TRIED };
+    let unwatched = Trial { watched: Millis(3_000), ..TRIED };
+    for trial in [few, unwatched] {
+        assert!(RolloutView::new(&order, &schedule, false, trial).is_trial, "{trial:?}");
+    }
+    assert!(!RolloutView::new(&order, &schedule, false, TRIED).is_trial);
+    assert!(RolloutView::new(&order, &schedule, true, TRIED).share.abs() < f64::EPSILON);
 }
