--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -38,6 +38,10 @@
     pub store: StoreStandin,
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    /// First and last port for messages between entries.
+    internal_ports: (u16, u16),
+    /// Addresses of other entries.
+    seeds: Vec<SocketAddr>,
     dir: PathBuf,
     child: Option<Child>,
 }
@@ -60,16 +64,37 @@
         let dir =
             std::env::temp_dir().join(format!("ibissail-direct-{test}-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("the directory can be made");
-        Self { store, callers: free(&host), readiness: free(&host), dir, child: None }
+        Self {
+            store,
+            callers: free(&host),
+            readiness: free(&host),
+            internal_ports: (free(&host).port(), free(&host).port()),
+            seeds: Vec::new(),
+            dir,
+            child: None,
+        }
+    }
+
+    /// Starts another entry on the same store, which knows of this one.
+    pub fn start_beside(&self, test: &str) -> Self {
+        let mut beside = Self::without_entry(test, self.store.clone());
+        beside.internal_ports = self.internal_ports;
+        beside.seeds.push(self.callers);
+        beside.start_entry();
+        beside
     }
 
     /// Starts the entry, or starts it again.
     pub fn start_entry(&mut self) {
-        let ports = (
-            free(&self.callers.ip().to_string()).port(),
-            free(&self.callers.ip().to_string()).port(),
+        let name = format!("entry-{}", self.callers.ip());
+        let boot = boot_file(
+            &name,
+            &self.store,
+            self.callers,
+            self.readiness,
+            self.internal_ports,
+            &self.seeds,
         );
-        let boot = boot_file("entry-1", &self.store, self.callers, self.readiness, ports);
         let path = self.dir.join("boot.json");
         fs::write(&path, boot).expect("the settings can be written");
         let log = File::create(self.dir.join("entry.log")).expect("the log can be created");
--- a/crates/daemon/tests/direct_beliefs.rs
+++ b/crates/daemon/tests/direct_beliefs.rs
@@ -5,6 +5,7 @@
 use direct::{World, wait_until};
 use ibissail_platform_standin::{
     Ask, Behaviour, ConfigurationText, Outage, RouteText, StoreStandin, head_lines, send_raw,
+    session_header,
 };
 use std::{
     thread,
@@ -265,6 +266,39 @@
     assert!(back.elapsed() < Duration::from_secs(2), "{:?}", back.elapsed());
 }
 
+#[test]
+fn running_session_stays_on_its_version_across_entries() {
+    let world = World::start("sessions_a", &configuration(1, &["/look/"], &[]));
+    let old = world.add_version("old-1", "records", "v1", AT_ONCE);
+    world.wait_ready();
+    let beside = world.start_beside("sessions_b");
+    beside.wait_ready();
+    wait_until("the entries hear of each other", || {
+        world.log().contains("peers: heard") && beside.log().contains("peers: heard")
+    });
+    let ask_in_session = |world: &World, session: u32, round: u32| {
+        let mut ask = Ask::new("GET", "/look/1", &format!("s{session}-{round}"));
+        ask.extra = session_header(&format!("s{session}"));
+        assert_eq!(world.ask(&ask).status, 200);
+    };
+    for session in 0..200 {
+        ask_in_session(&world, session, 0);
+    }
+    let new = world.add_version("new-1", "records", "v2", AT_ONCE);
+    world.order("records", "v2", 30.0);
+    beside.wait_known(&new);
+    // The sessions go on at the other entry, once the trial of the new version has begun.
+    thread::sleep(Duration::from_millis(1_500));
+    for round in 1..4 {
+        for session in 0..200 {
+            ask_in_session(&beside, session, round);
+        }
+    }
+    assert!(old.runs() >= 800);
+    let moved: Vec<String> = new.arrivals().into_iter().map(|arrival| arrival.id).collect();
+    assert!(moved.is_empty(), "sessions that were moved: {moved:?}");
+}
+
 #[test]
 fn lost_answer_of_a_status_write() {
     let world = World::start("lost_status", &configuration(1, &["/look/"], &[]));
