Promise that a request has not run only where it cannot have run

Cause: found by reading: with no further replica to try, a repeatable request whose answer had been lost was refused with 503 and a time to come back, as if it had not run. Measured: refusal_after_a_lost_answer_promises_nothing failed with 503 before, passes with 502.

--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -13,7 +13,7 @@
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
 use ibissail_direct::{ModelChoice, Sample, Step, stable_hash};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
-use slog::info;
+use slog::{info, warn};
 use std::{collections::BTreeSet, sync::Arc};
 
 /// Connections that may fail to open for one request; they reach no replica.
@@ -66,6 +66,11 @@
 }
 
 impl Progress {
+    /// What a caller is told whom no replica serves; only a request that cannot have run is refused.
+    fn unserved_kind(&self) -> ErrorKind {
+        if self.may_have_run { ErrorKind::OutcomeUnknown } else { ErrorKind::NoReplica }
+    }
+
     /// Whether the caller has got the head of an answer.
     pub(crate) fn has_begun_answer(&self) -> bool {
         self.first_at.is_some()
@@ -138,7 +143,7 @@
         }
         let model = step.map(|step| step.model.clone()).or_else(|| work.call.model.clone());
         let Some(picked) = direct.pick(work, progress, model.as_ref()) else {
-            let refusal = work.refusal(ErrorKind::NoReplica, "no replica to try");
+            let refusal = work.refusal(progress.unserved_kind(), "no replica to try");
             return finish(connection, work, progress, refusal).await;
         };
         let started = since_boot();
@@ -185,8 +190,7 @@
     /// Why no further attempt is made, if so.
     fn stop_reason(&self, work: &Work, progress: &mut Progress) -> Option<Refusal> {
         let now = since_boot();
-        let kind =
-            if progress.may_have_run { ErrorKind::OutcomeUnknown } else { ErrorKind::NoReplica };
+        let kind = progress.unserved_kind();
         if work.rest(now) < MIN_REST {
             let kind =
                 if progress.may_have_run { ErrorKind::Timeout } else { ErrorKind::DeadlineUnmet };
@@ -217,7 +221,7 @@
         let now = since_boot();
         let mut state = self.state();
         if state.health.entry(replica.clone()).or_default().fail(now) {
-            slog::warn!(self.log, "replica: ejected"; "replica" => %replica);
+            warn!(self.log, "replica: ejected"; "replica" => %replica);
         }
     }
 
@@ -226,7 +230,7 @@
         let health = state.health.entry(replica.clone()).or_default();
         if !health.is_ejected(since_boot()) {
             health.eject(since_boot());
-            slog::warn!(self.log, "replica: ejected"; "replica" => %replica,
+            warn!(self.log, "replica: ejected"; "replica" => %replica,
                 "reason" => "it takes no connection");
         }
     }
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -123,6 +123,16 @@
     }
 }
 
+#[test]
+fn refusal_after_a_lost_answer_promises_nothing() {
+    let world = World::start("no_promise", &configuration());
+    let replica = world.add_replica("r-1", "records", Behaviour::LoseAnswer);
+    world.wait_ready();
+    let answer = world.ask(&Ask::new("GET", "/look/1", "id-1"));
+    assert_eq!(replica.runs(), 1);
+    assert_eq!((answer.status, answer.retry_after()), (502, None), "{answer:?}");
+}
+
 #[test]
 fn answer_to_another_request_is_dropped() {
     let world = World::start("crossed", &configuration());
