--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -135,9 +135,9 @@
     progress: &mut Progress,
 ) -> End {
     let steps = steps(work);
-    let mut place = 0;
+    let mut position = 0;
     loop {
-        let step = steps.get(place);
+        let step = steps.get(position);
         if let Some(end) = direct.stop_reason(work, progress) {
             return finish(connection, work, progress, end).await;
         }
@@ -149,7 +149,7 @@
         let started = since_boot();
         let events = progress.splitter.events();
         let model_ref = model.as_ref();
-        let larger = steps.get(place + 1);
+        let larger = steps.get(position + 1);
         let attempt = Attempt {
             started,
             events,
@@ -173,7 +173,7 @@
         progress.attempts.push(format!("{}/{model_name}:{end}:{took}", picked.id));
         match next {
             Next::End(end) => return end,
-            Next::Larger => place += 1,
+            Next::Larger => position += 1,
             Next::Again(_) => {}
         }
     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,8 +4,10 @@
 pub mod gate;
 pub mod http;
 mod process;
+mod wait;
 
 pub use process::{EndOnDrop, Process};
+pub use wait::wait_until;
 
 use gate::Gate;
 use http::{Answer, get, send};
@@ -26,7 +28,6 @@
 
 /// Upper bound of every wait; the verdict of a test never hangs on a shorter one.
 pub const PATIENCE: Duration = Duration::from_secs(30);
-const POLL_PAUSE: Duration = Duration::from_millis(5);
 pub const KEY: &str = "demo-key";
 
 pub const ROOT: &str = include_str!("../../../../examples/settings/root.yaml");
@@ -59,18 +60,6 @@
     }
 }
 
-/// Waits until the condition holds.
-pub fn wait_until<F>(what: &str, mut condition: F)
-where
-    F: FnMut() -> bool,
-{
-    let started = Instant::now();
-    while !condition() {
-        assert!(started.elapsed() < PATIENCE, "waited in vain until {what}");
-        thread::sleep(POLL_PAUSE);
-    }
-}
-
 fn counts<T>(address: SocketAddr) -> T
 where
     T: DeserializeOwned,
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -1,6 +1,11 @@
 //! A direct entry as a process of its own, with stand-ins of the users' platform.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+#[path = "../common/wait.rs"]
+mod wait;
+
+pub use wait::wait_until;
+
 use ibissail_platform_standin::{
     Answer, Ask, Behaviour, ConfigurationText, ReplicaStandin, StoreStandin, ask, boot_file,
     is_ready, order, replica_entry,
@@ -11,25 +16,8 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
-    thread,
-    time::{Duration, Instant},
 };
 
-/// Longest wait for a condition.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-/// Waits until the condition holds.
-pub fn wait_until<F>(what: &str, mut condition: F)
-where
-    F: FnMut() -> bool,
-{
-    let started = Instant::now();
-    while !condition() {
-        assert!(started.elapsed() < PATIENCE, "waited in vain until {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 static NEXT_ADDRESS: AtomicU16 = AtomicU16::new(1);
 
 /// An entry, its store and its replicas.
