Use the product's own names for attempts, waits and ports, and drop what nobody calls

Cause: max_attempts, timeout_ms and internal_ports were named as on the platform's wire outside platform/; the check of names did not know them. Ruled out: the parts of follow.rs and store.rs that look alike; they differ in type and in what they confirm, and one generic follower would need more arguments than it saves lines. Behaviour, bounds and assertions stay.

--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -196,7 +196,7 @@
                 if progress.may_have_run { ErrorKind::Timeout } else { ErrorKind::DeadlineUnmet };
             return Some(work.refusal(kind, "no time is left"));
         }
-        if progress.sends >= work.route.max_attempts.0 {
+        if progress.sends >= work.route.attempt_limit.0 {
             return Some(work.refusal(kind, "all attempts have failed"));
         }
         if progress.dials >= MAX_DIALS {
@@ -272,7 +272,7 @@
     async fn run(&self, connection: &mut Connection, progress: &mut Progress) -> Next {
         let had_run = progress.may_have_run;
         let has_alternative =
-            self.picked.choice > 1 && progress.sends + 1 < self.work.route.max_attempts.0;
+            self.picked.choice > 1 && progress.sends + 1 < self.work.route.attempt_limit.0;
         let patience = Patience::for_head(self.work, has_alternative);
         let opened =
             open(self.direct, self.work, progress, self.picked, self.model, patience).await;
@@ -392,7 +392,7 @@
         };
         let is_open = !progress.has_begun_answer()
             && step.is_below(confidence)
-            && progress.sends < self.work.route.max_attempts.0;
+            && progress.sends < self.work.route.attempt_limit.0;
         if !is_open {
             return false;
         }
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -27,7 +27,7 @@
     pub callers: SocketAddr,
     readiness: SocketAddr,
     /// First and last port for messages between entries.
-    internal_ports: (u16, u16),
+    peer_ports: (u16, u16),
     /// Addresses of other entries.
     seeds: Vec<SocketAddr>,
     dir: PathBuf,
@@ -56,7 +56,7 @@
             store,
             callers: free(&host),
             readiness: free(&host),
-            internal_ports: (free(&host).port(), free(&host).port()),
+            peer_ports: (free(&host).port(), free(&host).port()),
             seeds: Vec::new(),
             dir,
             child: None,
@@ -66,7 +66,7 @@
     /// Starts another entry on the same store, which knows of this one.
     pub fn start_beside(&self, test: &str) -> Self {
         let mut beside = Self::without_entry(test, self.store.clone());
-        beside.internal_ports = self.internal_ports;
+        beside.peer_ports = self.peer_ports;
         beside.seeds.push(self.callers);
         beside.start_entry();
         beside
@@ -80,7 +80,7 @@
             &self.store,
             self.callers,
             self.readiness,
-            self.internal_ports,
+            self.peer_ports,
             &self.seeds,
         );
         let path = self.dir.join("boot.json");
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -14,11 +14,11 @@
 fn configuration() -> ConfigurationText {
     let mut drafts = RouteText::new("/drafts/", "resumable", "writers");
     drafts.models = vec!["small".into(), "large".into()];
-    drafts.timeout_ms = 5_000;
+    drafts.longest_wait_ms = 5_000;
     let mut members = RouteText::new("/members/", "safe", "records");
     members.is_anonymous = false;
     let mut hasty = RouteText::new("/hasty/", "unsafe", "records");
-    hasty.timeout_ms = 400;
+    hasty.longest_wait_ms = 400;
     ConfigurationText {
         version: 3,
         routes: vec![
--- a/crates/daemon/tests/direct_soak.rs
+++ b/crates/daemon/tests/direct_soak.rs
@@ -40,7 +40,7 @@
 
 fn configuration(version: u64, keys: &[&str]) -> ConfigurationText {
     let mut drafts = RouteText::new("/drafts/", "resumable", "writers");
-    drafts.timeout_ms = 3_000;
+    drafts.longest_wait_ms = 3_000;
     let mut members = RouteText::new("/members/", "safe", "records");
     members.is_anonymous = false;
     ConfigurationText {
--- a/crates/daemon/tests/direct_stop.rs
+++ b/crates/daemon/tests/direct_stop.rs
@@ -11,7 +11,7 @@
 
 fn configuration() -> ConfigurationText {
     let mut drafts = RouteText::new("/drafts/", "stream", "writers");
-    drafts.timeout_ms = 20_000;
+    drafts.longest_wait_ms = 20_000;
     ConfigurationText {
         version: 1,
         routes: vec![drafts, RouteText::new("/look/", "safe", "records")],
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -3,7 +3,7 @@
 //! Answers the load of failing replicas and callers that repeat at once: without a bound, the
 //! repeats of all entries multiply the load on the replicas that are left.
 
-use ibissail_core::{Millis, Ratio};
+use ibissail_core::Millis;
 use std::collections::VecDeque;
 
 /// Part of the shared ratio that this entry uses; the rest covers unlike clocks and windows.
@@ -24,14 +24,6 @@
     pub window: Millis,
 }
 
-impl BudgetLimits {
-    /// Limits with a ratio between 0 and 1.
-    #[must_use]
-    pub fn new(ratio: Ratio, allowance: f64, window: Millis) -> Self {
-        Self { ratio: ratio.get(), allowance, window }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     start: Millis,
--- a/crates/direct/src/configuration.rs
+++ b/crates/direct/src/configuration.rs
@@ -53,7 +53,7 @@
     /// Longest pause between events that is on time.
     pub gap_objective: Option<Millis>,
     /// Most replicas that one request may be given to.
-    pub max_attempts: Count,
+    pub attempt_limit: Count,
     /// Rank among routes; 0 goes first.
     pub urgency: u32,
     /// Whether requests need no key.
--- a/crates/direct/tests/routing_table.rs
+++ b/crates/direct/tests/routing_table.rs
@@ -15,7 +15,7 @@
         timeout: Millis(1_000),
         objective: Millis(100),
         gap_objective: None,
-        max_attempts: Count(2),
+        attempt_limit: Count(2),
         urgency: 0,
         is_anonymous: true,
         models: Vec::new(),
