--- a/crates/direct/src/verdict.rs
+++ b/crates/direct/src/verdict.rs
@@ -3,7 +3,7 @@
 //! Answers the load of a roll-out: the new version has given some dozens of answers by the end of
 //! its trial, and replicas of both fail or are slow for reasons of their own.
 
-use crate::{Evidence, RouteCounts, TimeCounts};
+use crate::{Evidence, RouteCounts};
 use derive_more::Display;
 
 /// Share of failures above the old version's that a bad version is expected to have.
