Show a plain route and a resumed stream in the development mode

Cause: a newcomer saw nothing of the direct entry without the users' platform. Ruled out: a second program for it; one command should show the whole product. Change: ibissaild dev starts a direct entry beside the stand-ins of the store and of four replicas, one of which breaks off; the start of a direct entry is apart from its signals, so that both use it.

--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -1,7 +1,7 @@
 //! The whole path in one process on loopback, with stand-ins.
 
 use crate::{
-    StartError,
+    StartError, dev_direct,
     entry::Entry,
     process::{listen, wait_for_stop_signal},
     sidecar::Sidecar,
@@ -51,11 +51,15 @@
     let settings = entry_settings(&mut ports, port, platform).await?;
     register(platform, &settings, VmRole::Entry).await;
     let address = settings.listen;
-    let entry = Entry::start(settings, log).await?;
-    wait_until_ready(&entry).await;
+    let entry = Entry::start(settings, log.clone()).await?;
+    let direct = dev_direct::start(&mut ports, &log).await?;
+    wait_until("the entry", || entry.can_serve(UPSTREAMS.len())).await?;
+    wait_until("the direct entry", || direct.entry.is_ready()).await?;
     print_usage(address, platform);
+    direct.print_usage();
     wait_for_stop_signal().await?;
     entry.stop().await;
+    direct.entry.stop().await;
     for sidecar in sidecars {
         sidecar.stop().await;
     }
@@ -92,13 +96,13 @@
     }
 }
 
-async fn free_address(ports: &mut Ports) -> Result<SocketAddr, StartError> {
+pub(crate) async fn free_address(ports: &mut Ports) -> Result<SocketAddr, StartError> {
     listen_next(ports).await.map(|(_listener, address)| address)
 }
 
 /// Ports of loopback, in order.
 #[derive(Debug)]
-struct Ports {
+pub(crate) struct Ports {
     last: u16,
     end: u16,
 }
@@ -189,11 +193,15 @@
     }
 }
 
-async fn wait_until_ready(entry: &Entry) {
+async fn wait_until<F>(what: &str, is_ready: F) -> Result<(), StartError>
+where
+    F: Fn() -> bool,
+{
     for _ in 0..READY_CHECKS {
-        if entry.can_serve(UPSTREAMS.len()) {
-            return;
+        if is_ready() {
+            return Ok(());
         }
         task::sleep(READY_CHECK_INTERVAL).await;
     }
+    Err(StartError::NotReady(what.to_owned()))
 }
--- /dev/null
+++ b/crates/daemon/src/dev_direct.rs
@@ -0,0 +1,98 @@
+//! A direct entry of the development mode, with stand-ins of the users' platform.
+
+use crate::{
+    StartError,
+    dev::{Ports, free_address},
+    direct::DirectEntry,
+};
+use ibissail_core::Millis;
+use ibissail_direct::{BudgetLimits, DirectSettings};
+use ibissail_platform_standin::{
+    Behaviour, ConfigurationText, Ending, ReplicaStandin, RouteText, StoreStandin, curl_options,
+};
+use slog::Logger;
+use std::{net::SocketAddr, time::Duration};
+
+/// Events of a draft.
+const DRAFT_EVENTS: u64 = 8;
+/// Events after which one of the replicas breaks off.
+const BROKEN_AFTER: u64 = 3;
+const EVENT_PAUSE: Duration = Duration::from_millis(100);
+const LOOKUP_TIME: Duration = Duration::from_millis(20);
+
+/// The entry with everything around it.
+#[derive(Debug)]
+pub(crate) struct DevDirect {
+    pub(crate) entry: DirectEntry,
+    address: SocketAddr,
+}
+
+impl DevDirect {
+    pub(crate) fn print_usage(&self) {
+        let address = self.address;
+        println!();
+        println!("direct    http://{address}");
+        println!();
+        println!("curl -s http://{address}/lookups/ridge {}", curl_options("lookup-1"));
+        println!("curl -sN -X POST http://{address}/drafts/ridge {}", curl_options("draft-1"));
+    }
+}
+
+/// Starts a store, replicas of two services and the entry.
+pub(crate) async fn start(ports: &mut Ports, log: &Logger) -> Result<DevDirect, StartError> {
+    let store = StoreStandin::start();
+    let configuration = ConfigurationText {
+        version: 1,
+        routes: vec![
+            RouteText::new("/lookups/", "safe", "lookups"),
+            RouteText {
+                longest_wait_ms: 10_000,
+                ..RouteText::new("/drafts/", "resumable", "writers")
+            },
+        ],
+        organisations: Vec::new(),
+    };
+    configuration.apply(&store);
+    for (id, service, behaviour) in replicas() {
+        let replica = ReplicaStandin::start(id, behaviour);
+        store.list_replica(&replica, service, "v1", false);
+    }
+    let settings = settings(ports, &store).await?;
+    let address = settings.callers;
+    let entry = DirectEntry::start(settings, log.clone()).await?;
+    Ok(DevDirect { entry, address })
+}
+
+fn replicas() -> [(&'static str, &'static str, Behaviour); 4] {
+    let draft = |made, ending| Behaviour::Stream {
+        events: DRAFT_EVENTS,
+        made,
+        pause: EVENT_PAUSE,
+        ending,
+        confidence: 90,
+    };
+    [
+        ("lookups-1", "lookups", Behaviour::Answer(200, LOOKUP_TIME)),
+        ("lookups-2", "lookups", Behaviour::Answer(200, LOOKUP_TIME)),
+        ("writers-1", "writers", draft(BROKEN_AFTER, Ending::Torn)),
+        ("writers-2", "writers", draft(DRAFT_EVENTS, Ending::Whole)),
+    ]
+}
+
+async fn settings(ports: &mut Ports, store: &StoreStandin) -> Result<DirectSettings, StartError> {
+    Ok(DirectSettings {
+        vm: "direct-1".parse()?,
+        zone: "az-1".parse()?,
+        callers: free_address(ports).await?,
+        readiness: free_address(ports).await?,
+        metrics: free_address(ports).await?,
+        peers: free_address(ports).await?,
+        seeds: Vec::new(),
+        store: store.address(),
+        key_age_limit: None,
+        grace: Millis(2_000),
+        budget: BudgetLimits { ratio: 0.5, allowance: 50.0, window: Millis(10_000) },
+        exposure: 0.1,
+        session_pause: Millis(5_000),
+    })
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -21,7 +21,7 @@
 use ibissail_core::Millis;
 use ibissail_direct::{DirectSettings, stop_admits, stop_end};
 use ibissail_platform::read_boot;
-use ibissail_transport::stop_pair;
+use ibissail_transport::{StopHandle, stop_pair};
 use metrics::DirectMetrics;
 use slog::{Logger, error, info, warn};
 use state::State;
@@ -79,57 +79,85 @@
     }
 }
 
+/// A direct entry that serves callers.
+#[derive(Debug)]
+pub(crate) struct DirectEntry {
+    direct: Arc<Direct>,
+    /// Ends the servers of readiness and metrics when it is dropped.
+    _servers_end: StopHandle,
+}
+
+impl DirectEntry {
+    /// Listens and follows the store.
+    pub(crate) async fn start(settings: DirectSettings, log: Logger) -> Result<Self, StartError> {
+        info!(log, "entry: started"; "vm" => %settings.vm, "zone" => %settings.zone,
+            "callers" => %settings.callers, "store" => %settings.store);
+        let callers = listen(settings.callers).await?;
+        let readiness = listen(settings.readiness).await?;
+        let metrics_listener = listen(settings.metrics).await?;
+        let peers = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(|error| StartError::Listen(settings.peers, error.kind().to_string()))?;
+        let direct = Arc::new(Direct {
+            state: Mutex::new(State::new(&settings)),
+            started: since_boot(),
+            metrics: DirectMetrics::new(),
+            is_stopping: AtomicBool::new(false),
+            is_store_well: AtomicBool::new(true),
+            stopping_since: Mutex::new(None),
+            open_connections: AtomicUsize::new(0),
+            accepting: async_channel::bounded(1),
+            settings,
+            log,
+        });
+        let (servers_end, servers_stop) = stop_pair();
+        let serving =
+            readiness::serve_readiness(Arc::clone(&direct), readiness, servers_stop.clone());
+        task::spawn(serving);
+        task::spawn(readiness::serve_metrics(Arc::clone(&direct), metrics_listener, servers_stop));
+        task::spawn(follow::follow_configuration(Arc::clone(&direct)));
+        task::spawn(follow::confirm_configuration(Arc::clone(&direct)));
+        task::spawn(follow::follow_replicas(Arc::clone(&direct)));
+        task::spawn(follow::confirm_replicas(Arc::clone(&direct)));
+        task::spawn(follow::follow_orders(Arc::clone(&direct)));
+        task::spawn(orders::work_on_orders(Arc::clone(&direct)));
+        task::spawn(peers::exchange_reports(Arc::clone(&direct), peers));
+        task::spawn(accept::accept_callers(Arc::clone(&direct), callers));
+        Ok(Self { direct, _servers_end: servers_end })
+    }
+
+    /// Whether it has heard of a configuration and of replicas.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.direct.is_ready()
+    }
+
+    /// Finishes what is in progress.
+    pub(crate) async fn stop(&self) {
+        wait_for_open_requests(&self.direct).await;
+    }
+}
+
 /// Runs a direct entry until it is asked to stop.
 pub(crate) async fn run(
     settings: DirectSettings,
     path: PathBuf,
     level: LogLevel,
 ) -> Result<(), StartError> {
-    let log = log::stdout(level);
-    info!(log, "entry: started"; "vm" => %settings.vm, "zone" => %settings.zone,
-        "callers" => %settings.callers, "store" => %settings.store);
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|error| StartError::Signals(error.to_string()))?;
-    let callers = listen(settings.callers).await?;
-    let readiness = listen(settings.readiness).await?;
-    let metrics_listener = listen(settings.metrics).await?;
-    let peers = UdpSocket::bind(settings.peers)
-        .await
-        .map_err(|error| StartError::Listen(settings.peers, error.kind().to_string()))?;
-    let direct = Arc::new(Direct {
-        state: Mutex::new(State::new(&settings)),
-        started: since_boot(),
-        metrics: DirectMetrics::new(),
-        is_stopping: AtomicBool::new(false),
-        is_store_well: AtomicBool::new(true),
-        stopping_since: Mutex::new(None),
-        open_connections: AtomicUsize::new(0),
-        accepting: async_channel::bounded(1),
-        settings,
-        log,
-    });
-    let (_servers_end, servers_stop) = stop_pair();
-    task::spawn(readiness::serve_readiness(Arc::clone(&direct), readiness, servers_stop.clone()));
-    task::spawn(readiness::serve_metrics(Arc::clone(&direct), metrics_listener, servers_stop));
-    task::spawn(follow::follow_configuration(Arc::clone(&direct)));
-    task::spawn(follow::confirm_configuration(Arc::clone(&direct)));
-    task::spawn(follow::follow_replicas(Arc::clone(&direct)));
-    task::spawn(follow::confirm_replicas(Arc::clone(&direct)));
-    task::spawn(follow::follow_orders(Arc::clone(&direct)));
-    task::spawn(orders::work_on_orders(Arc::clone(&direct)));
-    task::spawn(peers::exchange_reports(Arc::clone(&direct), peers));
-    task::spawn(accept::accept_callers(Arc::clone(&direct), callers));
+    let entry = DirectEntry::start(settings, log::stdout(level)).await?;
+    let log = &entry.direct.log;
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => reload(&direct, &path),
+            Ok(Signal::Hup) => reload(&entry.direct, &path),
             Ok(signal) => {
-                info!(direct.log, "entry: stopping"; "signal" => format!("{signal:?}"));
+                info!(log, "entry: stopping"; "signal" => format!("{signal:?}"));
                 break;
             }
-            Err(error) => error!(direct.log, "entry: signal lost"; "error" => %error),
+            Err(error) => error!(log, "entry: signal lost"; "error" => %error),
         }
     }
-    wait_for_open_requests(&direct).await;
+    entry.stop().await;
     Ok(())
 }
 
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a daemon does not start, and its exit codes.
 
+use ibissail_core::UnitError;
 use ibissail_platform::BootError;
 use ibissail_settings::Mistakes;
 use quick_error::quick_error;
@@ -39,6 +40,15 @@
         Platform(detail: String) {
             display("the platform does not take the settings: {}", detail)
         }
+        /// A name of the development mode has characters that are not allowed.
+        Name(error: UnitError) {
+            from()
+            display("a bad name: {}", error)
+        }
+        /// Something of the development mode does not become ready.
+        NotReady(what: String) {
+            display("{} is not ready in time", what)
+        }
         /// Signals cannot be received.
         Signals(detail: String) {
             display("cannot receive signals: {}", detail)
@@ -77,7 +87,11 @@
             | Self::NoUpstream(_)
             | Self::NoSettings(_)
             | Self::Boot(_) => ExitCode::Settings,
-            Self::Listen(..) | Self::Platform(_) | Self::Signals(_) => ExitCode::Failure,
+            Self::Listen(..)
+            | Self::Platform(_)
+            | Self::Name(_)
+            | Self::NotReady(_)
+            | Self::Signals(_) => ExitCode::Failure,
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 mod clock;
 mod dev;
+mod dev_direct;
 mod direct;
 mod entry;
 mod error;
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -8,7 +8,7 @@
 
 use ibissail_platform_standin::{
     Answer, Ask, Behaviour, ConfigurationText, ReplicaStandin, StoreStandin, ask, boot_file,
-    is_ready, order, replica_entry,
+    is_ready, order,
 };
 use std::{
     fs::{self, File},
@@ -111,13 +111,13 @@
         behaviour: Behaviour,
     ) -> ReplicaStandin {
         let replica = ReplicaStandin::start(id, behaviour);
-        self.store.put("servers", id, &replica_entry(&replica, service, version, false));
+        self.store.list_replica(&replica, service, version, false);
         replica
     }
 
     /// Lists a replica as leaving.
     pub fn drain(&self, replica: &ReplicaStandin, service: &str) {
-        self.store.put("servers", replica.id(), &replica_entry(replica, service, "v1", true));
+        self.store.list_replica(replica, service, "v1", true);
     }
 
     /// Orders a service to move to a version.
