Refuse successes without a signature, and forget what a replica kept before it restarted

Cause: both were decoded and not used (docs/PROMISES.md); a stranger at a reused address could have answered for a replica, and prompts were placed by what a replica had lost. Ruled out: to close the replica's address for good; one bad answer ejects it like any failure. Change: a 2xx without the signature is broken (repeated where allowed, else 502); a replica that says another start under the same name loses the belief of its prompts and its failures. Measured: the new tests failed before and pass; the other 15 of direct_requests pass.

--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -258,6 +258,9 @@
                     "replica" => %self.picked.id, "status" => upstream.reply.status);
                 Next::Again("not_run")
             }
+            Ok(upstream) if !upstream.reply.is_signed && upstream.reply.status < 300 => {
+                self.broken(progress, "unsigned", "a success without the replica's signature")
+            }
             Ok(upstream) => self.receive(connection, progress, upstream, has_alternative).await,
             Err(NoHead::NotSent(error)) => {
                 progress.dials += 1;
--- a/crates/daemon/src/direct/follow.rs
+++ b/crates/daemon/src/direct/follow.rs
@@ -3,7 +3,7 @@
 //! A watch brings changes at once. Its silence proves nothing, so exact reads over another
 //! connection bound the age of what is believed.
 
-use super::Direct;
+use super::{Direct, State};
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{Millis, Revision};
@@ -83,6 +83,7 @@
             warn!(self.log, "replicas: entry ignored"; "replica" => name, "error" => error);
         }
         let is_changed = state.replicas.apply_listing(listing.items, listing.at, now);
+        self.forget_earlier_runs(&mut state);
         self.metrics.replicas.set(i64::try_from(state.replicas.len()).unwrap_or(i64::MAX));
         if is_changed {
             info!(self.log, "replicas: listed"; "count" => state.replicas.len(),
@@ -91,6 +92,12 @@
         }
     }
 
+    fn forget_earlier_runs(&self, state: &mut State) {
+        for id in state.forget_earlier_runs() {
+            info!(self.log, "replicas: started again"; "replica" => %id);
+        }
+    }
+
     fn change_replicas(&self, changes: Vec<Change<Replica>>, at: Revision) {
         let now = since_boot();
         let brings_changes = !changes.is_empty();
@@ -115,6 +122,7 @@
                 }
             }
         }
+        self.forget_earlier_runs(&mut state);
         state.replicas.reach(at);
         if brings_changes {
             state.replicas_heard = Some(now);
@@ -145,7 +153,7 @@
     }
 }
 
-fn remove_replica(state: &mut super::State, name: &str, now: Millis) {
+fn remove_replica(state: &mut State, name: &str, now: Millis) {
     if let Ok(id) = name.parse() {
         state.replicas.apply_removal(&id, now);
     }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -76,6 +76,16 @@
         self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
     }
 
+    /// Forgets what was believed of replicas before they started again; returns their names.
+    pub(crate) fn forget_earlier_runs(&mut self) -> Vec<InstanceId> {
+        let restarted = self.replicas.take_restarted();
+        for id in &restarted {
+            self.prefixes.forget(id);
+            self.health.remove(id);
+        }
+        restarted
+    }
+
     /// Forgets replicas that are no longer listed and carry no request.
     pub(crate) fn forget_gone_replicas(&mut self) {
         let replicas = &self.replicas;
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -64,6 +64,24 @@
     assert!(arrival.rest_ms.is_some_and(|rest| rest <= 1_500), "{arrival:?}");
 }
 
+#[test]
+fn success_without_a_signature_is_none() {
+    let world = World::start("unsigned", &configuration());
+    world.add_replica("r-1", "records", Behaviour::Unsigned);
+    let signed = world.add_replica("r-2", "records", AT_ONCE);
+    world.wait_ready();
+    world.wait_known(&signed);
+    for number in 0..6 {
+        let answer = world.ask(&Ask::new("GET", "/look/1", &format!("look-{number}")));
+        assert_eq!((answer.status, answer.is_signed()), (200, true), "{answer:?}");
+    }
+    signed.set(Behaviour::Unsigned);
+    for number in 0..4 {
+        let answer = world.ask(&Ask::new("POST", "/records/new", &format!("once-{number}")));
+        assert_eq!(answer.status, 502, "it may have run: {answer:?}");
+    }
+}
+
 #[test]
 fn once_at_most_after_a_lost_answer() {
     let world = World::start("lost_answer", &configuration());
--- a/crates/direct/src/replicas.rs
+++ b/crates/direct/src/replicas.rs
@@ -51,6 +51,7 @@
     known: BTreeMap<InstanceId, Known>,
     applied: Revision,
     last_outage: Option<Millis>,
+    restarted: Vec<InstanceId>,
 }
 
 impl ReplicaSet {
@@ -72,6 +73,9 @@
         for (replica, revision) in listing {
             let old = before.remove(&replica.id);
             is_changed |= old.as_ref().is_none_or(|old| old.replica != replica);
+            if old.is_some_and(|old| is_other_run(&old.replica, &replica)) {
+                self.restarted.push(replica.id.clone());
+            }
             self.known.insert(replica.id.clone(), Known { replica, revision, missing_since: None });
         }
         for (id, mut known) in before {
@@ -86,8 +90,11 @@
 
     /// Applies one change that a watch has seen; older ones are ignored.
     pub fn apply_change(&mut self, replica: Replica, revision: Revision) {
-        let is_newer = self.known.get(&replica.id).is_none_or(|known| known.revision <= revision);
-        if is_newer {
+        let known = self.known.get(&replica.id);
+        if known.is_none_or(|known| known.revision <= revision) {
+            if known.is_some_and(|known| is_other_run(&known.replica, &replica)) {
+                self.restarted.push(replica.id.clone());
+            }
             self.known.insert(replica.id.clone(), Known { replica, revision, missing_since: None });
         }
     }
@@ -103,6 +110,11 @@
         }
     }
 
+    /// Replicas that have started again under the same name since the last call.
+    pub fn take_restarted(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// Takes note that a watch has seen everything up to a revision.
     pub fn reach(&mut self, at: Revision) {
         self.applied = self.applied.max(at);
@@ -159,3 +171,8 @@
         known.replica.state == ReplicaState::Ready && now.since(outage) < RETURN_TIME
     }
 }
+
+/// Whether both say when they started, and not the same.
+fn is_other_run(old: &Replica, new: &Replica) -> bool {
+    old.born.zip(new.born).is_some_and(|(old, new)| old != new)
+}
--- a/crates/direct/tests/replica_beliefs.rs
+++ b/crates/direct/tests/replica_beliefs.rs
@@ -35,6 +35,23 @@
     assert!(ready(&set, Millis(10)).is_empty());
 }
 
+#[test]
+fn restart_under_the_same_name_is_told() {
+    let born = |id: &str, born| Replica { born, ..replica(id, ReplicaState::Ready) };
+    let mut set = ReplicaSet::default();
+    let listed = vec![(born("a", Some(1)), Revision(2)), (born("b", Some(1)), Revision(2))];
+    set.apply_listing(listed, Revision(2), Millis(0));
+    assert!(set.take_restarted().is_empty(), "nothing was known before");
+    set.apply_change(born("a", Some(1)), Revision(3));
+    set.apply_change(born("b", None), Revision(3));
+    assert!(set.take_restarted().is_empty(), "the same run, and one that does not say");
+    set.apply_change(born("a", Some(9)), Revision(4));
+    assert_eq!(set.take_restarted(), ["a".parse().expect("a name")]);
+    set.apply_listing(vec![(born("a", Some(10)), Revision(5))], Revision(5), Millis(0));
+    assert_eq!(set.take_restarted(), ["a".parse().expect("a name")]);
+    assert!(set.take_restarted().is_empty());
+}
+
 #[test]
 fn entry_that_expired_in_an_outage_may_return() {
     let mut set = ReplicaSet::default();
