Give quiet services more trial answers, within the absolute allowance

Cause: a service with 15 calls a second gets about a dozen trial answers by the share alone; bad versions were taken for good and good ones rolled back for want of evidence. Ruled out: a larger share (it is used up by the last step).

--- a/crates/daemon/src/dev_direct.rs
+++ b/crates/daemon/src/dev_direct.rs
@@ -5,7 +5,7 @@
     dev::{Ports, free_address},
     direct::DirectEntry,
 };
-use ibissail_core::Millis;
+use ibissail_core::{Count, Millis};
 use ibissail_direct::{BudgetLimits, DirectSettings};
 use ibissail_platform_standin::{
     Behaviour, ConfigurationText, Ending, ReplicaStandin, RouteText, StoreStandin, curl_options,
@@ -93,6 +93,7 @@
         grace: Millis(2_000),
         budget: BudgetLimits { ratio: 0.5, allowance: 50.0, window: Millis(10_000) },
         exposure: 0.1,
+        exposure_allowance: Count(0),
         session_pause: Millis(5_000),
     })
 }
--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -3,10 +3,10 @@
 use super::{Direct, State, peers::OrderReport};
 use crate::clock::{since_boot, unix_millis};
 use async_std::task;
-use ibissail_core::{InstanceId, Millis, ServiceId, VersionId};
+use ibissail_core::{Count, InstanceId, Millis, ServiceId, VersionId};
 use ibissail_direct::{
-    Evidence, Incarnation, Order, OrderState, Phase, RolloutView, Sample, Schedule, SharedEvidence,
-    Slowdown, Trial, Verdict, is_suspect, judge, slowdown,
+    Evidence, ExtraTrials, Incarnation, Order, OrderState, Phase, RolloutView, Sample, Schedule,
+    SharedEvidence, Slowdown, Trial, Verdict, is_suspect, judge, slowdown,
 };
 use ibissail_platform::{Store, StoreError};
 use slog::{info, warn};
@@ -38,6 +38,8 @@
     pub(crate) trial: Trial,
     /// Share of requests that a bad version may get.
     exposure: f64,
+    /// Requests to the new version beyond the trial's share.
+    extra_trials: ExtraTrials,
     /// How much longer the new version's answers take.
     slowdown: Slowdown,
     wanted: Option<(OrderState, Millis)>,
@@ -57,6 +59,7 @@
             old_running: 0,
             trial: Trial::default(),
             exposure,
+            extra_trials: ExtraTrials::default(),
             slowdown: Slowdown::default(),
             wanted: None,
         }
@@ -75,6 +78,12 @@
         if self.order.state.is_final() { Evidence::default() } else { self.evidence.own().clone() }
     }
 
+    /// Whether the next request is one of those that the trial gets beyond its share.
+    pub(crate) fn takes_extra(&mut self, allowance: Count, entries: usize, now: Millis) -> bool {
+        let watched = self.evidence.own_watched(now);
+        self.extra_trials.take(allowance, entries, watched, self.order.duration)
+    }
+
     pub(crate) fn view(&self, now: Millis) -> RolloutView {
         let schedule = self.schedule(now);
         RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.trial)
--- a/crates/daemon/src/direct/pick.rs
+++ b/crates/daemon/src/direct/pick.rs
@@ -124,7 +124,7 @@
             return Versions::Only(version.clone());
         }
         let service = &work.service;
-        if let Some(order) = self.orders.get(service) {
+        if let Some(order) = self.orders.get_mut(service) {
             let view = order.view(now);
             let is_done = order.order.state.is_final();
             if is_done && view.share < 1.0 {
@@ -144,6 +144,14 @@
                     }
                     _ => view.takes(hash),
                 };
+                // A call without a session may go to either version; one that is repeated has
+                // counted already.
+                let is_free = session.is_none() && progress.sends == 0;
+                let takes = takes
+                    || is_free
+                        && view.is_trial
+                        && view.share > 0.0
+                        && order.takes_extra(self.exposure_allowance, self.peers.entries(now), now);
                 let takes = takes && !progress.avoids_new_version;
                 return if takes {
                     Versions::Only(view.target)
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -1,7 +1,7 @@
 //! What a direct entry knows, and the loads it has put on replicas.
 
 use super::{orders::OrderProgress, peers::PeerTable};
-use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VersionId};
+use ibissail_core::{Count, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
     BudgetLimits, DirectSettings, Freshness, Health, PrefixBelief, ReplicaSet, RetryBudget,
     RoutingTable,
@@ -45,6 +45,8 @@
     pub(crate) sessions: BTreeMap<String, SessionVersion>,
     /// Share of requests that a bad version may get.
     pub(super) exposure: f64,
+    /// Requests that it may get beyond that share.
+    pub(super) exposure_allowance: Count,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     budget_limits: BudgetLimits,
 }
@@ -66,6 +68,7 @@
             sessions: BTreeMap::new(),
             budgets: BTreeMap::new(),
             exposure: settings.exposure,
+            exposure_allowance: settings.exposure_allowance,
             budget_limits: settings.budget,
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod shared_evidence;
 mod stop;
 mod table;
+mod trial;
 mod verdict;
 
 pub use backoff::Backoff;
@@ -49,4 +50,5 @@
 pub use shared_evidence::{Incarnation, SharedEvidence};
 pub use stop::{stop_admits, stop_end};
 pub use table::RoutingTable;
+pub use trial::ExtraTrials;
 pub use verdict::{Slowdown, Verdict, is_suspect, judge, slowdown};
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an entry that calls upstreams directly.
 
 use crate::BudgetLimits;
-use ibissail_core::{Millis, VmId, ZoneId};
+use ibissail_core::{Count, Millis, VmId, ZoneId};
 use std::net::{IpAddr, SocketAddr};
 
 /// Settings of an entry that calls upstreams directly.
@@ -31,6 +31,8 @@
     pub budget: BudgetLimits,
     /// Share of a service's requests that a bad version may get during its roll-out.
     pub exposure: f64,
+    /// Requests that it may get beyond that share.
+    pub exposure_allowance: Count,
     /// Pause after which requests of the same session no longer belong together.
     pub session_pause: Millis,
 }
--- /dev/null
+++ b/crates/direct/src/trial.rs
@@ -0,0 +1,48 @@
+//! Requests that a version on trial gets beyond its share.
+//!
+//! Answers the load of services with few requests: their share alone brings a dozen answers, too
+//! few to tell a bad version from a good one.
+
+use ibissail_core::{Count, Millis};
+
+/// Part of the requests that a bad version may get beyond its share which trials use; restarts and
+/// entries that know of too few peers use some more.
+const ALLOWANCE_PART: f64 = 0.6;
+/// Fewest entries among which the allowance is divided; a new entry knows of few peers.
+const MIN_ENTRIES: usize = 4;
+
+/// Trial requests of one entry beyond the share.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ExtraTrials {
+    taken: u32,
+}
+
+impl ExtraTrials {
+    /// Whether the next request goes to the version on trial; it then counts.
+    ///
+    /// The requests are spread over the order's time, of which `watched` has passed at this entry.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::{Count, Millis};
+    /// use ibissail_direct::ExtraTrials;
+    /// let mut extra = ExtraTrials::default();
+    /// let half = Millis(6_000);
+    /// let taken = (0..100).filter(|_| extra.take(Count(30), 5, half, Millis(12_000))).count();
+    /// assert_eq!(taken, 2);
+    /// ```
+    pub fn take(
+        &mut self,
+        allowance: Count,
+        entries: usize,
+        watched: Millis,
+        duration: Millis,
+    ) -> bool {
+        let own = ALLOWANCE_PART * f64::from(allowance.0) / entries.max(MIN_ENTRIES) as f64;
+        let passed = (watched.0 as f64 / duration.0.max(1) as f64).min(1.0);
+        let is_due = f64::from(self.taken) + 0.5 < own * passed;
+        self.taken += u32::from(is_due);
+        is_due
+    }
+}
