--- a/crates/daemon/src/direct/follow.rs
+++ b/crates/daemon/src/direct/follow.rs
@@ -208,7 +208,7 @@
         let mut state = self.state();
         for order in orders {
             let service = order.service.clone();
-            let known = state.orders.get(&service).map(|progress| progress.order.revision);
+            let known = state.orders.get(&service).map(|known| known.controller.order.revision);
             if known.is_some_and(|known| known >= order.revision) {
                 continue;
             }
--- a/crates/daemon/src/direct/orders.rs
+++ b/crates/daemon/src/direct/orders.rs
@@ -1,13 +1,10 @@
 //! Carries out orders to move a service to another version.
 
-use super::{Direct, State, peers::OrderReport};
+use super::{Direct, State};
 use crate::clock::{since_boot, unix_millis};
 use async_std::task;
 use ibissail_core::{Count, InstanceId, Millis, ServiceId, VersionId};
-use ibissail_direct::{
-    Evidence, ExtraTrials, Incarnation, Order, OrderState, Phase, RolloutView, Sample, Schedule,
-    SharedEvidence, Slowdown, Trial, Verdict, is_suspect, judge, slowdown,
-};
+use ibissail_direct::{ExtraTrials, Order, OrderState, RolloutController, Sample, SharedEvidence};
 use ibissail_platform::{Store, StoreError};
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -22,26 +19,13 @@
 /// mostly one writes the status.
 const RANK_DELAY: Millis = Millis(500);
 
-/// An order and what this entry has seen of it.
+/// An order in progress at this entry.
 #[derive(Debug, Clone)]
 pub(crate) struct OrderProgress {
-    pub(crate) order: Order,
-    /// When any entry first saw the order, by this entry's clock.
-    pub(crate) first_seen: Millis,
-    /// Answers that the entries have seen.
-    pub(crate) evidence: SharedEvidence,
-    /// What was decided; it is not taken back.
-    pub(crate) verdict: Verdict,
-    /// Requests of this entry that run on the old version.
-    pub(crate) old_running: u32,
-    /// How well all entries together have tried the new version.
-    pub(crate) trial: Trial,
-    /// Share of requests that a bad version may get.
-    exposure: f64,
+    pub(crate) controller: RolloutController,
     /// Requests to the new version beyond the trial's share.
     extra_trials: ExtraTrials,
-    /// How much longer the new version's answers take.
-    slowdown: Slowdown,
+    /// The status that is wanted, and since when.
     wanted: Option<(OrderState, Millis)>,
 }
 
@@ -51,42 +35,14 @@
             .started_unix_ms
             .map(|started| Millis(unix_millis()).since(Millis(started)))
             .unwrap_or_default();
-        Self {
-            order,
-            first_seen: now.since(running_for),
-            evidence: SharedEvidence::new(now),
-            verdict: Verdict::Open,
-            old_running: 0,
-            trial: Trial::default(),
-            exposure,
-            extra_trials: ExtraTrials::default(),
-            slowdown: Slowdown::default(),
-            wanted: None,
-        }
-    }
-
-    pub(crate) fn schedule(&self, now: Millis) -> Schedule {
-        Schedule {
-            elapsed: now.since(self.first_seen),
-            duration: self.order.duration,
-            exposure: self.exposure,
-        }
-    }
-
-    /// The evidence for peers; of an order that is over, nobody needs it.
-    pub(crate) fn reported_evidence(&self) -> Evidence {
-        if self.order.state.is_final() { Evidence::default() } else { self.evidence.own().clone() }
+        let controller = RolloutController::new(order, exposure, running_for, now);
+        Self { controller, extra_trials: ExtraTrials::default(), wanted: None }
     }
 
     /// Whether the next request is one of those that the trial gets beyond its share.
     pub(crate) fn takes_extra(&mut self, allowance: Count, entries: usize, now: Millis) -> bool {
-        let watched = self.evidence.own_watched(now);
-        self.extra_trials.take(allowance, entries, watched, self.order.duration)
-    }
-
-    pub(crate) fn view(&self, now: Millis) -> RolloutView {
-        let schedule = self.schedule(now);
-        RolloutView::new(&self.order, &schedule, self.verdict.is_bad(), self.trial)
+        let watched = self.controller.evidence.own_watched(now);
+        self.extra_trials.take(allowance, entries, watched, self.controller.order.duration)
     }
 }
 
@@ -97,15 +53,12 @@
         if order.state == OrderState::Succeeded {
             self.baselines.insert(service.clone(), order.target.clone());
         }
-        match self.orders.get_mut(&service) {
+        match self.orders.get_mut(&service).map(|progress| &mut progress.controller) {
             Some(known)
                 if known.order.target == order.target
                     && (order.state.is_final() || !known.order.state.is_final()) =>
             {
-                if order.state.is_final() {
-                    known.evidence.close();
-                }
-                known.order = order;
+                known.learn(order);
             }
             _ => {
                 self.orders.insert(service, OrderProgress::new(order, self.exposure, now));
@@ -119,9 +72,9 @@
         service: &ServiceId,
         version: &VersionId,
     ) -> Option<(&mut SharedEvidence, bool)> {
-        let progress = self.orders.get_mut(service)?;
-        let is_new = *version == progress.order.target;
-        (!progress.order.state.is_final()).then_some((&mut progress.evidence, is_new))
+        let controller = &mut self.orders.get_mut(service)?.controller;
+        let is_new = *version == controller.order.target;
+        (!controller.order.state.is_final()).then_some((&mut controller.evidence, is_new))
     }
 
     /// Counts an answer as evidence, if the service has an order in progress.
@@ -153,62 +106,11 @@
     pub(super) fn count_old(&mut self, service: &ServiceId, instance: &InstanceId, is_start: bool) {
         let version = self.replicas.get(instance).map(|replica| replica.version.clone());
         let Some(progress) = self.orders.get_mut(service) else { return };
-        if version.is_some_and(|version| version != progress.order.target) {
-            progress.old_running = if is_start {
-                progress.old_running + 1
-            } else {
-                progress.old_running.saturating_sub(1)
-            };
-        }
-    }
-
-    /// The status that an order should get now, if another than it has.
-    fn next_status(&mut self, service: &ServiceId, now: Millis) -> Option<(OrderState, Verdict)> {
-        let peers = self.peers.order_reports(service, now);
-        let progress = self.orders.get_mut(service)?;
-        if progress.order.state.is_final() {
-            return None;
-        }
-        let mut old_running = progress.old_running;
-        let is_current =
-            |(_, report): &(Incarnation, OrderReport)| report.target == progress.order.target;
-        for (peer, report) in peers.into_iter().filter(is_current) {
-            old_running += report.old_running;
-            progress.evidence.hear(peer, report.evidence, report.watched);
-            progress.first_seen = progress.first_seen.min(now.since(report.elapsed));
-            if report.state.is_final() {
-                // A peer has read what this entry may be unable to read.
-                progress.order.state = report.state;
-                return None;
-            }
-            if report.is_bad && !progress.verdict.is_bad() {
-                progress.verdict = Verdict::Failing;
-            }
-        }
-        let evidence = progress.evidence.total();
-        if !progress.verdict.is_bad() {
-            progress.verdict = judge(&evidence);
+        let controller = &mut progress.controller;
+        if version.is_some_and(|version| version != controller.order.target) {
+            let running = controller.old_running;
+            controller.old_running = if is_start { running + 1 } else { running.saturating_sub(1) };
         }
-        progress.slowdown = slowdown(&evidence);
-        progress.trial = Trial {
-            answers: evidence.new.answers(),
-            watched: progress.evidence.watched(now),
-            is_suspect: is_suspect(&evidence),
-        };
-        let is_tried = progress.trial.suffices(progress.order.duration);
-        let phase = progress.schedule(now).phase();
-        let wanted = match (progress.verdict.is_bad(), progress.order.state, phase) {
-            (false, _, Phase::Due) if is_tried => OrderState::Succeeded,
-            // Without evidence the old version is the safe one.
-            (true, ..) | (false, _, Phase::Due) => OrderState::RolledBack,
-            (false, _, Phase::Full) if old_running == 0 && is_tried => OrderState::Succeeded,
-            (false, OrderState::Pending, _) => OrderState::Running,
-            _ => {
-                progress.wanted = None;
-                return None;
-            }
-        };
-        Some((wanted, progress.verdict))
     }
 }
 
@@ -216,19 +118,25 @@
     /// The write that this entry should make now for an order.
     fn due_write(&self, service: &ServiceId, now: Millis) -> Option<Order> {
         let mut state = self.state();
-        let (wanted, verdict) = state.next_status(service, now)?;
         let rank = state.peers.rank(now);
+        let peers = state.peers.order_reports(service, now);
         let progress = state.orders.get_mut(service)?;
+        let controller = &mut progress.controller;
+        let Some(wanted) = controller.decide(peers, now) else {
+            progress.wanted = None;
+            return None;
+        };
         let since = match progress.wanted {
             Some((known, since)) if known == wanted => since,
             _ => {
                 info!(self.log, "order: decided"; "service" => %service,
-                    "target" => %progress.order.target, "state" => %wanted,
-                    "verdict" => %verdict, "phase" => %progress.schedule(now).phase(),
-                    "elapsed_ms" => now.since(progress.first_seen).0,
-                    "is_suspect" => progress.trial.is_suspect,
-                    "slowdown" => format!("{:?}", progress.slowdown),
-                    "evidence" => format!("{:?}", progress.evidence.own()));
+                    "target" => %controller.order.target, "state" => %wanted,
+                    "verdict" => %controller.verdict(),
+                    "phase" => %controller.schedule(now).phase(),
+                    "elapsed_ms" => controller.elapsed(now).0,
+                    "is_suspect" => controller.trial().is_suspect,
+                    "slowdown" => format!("{:?}", controller.slowdown()),
+                    "evidence" => format!("{:?}", controller.evidence.own()));
                 progress.wanted = Some((wanted, now));
                 now
             }
@@ -236,9 +144,9 @@
         if now.since(since) < Millis(RANK_DELAY.0 * rank) {
             return None;
         }
-        let mut order = progress.order.clone();
+        let running_for = progress.controller.elapsed(now);
+        let mut order = progress.controller.order.clone();
         order.state = wanted;
-        let running_for = now.since(progress.first_seen);
         order.started_unix_ms = Some(Millis(unix_millis()).since(running_for).0);
         Some(order)
     }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -6,9 +6,9 @@
 use crate::clock::{since_boot, unix_millis};
 use async_std::{net::UdpSocket, task};
 use futures_lite::FutureExt;
-use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
+use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VmId};
 use ibissail_direct::{
-    Confirmation, Confirmed, DirectSettings, Evidence, Incarnation, OrderState, stable_hash,
+    Confirmation, Confirmed, DirectSettings, Incarnation, OrderReport, stable_hash,
 };
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -39,22 +39,6 @@
 /// Largest report that arrives in one datagram.
 const MAX_REPORT_BYTES: usize = 1_400;
 
-/// What an entry says of an order in progress.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct OrderReport {
-    pub(crate) service: ServiceId,
-    pub(crate) target: VersionId,
-    pub(crate) state: OrderState,
-    /// Time since any entry first saw the order.
-    pub(crate) elapsed: Millis,
-    /// Time for which the reporting entry has watched the new version.
-    pub(crate) watched: Millis,
-    pub(crate) is_bad: bool,
-    /// Requests of the reporting entry on the old version.
-    pub(crate) old_running: u32,
-    pub(crate) evidence: Evidence,
-}
-
 /// Load that an entry has put on a replica.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct LoadReport {
@@ -253,16 +237,7 @@
             unread: load.unread,
         });
         let loads = loads.collect();
-        let orders = state.orders.values().map(|progress| OrderReport {
-            service: progress.order.service.clone(),
-            target: progress.order.target.clone(),
-            state: progress.order.state,
-            elapsed: now.since(progress.first_seen),
-            watched: progress.evidence.own_watched(now),
-            is_bad: progress.verdict.is_bad(),
-            old_running: progress.old_running,
-            evidence: progress.reported_evidence(),
-        });
+        let orders = state.orders.values().map(|progress| progress.controller.report(now));
         let orders = orders.collect();
         let receivers = state.peers.receivers(now);
         let report = Report {
--- a/crates/daemon/src/direct/pick.rs
+++ b/crates/daemon/src/direct/pick.rs
@@ -126,8 +126,8 @@
         }
         let service = &work.service;
         if let Some(order) = self.orders.get_mut(service) {
-            let view = order.view(now);
-            let is_done = order.order.state.is_final();
+            let view = order.controller.view(now);
+            let is_done = order.controller.order.state.is_final();
             if is_done && view.share < 1.0 {
                 return Versions::Except(view.target);
             }
@@ -168,7 +168,8 @@
     pub(super) fn held_sessions(&self, pause: Millis, now: Millis) -> Vec<u32> {
         let is_held = |(session, known): &(&String, &SessionVersion)| {
             let is_old = |progress: &OrderProgress| {
-                !progress.order.state.is_final() && progress.order.target != known.version
+                !progress.controller.order.state.is_final()
+                    && progress.controller.order.target != known.version
             };
             now.since(known.last_used) < pause
                 && self.orders.values().any(is_old)
@@ -182,7 +183,7 @@
     /// have when all requests go to the version.
     fn narrow_trial(&self, work: &Work, choice: &mut Vec<Candidate>, now: Millis) {
         let Some(order) = self.orders.get(&work.service) else { return };
-        let view = order.view(now);
+        let view = order.controller.view(now);
         let is_new = |candidate: &Candidate| {
             let replica = self.replicas.get(&candidate.id);
             replica.is_some_and(|replica| replica.version == view.target)
@@ -194,7 +195,7 @@
         let old = ready.filter(|replica| replica.version != view.target).count();
         let width = trial_width(view.share, old).min(choice.len());
         choice.sort_by_key(|candidate| stable_hash(&[candidate.id.as_str()]));
-        let turn = usize::try_from(order.schedule(now).elapsed.0 / TRIAL_TURN.0);
+        let turn = usize::try_from(order.controller.elapsed(now).0 / TRIAL_TURN.0);
         let from = turn.unwrap_or_default() * width % choice.len();
         choice.rotate_left(from);
         choice.truncate(width);
@@ -233,7 +234,9 @@
     /// Versions for a request that finds no replica of the version it should go to.
     fn fallback_versions(&self, service: &ServiceId) -> Versions {
         match self.orders.get(service) {
-            Some(order) if order.verdict.is_bad() => Versions::Except(order.order.target.clone()),
+            Some(order) if order.controller.verdict().is_bad() => {
+                Versions::Except(order.controller.order.target.clone())
+            }
             _ => Versions::All,
         }
     }
--- /dev/null
+++ b/crates/direct/src/controller.rs
@@ -0,0 +1,187 @@
+//! Carries an order out at one entry, beside all others that do the same.
+//!
+//! Entries lead nobody and follow nobody: each computes what is due from the time since the order
+//! and from the evidence that it has heard of, and writes the status if nobody has written it.
+
+use crate::{
+    Evidence, Incarnation, Order, OrderState, Phase, RolloutView, Schedule, SharedEvidence,
+    Slowdown, Trial, Verdict, is_suspect, judge, slowdown,
+};
+use ibissail_core::{Millis, ServiceId, VersionId};
+use serde::{Deserialize, Serialize};
+
+/// What an entry says of an order in progress.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OrderReport {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version.
+    pub target: VersionId,
+    /// How far the order has come, as the reporting entry knows it.
+    pub state: OrderState,
+    /// Time since any entry first saw the order.
+    pub elapsed: Millis,
+    /// Time for which the reporting entry has watched the new version.
+    pub watched: Millis,
+    /// Whether it has condemned the new version.
+    pub is_bad: bool,
+    /// Its requests on the old version.
+    pub old_running: u32,
+    /// Answers that it has counted itself.
+    pub evidence: Evidence,
+}
+
+/// An order, and what one entry knows of its course.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutController {
+    /// The order, as far as this entry knows.
+    pub order: Order,
+    /// Answers that the entries have seen.
+    pub evidence: SharedEvidence,
+    /// Requests of this entry that run on the old version.
+    pub old_running: u32,
+    /// When any entry first saw the order, by this entry's clock.
+    first_seen: Millis,
+    /// What was decided; it is not taken back.
+    verdict: Verdict,
+    trial: Trial,
+    slowdown: Slowdown,
+    /// Share of requests that a bad version may get.
+    exposure: f64,
+}
+
+impl RolloutController {
+    /// Takes an order up; `running_for` is the time since another entry did, where that is known.
+    #[must_use]
+    pub fn new(order: Order, exposure: f64, running_for: Millis, now: Millis) -> Self {
+        Self {
+            order,
+            evidence: SharedEvidence::new(now),
+            old_running: 0,
+            first_seen: now.since(running_for),
+            verdict: Verdict::Open,
+            trial: Trial::default(),
+            slowdown: Slowdown::default(),
+            exposure,
+        }
+    }
+
+    /// Takes over a newer status of the same order.
+    pub fn learn(&mut self, order: Order) {
+        if order.state.is_final() {
+            self.evidence.close();
+        }
+        self.order = order;
+    }
+
+    /// Time since any entry first saw the order.
+    #[must_use]
+    pub fn elapsed(&self, now: Millis) -> Millis {
+        now.since(self.first_seen)
+    }
+
+    /// What has been decided on the new version.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// How well the new version has been tried.
+    #[must_use]
+    pub fn trial(&self) -> Trial {
+        self.trial
+    }
+
+    /// How much longer the new version's answers take.
+    #[must_use]
+    pub fn slowdown(&self) -> Slowdown {
+        self.slowdown
+    }
+
+    /// Where the order stands in its time.
+    #[must_use]
+    pub fn schedule(&self, now: Millis) -> Schedule {
+        Schedule {
+            elapsed: self.elapsed(now),
+            duration: self.order.duration,
+            exposure: self.exposure,
+        }
+    }
+
+    /// How this entry divides the service's requests.
+    #[must_use]
+    pub fn view(&self, now: Millis) -> RolloutView {
+        RolloutView::new(&self.order, &self.schedule(now), self.verdict.is_bad(), self.trial)
+    }
+
+    /// What this entry tells its peers; of an order that is over, nobody needs the evidence.
+    #[must_use]
+    pub fn report(&self, now: Millis) -> OrderReport {
+        let is_over = self.order.state.is_final();
+        OrderReport {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            state: self.order.state,
+            elapsed: self.elapsed(now),
+            watched: self.evidence.own_watched(now),
+            is_bad: self.verdict.is_bad(),
+            old_running: self.old_running,
+            evidence: if is_over { Evidence::default() } else { self.evidence.own().clone() },
+        }
+    }
+
+    /// Takes over what live peers say, and returns the status that the order should get now, if
+    /// another than it has.
+    pub fn decide<I>(&mut self, peers: I, now: Millis) -> Option<OrderState>
+    where
+        I: IntoIterator<Item = (Incarnation, OrderReport)>,
+    {
+        if self.order.state.is_final() {
+            return None;
+        }
+        let mut old_running = self.old_running;
+        for (peer, report) in peers {
+            if report.target != self.order.target {
+                continue;
+            }
+            old_running += report.old_running;
+            self.evidence.hear(peer, report.evidence, report.watched);
+            self.first_seen = self.first_seen.min(now.since(report.elapsed));
+            if report.state.is_final() {
+                // A peer has read what this entry may be unable to read.
+                self.order.state = report.state;
+                return None;
+            }
+            if report.is_bad && !self.verdict.is_bad() {
+                self.verdict = Verdict::Failing;
+            }
+        }
+        self.weigh(now);
+        self.wanted(old_running, now)
+    }
+
+    fn weigh(&mut self, now: Millis) {
+        let evidence = self.evidence.total();
+        if !self.verdict.is_bad() {
+            self.verdict = judge(&evidence);
+        }
+        self.slowdown = slowdown(&evidence);
+        self.trial = Trial {
+            answers: evidence.new.answers(),
+            watched: self.evidence.watched(now),
+            is_suspect: is_suspect(&evidence),
+        };
+    }
+
+    fn wanted(&self, old_running: u32, now: Millis) -> Option<OrderState> {
+        let is_tried = self.trial.suffices(self.order.duration);
+        match (self.verdict.is_bad(), self.order.state, self.schedule(now).phase()) {
+            (false, _, Phase::Due) if is_tried => Some(OrderState::Succeeded),
+            // Without evidence the old version is the safe one.
+            (true, ..) | (false, _, Phase::Due) => Some(OrderState::RolledBack),
+            (false, _, Phase::Full) if old_running == 0 && is_tried => Some(OrderState::Succeeded),
+            (false, OrderState::Pending, _) => Some(OrderState::Running),
+            _ => None,
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod configuration;
 mod confirmation;
+mod controller;
 mod evidence;
 mod freshness;
 mod hash;
@@ -37,6 +38,7 @@
     Configuration, Engine, Limits, Organisation, OrganisationKey, RequestKind, Route, Upstream,
 };
 pub use confirmation::{Confirmation, Confirmed, ReadSchedule};
+pub use controller::{OrderReport, RolloutController};
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, time_kind};
 pub use freshness::Freshness;
 pub use hash::stable_hash;
