--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -45,6 +45,9 @@
     /// What was decided; it is not taken back.
     verdict: Verdict,
     trial: Trial,
+    /// Whether the version was suspect when its trial ended; later answers only condemn it, so that
+    /// sessions do not move to and fro.
+    was_suspect: Option<bool>,
     slowdown: Slowdown,
     /// Share of requests that a bad version may get.
     exposure: f64,
@@ -61,6 +64,7 @@
             first_seen: now.since(running_for),
             verdict: Verdict::Open,
             trial: Trial::default(),
+            was_suspect: None,
             slowdown: Slowdown::default(),
             exposure,
         }
@@ -166,10 +170,14 @@
             self.verdict = judge(&evidence);
         }
         self.slowdown = slowdown(&evidence);
+        let is_suspect = self.was_suspect.unwrap_or_else(|| is_suspect(&evidence));
+        if self.schedule(now).phase() != Phase::Trial {
+            self.was_suspect = Some(is_suspect);
+        }
         self.trial = Trial {
             answers: evidence.new.answers(),
             watched: self.evidence.watched(now),
-            is_suspect: is_suspect(&evidence),
+            is_suspect,
         };
     }
 
--- a/crates/direct/tests/rollout_history.rs
+++ b/crates/direct/tests/rollout_history.rs
@@ -3,7 +3,7 @@
 use ibissail_core::{Millis, Revision};
 use ibissail_direct::{
     Evidence, Incarnation, Order, OrderReport, OrderState, Phase, RolloutController, Sample,
-    Schedule, is_suspect, judge, stable_hash,
+    Schedule, Verdict, is_suspect, judge, stable_hash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
@@ -274,3 +274,33 @@
     assert!(calm >= 300, "{calm} calm histories");
     assert!(refused * 100 <= calm, "{refused} of {calm} good versions did not take over");
 }
+
+/// Sessions that have moved in the last step stay there, whatever a few further answers show.
+#[test]
+fn last_step_is_not_taken_back_by_a_suspicion() {
+    let order = World::new(1, false).order;
+    let mut controller = RolloutController::new(order, EXPOSURE, Millis(0), Millis(0));
+    let sample = |number: u32, time_ms| Sample {
+        route: 1,
+        kind: 1,
+        replica: u64::from(number % 5),
+        is_bad: false,
+        time_ms: Some(time_ms),
+    };
+    for number in 0..40 {
+        controller.evidence.note(true, &sample(number, 60 + u64::from(number)));
+        controller.evidence.note(false, &sample(number, 60 + u64::from(number)));
+    }
+    let no_peers = Vec::new;
+    controller.decide(no_peers(), Millis(12_000));
+    let full = Millis(13_200);
+    controller.decide(no_peers(), full);
+    assert!((controller.view(full).share - 1.0).abs() < f64::EPSILON);
+    for number in 0..20 {
+        controller.evidence.note(true, &sample(number, 170));
+    }
+    let later = Millis(13_300);
+    controller.decide(no_peers(), later);
+    assert_eq!(controller.verdict(), Verdict::Open, "not enough to condemn it");
+    assert!((controller.view(later).share - 1.0).abs() < f64::EPSILON);
+}
