--- a/crates/daemon/src/direct/drive.rs
+++ b/crates/daemon/src/direct/drive.rs
@@ -11,7 +11,7 @@
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
-use ibissail_direct::{ModelChoice, Sample, Step, fraction, stable_hash, starts_large, time_kind};
+use ibissail_direct::{ModelChoice, Sample, Step, stable_hash, time_kind};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
 use slog::{info, warn};
 use std::{collections::BTreeSet, sync::Arc};
@@ -120,7 +120,7 @@
     progress: &mut Progress,
 ) -> End {
     let steps = steps(work);
-    let mut position = direct.first_step(work, progress, &steps);
+    let mut position = 0;
     loop {
         let step = steps.get(position);
         if let Some(end) = direct.stop_reason(work, progress) {
@@ -185,26 +185,6 @@
         None
     }
 
-    /// The step to begin with: the last one where no repeat is left to replace a small answer.
-    fn first_step(&self, work: &Work, progress: &Progress, steps: &[Step]) -> usize {
-        let [_, .., largest] = steps else { return 0 };
-        let now = since_boot();
-        let has_repeat = {
-            let mut state = self.state();
-            let entries = state.peers.entries(now);
-            state.budget(&work.service).has_repeat(now, entries, FAILURE_RESERVE)
-        };
-        if has_repeat {
-            return 0;
-        }
-        let draw = fraction(stable_hash(&[&work.call.id, "first step"]));
-        let picked = self.pick(work, progress, Some(&largest.model));
-        let rest = work.arrived.plus(work.route.objective).since(now);
-        let is_large =
-            picked.is_some_and(|picked| starts_large(has_repeat, draw, picked.wait, rest));
-        if is_large { steps.len() - 1 } else { 0 }
-    }
-
     /// Takes a repeat from the budget unless only the reserve is left.
     fn take_repeat(&self, work: &Work, reserve: f64) -> bool {
         let now = since_boot();
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -63,21 +63,16 @@
     /// assert!(!budget.take_repeat(Millis(0), 1, 0.0));
     /// ```
     pub fn take_repeat(&mut self, now: Millis, entries: usize, reserve: f64) -> bool {
-        let is_left = self.has_repeat(now, entries, reserve);
+        let allowance = self.limits.allowance / entries.max(MIN_ENTRIES) as f64;
+        let (firsts, repeats) = self.counts(now);
+        let allowed = USED_PART * self.limits.ratio * f64::from(firsts) + allowance;
+        let is_left = f64::from(repeats) + 1.0 <= allowed * (1.0 - reserve);
         if is_left {
             self.bucket(now).repeats += 1;
         }
         is_left
     }
 
-    /// Whether a repeat is left beside the reserve.
-    pub fn has_repeat(&mut self, now: Millis, entries: usize, reserve: f64) -> bool {
-        let allowance = self.limits.allowance / entries.max(MIN_ENTRIES) as f64;
-        let (firsts, repeats) = self.counts(now);
-        let allowed = USED_PART * self.limits.ratio * f64::from(firsts) + allowance;
-        f64::from(repeats) + 1.0 <= allowed * (1.0 - reserve)
-    }
-
     fn counts(&mut self, now: Millis) -> (u32, u32) {
         self.drop_old(now);
         let sum = |counts: (u32, u32), bucket: &Bucket| {
--- a/crates/direct/src/hash.rs
+++ b/crates/direct/src/hash.rs
@@ -21,9 +21,3 @@
     }
     hasher.finish()
 }
-
-/// A hash as a number from 0 to 1.
-#[must_use]
-pub fn fraction(hash: u64) -> f64 {
-    (hash >> 11) as f64 / (1_u64 << 53) as f64
-}
--- a/crates/direct/src/models.rs
+++ b/crates/direct/src/models.rs
@@ -13,10 +13,6 @@
 /// count a late answer as three tenths of one on time.
 const BETTER_THAN_LATE: u8 = 25;
 
-/// Share of requests that the largest model answers at once while no repeat is left for a second
-/// answer; about as many small answers are replaced on calm days.
-const LARGE_FIRST_SHARE: f64 = 0.4;
-
 /// A model in the order of trying.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
@@ -85,27 +81,6 @@
     }
 }
 
-/// Whether the largest model should answer at once, though a smaller one usually comes first.
-///
-/// Answers the load of failures: they use up the repeats, and doubtful small answers then go to
-/// callers while the largest model is idle. `draw` is a number from 0 to 1 that belongs to the
-/// request.
-///
-/// # Examples
-///
-/// ```
-/// use ibissail_core::Millis;
-/// use ibissail_direct::starts_large;
-/// let (wait, rest) = (Millis(200), Millis(1_000));
-/// assert!(starts_large(false, 0.1, wait, rest));
-/// assert!(!starts_large(true, 0.1, wait, rest), "a doubtful answer can still be replaced");
-/// assert!(!starts_large(false, 0.1, Millis(900), rest), "the largest model is busy");
-/// ```
-#[must_use]
-pub fn starts_large(has_repeat: bool, draw: f64, expected_wait: Millis, rest: Millis) -> bool {
-    !has_repeat && draw < LARGE_FIRST_SHARE && expected_wait.0 * 2 < rest.0
-}
-
 /// Least confidence with which a small model's answer is taken at this rank.
 fn min_confidence(urgency: u32) -> u8 {
     let rank = u8::try_from(urgency).unwrap_or(u8::MAX);
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -3,7 +3,6 @@
 //! Every entry computes the same step from the time since the order and the shared evidence, so
 //! no entry has to lead; the order's status, changed by conditional update, is what lasts.
 
-use crate::fraction;
 use derive_more::Display;
 use ibissail_core::{Millis, Revision, ServiceId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -198,3 +197,8 @@
         fraction(hash) < self.share
     }
 }
+
+/// A hash as a number from 0 to 1.
+fn fraction(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
