Test that memory stays bounded under requests that never end

Ruled out: a bound on all memory (an unoptimised build holds 26 MB before the first request). Change: 100 callers that never finish a body and 20 that never stop sending; the growth stays under twice the configured limits for each connection. Conclusion: the entry keeps what it promises; no change of the entry.

--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -192,6 +192,15 @@
         lines.join("\n")
     }
 
+    /// Most memory that the entry has held, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let pid = self.child.as_ref().expect("the entry runs").id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("its peak");
+        let digits: String = line.chars().filter(char::is_ascii_digit).collect();
+        digits.parse().expect("a number")
+    }
+
     /// What the entry has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(self.dir.join("entry.log")).unwrap_or_default()
--- a/crates/daemon/tests/direct_requests.rs
+++ b/crates/daemon/tests/direct_requests.rs
@@ -7,7 +7,7 @@
     Ask, Behaviour, ConfigurationText, Ending, RouteText, ask_and_leave, forged_headers,
     head_lines, send_raw,
 };
-use std::{thread, time::Duration};
+use std::{io::Write, net::TcpStream, thread, time::Duration};
 
 const AT_ONCE: Behaviour = Behaviour::Answer(200, Duration::ZERO);
 
@@ -315,3 +315,43 @@
     let answer = world.ask(&Ask::new("POST", "/unknown/", "id-2"));
     assert_eq!((answer.status, answer.kind().as_str()), (404, "not_found"));
 }
+
+/// Limits of the configuration for the head and the body of a request, in kB.
+const LIMITS_KB: u64 = 16 + 64;
+/// Callers that never finish their request, and callers that never stop sending.
+const UNFINISHED: u64 = 100;
+const ENDLESS: u64 = 20;
+
+#[test]
+fn memory_stays_bounded_under_bad_input() {
+    let world = World::start("bad_memory", &configuration());
+    let replica = world.add_replica("r-1", "records", AT_ONCE);
+    world.wait_ready();
+    let head = head_lines("POST", "/records/new", "id-1");
+    let before = world.peak_memory_kb();
+    let unfinished = format!("{head}Content-Length: 65000\r\n\r\n{}", "a".repeat(64_000));
+    let waiting: Vec<TcpStream> = (0..UNFINISHED)
+        .map(|_| {
+            let mut stream = TcpStream::connect(world.callers).expect("a connection");
+            stream.write_all(unfinished.as_bytes()).expect("it is taken");
+            stream
+        })
+        .collect();
+    let chunk = format!("10000\r\n{}\r\n", "a".repeat(0x10000));
+    for _ in 0..ENDLESS {
+        let mut stream = TcpStream::connect(world.callers).expect("a connection");
+        let begun =
+            stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes());
+        begun.expect("it is taken");
+        // 16 MB at most; the entry closes long before.
+        let sent = (0..256).take_while(|_| stream.write_all(chunk.as_bytes()).is_ok()).count();
+        assert!(sent < 256, "the entry read all of it");
+    }
+    // A buffer that grows holds up to twice what is in it.
+    let bound = 2 * LIMITS_KB * (UNFINISHED + ENDLESS);
+    let grown = world.peak_memory_kb() - before;
+    assert!(grown < bound, "{grown} kB more");
+    drop(waiting);
+    assert_eq!(replica.arrivals().len(), 0, "nothing reaches a replica");
+    assert_eq!(world.ask(&Ask::new("POST", "/records/new", "id-2")).status, 200);
+}
