Wait until the service has the call before its sidecar is killed

Cause: sidecar_killed_while_the_service_works failed once; it killed the sidecar as soon as that counted the call, which it does before it sends it, and then waited for an effect that could not come. Ruled out: a lost effect (the caller's answer was 502, unknown, as it should be). Change: the stand-in counts arrivals, and the test waits for one; all its checks stay.

--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -117,6 +117,8 @@
     all_services(&cluster, &SLOW);
     let stream = begin(&cluster, "entry-1", "k");
     let name = running_at(&cluster);
+    // The sidecar counts the call before the service has it.
+    wait_until("the service has the call", || cluster.service_arrivals("k") > 0);
     cluster.process(&name).kill();
     let answer = read(stream);
     assert_eq!((answer.status, answer.ran().as_str()), (502, "unknown"), "{answer:?}");
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -291,12 +291,24 @@
 
     /// Effects of a key, over all services.
     pub fn effects(&self, key: &str) -> u64 {
+        self.service_counts()
+            .map(|counts| counts.effects.get(key).copied().unwrap_or_default())
+            .sum()
+    }
+
+    /// Calls under a key that have reached a service, whether or not they have had their effect.
+    pub fn service_arrivals(&self, key: &str) -> u64 {
+        self.service_counts()
+            .map(|counts| counts.arrivals.get(key).copied().unwrap_or_default())
+            .sum()
+    }
+
+    fn service_counts(&self) -> impl Iterator<Item = ServiceCounts> + '_ {
         let services = self.members.values().filter_map(|member| {
             let (address, offers) = member.upstream.as_ref()?;
             offers.starts_with("service:").then_some(*address)
         });
-        let counts = services.map(counts::<ServiceCounts>);
-        counts.map(|counts| counts.effects.get(key).copied().unwrap_or_default()).sum()
+        services.map(counts::<ServiceCounts>)
     }
 
     pub fn engine_faults(&self, name: &str, faults: &EngineFaults) {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -28,6 +28,9 @@
 pub struct ServiceCounts {
     /// Effects by idempotency key.
     pub effects: BTreeMap<String, u64>,
+    /// Calls that have arrived whole, by idempotency key.
+    #[serde(default)]
+    pub arrivals: BTreeMap<String, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -65,6 +68,7 @@
     let faults = lock(state).faults.clone();
     let key = req.header("idempotency-key").map(|h| h.as_str().to_owned()).unwrap_or_default();
     let body = body_of(&mut req).await;
+    *lock(state).counts.arrivals.entry(key.clone()).or_default() += 1;
     task::sleep(Duration::from_millis(faults.before_ms)).await;
     let count = {
         let mut state = lock(state);
