--- a/crates/daemon/src/direct/follow.rs
+++ b/crates/daemon/src/direct/follow.rs
@@ -3,13 +3,11 @@
 //! A watch brings changes at once. Its silence proves nothing, so exact reads over another
 //! connection bound the age of what is believed.
 
-use super::{Direct, State, peers::Question};
+use super::{Direct, State};
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{Millis, Revision};
-use ibissail_direct::{
-    Backoff, Configuration, Confirmation, Confirmed, Order, ReadSchedule, Replica, RoutingTable,
-};
+use ibissail_direct::{Backoff, Configuration, Order, Replica, RoutingTable};
 use ibissail_platform::{Change, Listing, Store, StoreError};
 use slog::{info, warn};
 use std::{
@@ -19,15 +17,6 @@
 
 /// Longest wait of one watch; a silent connection is noticed after it.
 const WATCH_TIME: Millis = Millis(20_000);
-/// Exact reads of the configuration: a change must be in force within two seconds of a silent
-/// watch, and the age up to which keys are accepted is longer.
-const CONFIGURATION_READS: ReadSchedule =
-    ReadSchedule { reader: Millis(900), others: Millis(1_500) };
-/// Exact listings of the replicas: a leaving replica must be left alone within two seconds.
-const REPLICA_LISTINGS: ReadSchedule =
-    ReadSchedule { reader: Millis(1_200), others: Millis(1_750) };
-/// Time between two looks at whether a read is due; peers may ask for one meanwhile.
-const DUE_CHECK: Duration = Duration::from_millis(100);
 /// Pause between two watches of the replicas, so that many changes at once come in one answer.
 const GATHERING_TIME: Duration = Duration::from_millis(200);
 /// Names of replicas in one log line.
@@ -37,7 +26,7 @@
 
 impl Direct {
     /// Takes note of a call to the store and logs when it is lost or regained.
-    fn note_call<T>(
+    pub(super) fn note_call<T>(
         &self,
         what: &'static str,
         was_well: &mut bool,
@@ -60,14 +49,14 @@
     }
 
     /// Waits after a failed call. While exact reads fail too, only those go on asking.
-    async fn wait_for_store(&self, backoff: &mut Backoff) {
+    pub(super) async fn wait_for_store(&self, backoff: &mut Backoff) {
         task::sleep(backoff.fail().duration()).await;
         while !self.is_store_well.load(Ordering::Relaxed) {
             task::sleep(RETURN_CHECK).await;
         }
     }
 
-    fn learn_configuration(&self, configuration: Configuration, source: &'static str) {
+    pub(super) fn learn_configuration(&self, configuration: Configuration, source: &'static str) {
         let mut state = self.state();
         let known = state.table.as_ref().map(|table| table.revision);
         if known.is_some_and(|known| known >= configuration.revision) {
@@ -80,7 +69,7 @@
     }
 
     /// Returns the digest of the replicas, unless a watch has seen more than the listing.
-    fn learn_replicas(&self, listing: Listing<Replica>, sent_at: Millis) -> Option<u64> {
+    pub(super) fn learn_replicas(&self, listing: Listing<Replica>, sent_at: Millis) -> Option<u64> {
         let now = since_boot();
         let names = listing.items.iter().take(MAX_LOGGED_NAMES);
         let names: Vec<String> = names.map(|(replica, _)| replica.id.to_string()).collect();
@@ -140,69 +129,6 @@
         }
     }
 
-    /// Waits until an exact read of the configuration is due; returns the questions that it answers.
-    async fn wait_for_read(&self, read_at: Option<Millis>) -> Vec<Question> {
-        loop {
-            let now = since_boot();
-            let due_in = {
-                let state = self.state();
-                let is_reader = state.peers.is_reader(now);
-                let confirmed_at = state.freshness.confirmed_at();
-                let due_in = CONFIGURATION_READS.due_in(is_reader, read_at, confirmed_at, now);
-                // While the own way to the store is broken, only this read finds it mended.
-                let is_well = self.is_store_well.load(Ordering::Relaxed);
-                if due_in == Millis(0) || state.is_configuration_behind || !is_well {
-                    return if is_reader { state.peers.questions(now) } else { Vec::new() };
-                }
-                due_in.duration()
-            };
-            task::sleep(due_in.min(DUE_CHECK)).await;
-        }
-    }
-
-    /// Waits until an exact listing of the replicas is due; returns the questions that it answers.
-    ///
-    /// Changes that a watch brings prove that it hears; a reader lists for the others all the same.
-    async fn wait_for_listing(&self, read_at: Option<Millis>) -> Vec<Question> {
-        loop {
-            let now = since_boot();
-            let due_in = {
-                let state = self.state();
-                let is_reader = state.peers.is_reader(now);
-                let confirmed_at = state.replicas_confirmed;
-                let due_in = REPLICA_LISTINGS.due_in(is_reader, read_at, confirmed_at, now);
-                if due_in == Millis(0) {
-                    return if is_reader { state.peers.questions(now) } else { Vec::new() };
-                }
-                due_in.duration()
-            };
-            task::sleep(due_in.min(DUE_CHECK)).await;
-        }
-    }
-
-    /// Takes over what a peer's exact read has shown, if it agrees with what this entry believes.
-    pub(super) fn learn_confirmation(&self, confirmation: &Confirmation) {
-        let mut state = self.state();
-        let asked = confirmation.asked;
-        match confirmation.confirmed {
-            Confirmed::Configuration(revision) => {
-                let known = state.table.as_ref().map(|table| table.revision);
-                if known == Some(revision) {
-                    state.freshness.confirm(asked);
-                } else if known < Some(revision) && !state.is_configuration_behind {
-                    info!(self.log, "configuration: a peer knows a newer one";
-                        "revision" => revision.0);
-                    state.is_configuration_behind = true;
-                }
-            }
-            Confirmed::Replicas(digest) => {
-                if state.replicas.digest() == digest {
-                    state.replicas_confirmed = state.replicas_confirmed.max(Some(asked));
-                }
-            }
-        }
-    }
-
     pub(super) fn learn_orders(&self, orders: Vec<Order>) {
         let now = since_boot();
         let mut state = self.state();
@@ -271,38 +197,6 @@
     }
 }
 
-/// Reads the configuration exactly, again and again, to bound its age.
-pub(super) async fn confirm_configuration(direct: Arc<Direct>) {
-    let mut store = Store::new(direct.settings.store);
-    let mut is_well = true;
-    let mut backoff = Backoff::default();
-    let mut read_at = None;
-    loop {
-        let questions = direct.wait_for_read(read_at).await;
-        let sent_at = since_boot();
-        let read = store.configuration().await;
-        direct.note_call("read configuration", &mut is_well, &read);
-        direct.is_store_well.store(read.is_ok(), Ordering::Relaxed);
-        match read {
-            Ok(Some(configuration)) => {
-                let revision = configuration.revision;
-                direct.learn_configuration(configuration, "read");
-                {
-                    let mut state = direct.state();
-                    state.freshness.confirm(sent_at);
-                    state.is_configuration_behind = false;
-                }
-                read_at = Some(sent_at);
-                backoff.succeed();
-                direct.confirm(questions, Confirmed::Configuration(revision)).await;
-            }
-            Ok(None) | Err(_) => task::sleep(backoff.fail().duration()).await,
-        }
-        let age = direct.state().freshness.age(since_boot()).unwrap_or_default();
-        direct.metrics.configuration_age.set(i64::try_from(age.0).unwrap_or(i64::MAX));
-    }
-}
-
 /// Watches the replicas, after an exact listing.
 pub(super) async fn follow_replicas(direct: Arc<Direct>) {
     let mut store = Store::new(direct.settings.store);
@@ -331,34 +225,6 @@
     }
 }
 
-/// Lists the replicas exactly, again and again, because a watch may miss changes.
-pub(super) async fn confirm_replicas(direct: Arc<Direct>) {
-    let mut store = Store::new(direct.settings.store);
-    let mut is_well = true;
-    let mut backoff = Backoff::default();
-    let mut read_at = Some(since_boot());
-    // The watch begins with a listing of its own.
-    task::sleep(REPLICA_LISTINGS.reader.duration()).await;
-    loop {
-        let questions = direct.wait_for_listing(read_at).await;
-        let sent_at = since_boot();
-        let listing = store.replicas().await;
-        direct.note_call("list replicas", &mut is_well, &listing);
-        match listing {
-            Ok(listing) => {
-                let digest = direct.learn_replicas(listing, sent_at);
-                read_at = Some(sent_at);
-                backoff.succeed();
-                match digest {
-                    Some(digest) => direct.confirm(questions, Confirmed::Replicas(digest)).await,
-                    None => task::sleep(DUE_CHECK).await,
-                }
-            }
-            Err(_logged) => direct.wait_for_store(&mut backoff).await,
-        }
-    }
-}
-
 /// Watches the orders, after an exact listing.
 pub(super) async fn follow_orders(direct: Arc<Direct>) {
     let mut store = Store::new(direct.settings.store);
--- a/crates/daemon/src/direct/readiness.rs
+++ b/crates/daemon/src/direct/readiness.rs
@@ -44,6 +44,8 @@
             if req.url().path() != METRICS_PATH {
                 return Response::new(StatusCode::NotFound);
             }
+            let age = direct.state().freshness.age(since_boot()).unwrap_or_default();
+            direct.metrics.configuration_age.set(i64::try_from(age.0).unwrap_or(i64::MAX));
             let mut res = Response::new(StatusCode::Ok);
             res.set_body(direct.metrics.text());
             res
