Keep an attempt apart from the loop that makes attempts

Ruled out: nothing. Change: attempt.rs holds one attempt, upstream.rs (attempt.rs before) the way to the replica, drive.rs the loop; receive is divided. Measured: direct_requests passes. Conclusion: moved, not changed.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -1,233 +1,268 @@
-//! One attempt at one replica: opens a connection, sends the request, waits for the head.
+//! One attempt at one replica: what its answer means for the request and for beliefs.
 
-use super::{Direct, drive::Progress, pick::Picked, serve::Work};
+use super::{
+    Direct,
+    answer::write_whole,
+    drive::{End, FAILURE_RESERVE, Progress},
+    peers::short,
+    pick::Picked,
+    relay::{StreamEnd, relay_stream},
+    serve::Work,
+    upstream::{NoHead, Patience, Upstream, open},
+};
 use crate::clock::since_boot;
-use async_std::task;
-use futures_lite::{AsyncWriteExt, FutureExt, future};
-use ibissail_core::{InstanceId, Millis, ModelId, ServiceId, Tokens};
-use ibissail_direct::RequestKind;
-use ibissail_http1::{BodyReader, Connection, HttpError, ResponseHead, dial};
-use ibissail_platform::{Instructions, Reply, reply, upstream_head};
-use std::{future::Future, pin::pin, sync::Arc, task::Poll, time::Duration};
-
-/// Longest time for opening a connection; replicas of all zones are milliseconds away.
-const CONNECT_TIMEOUT: Millis = Millis(400);
-/// Time between two looks at a replica that is silent.
-const PATIENCE_CHECK: Duration = Duration::from_millis(150);
-/// Answers to other requests that are skipped on one connection.
-const MAX_FOREIGN_ANSWERS: usize = 3;
-/// Longest answer of another request that is skipped.
-const MAX_FOREIGN_BYTES: usize = 1 << 20;
-
-/// Why an attempt brought no head of an answer.
-#[derive(Debug, Clone)]
-pub(crate) enum NoHead {
-    /// No byte of the request was sent.
-    NotSent(String),
-    /// The request was sent and may have run.
-    Lost(String),
-    /// The replica has been silent for longer than a sound one would be.
-    Stalled(String),
+use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId};
+use ibissail_direct::{Sample, Step, stable_hash, time_kind};
+use ibissail_http1::Connection;
+use slog::{info, warn};
+use std::sync::Arc;
+
+/// Longest whole answer that is held in memory.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// What an attempt leads to.
+#[derive(Debug)]
+pub(super) enum Next {
+    End(End),
+    /// Another replica; the reason is for the log.
+    Again(&'static str),
+    /// The next larger model.
+    Larger,
 }
 
-/// How long a replica may be silent before the request goes elsewhere.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Patience {
-    /// Longest silence on this request.
-    pub(crate) on_request: Millis,
-    /// Longest silence on this request while the replica sends nothing on others either.
-    pub(crate) on_replica: Millis,
+/// How a replica's answer ended, as evidence on its version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerEnd {
+    /// As far as it was asked for.
+    Good,
+    /// The replica failed, or was silent for too long.
+    Failure,
 }
 
-impl Patience {
-    /// Waits as long as the caller does.
-    pub(crate) const UNBOUNDED: Self =
-        Self { on_request: Millis(u64::MAX), on_replica: Millis(u64::MAX) };
-
-    /// For the head of an answer.
-    pub(crate) fn for_head(work: &Work, has_alternative: bool) -> Self {
-        let objective = work.route.objective;
-        match work.route.kind {
-            _ if !has_alternative => Self::UNBOUNDED,
-            RequestKind::OnceAtMost | RequestKind::Stream => Self::UNBOUNDED,
-            RequestKind::Repeatable => {
-                let limit = Millis((objective.0 * 5 / 2).max(300));
-                Self { on_request: limit, on_replica: limit }
-            }
-            RequestKind::ResumableStream => Self {
-                on_request: Millis(objective.0.max(2_500)),
-                on_replica: Millis((objective.0 * 2 / 5).max(1_500)),
-            },
+impl Direct {
+    fn note_failure(&self, replica: &InstanceId) {
+        let now = since_boot();
+        let mut state = self.state();
+        if state.health.entry(replica.clone()).or_default().fail(now) {
+            warn!(self.log, "replica: ejected"; "replica" => %replica);
         }
     }
 
-    /// For the next event of a stream.
-    pub(crate) fn for_event(work: &Work, has_alternative: bool) -> Self {
-        let Some(gap) = work.route.gap_objective else { return Self::UNBOUNDED };
-        if !has_alternative || work.route.kind != RequestKind::ResumableStream {
-            return Self::UNBOUNDED;
+    fn note_unreachable(&self, replica: &InstanceId) {
+        let mut state = self.state();
+        let health = state.health.entry(replica.clone()).or_default();
+        if !health.is_ejected(since_boot()) {
+            health.eject(since_boot());
+            warn!(self.log, "replica: ejected"; "replica" => %replica,
+                "reason" => "it takes no connection");
         }
-        Self { on_request: Millis(gap.0 * 2), on_replica: gap }
     }
 }
 
-/// An attempt's place among the loads of its replica, given back when dropped.
-#[derive(Debug)]
-pub(crate) struct Place {
-    direct: Arc<Direct>,
-    service: ServiceId,
-    pub(crate) replica: InstanceId,
-    unread: Tokens,
+/// One attempt at one replica.
+pub(super) struct Attempt<'a> {
+    pub(super) started: Millis,
+    pub(super) direct: &'a Arc<Direct>,
+    pub(super) work: &'a Work,
+    pub(super) picked: &'a Picked,
+    pub(super) model: Option<&'a ModelId>,
+    pub(super) step: Option<&'a Step>,
+    pub(super) larger: Option<&'a Step>,
 }
 
-impl Place {
-    fn take(direct: &Arc<Direct>, service: &ServiceId, picked: &Picked) -> Self {
-        let mut state = direct.state();
-        let load = state.loads.entry(picked.id.clone()).or_default();
-        load.running += 1;
-        load.unread.0 += picked.unread.0;
-        state.count_old(service, &picked.id, true);
-        drop(state);
-        Self {
-            direct: Arc::clone(direct),
-            service: service.clone(),
-            replica: picked.id.clone(),
-            unread: picked.unread,
+impl Attempt<'_> {
+    pub(super) async fn run(&self, connection: &mut Connection, progress: &mut Progress) -> Next {
+        let had_run = progress.may_have_run;
+        let has_alternative =
+            self.picked.choice > 1 && progress.sends + 1 < self.work.route.attempt_limit.0;
+        let patience = Patience::for_head(self.work, has_alternative);
+        let opened =
+            open(self.direct, self.work, progress, self.picked, self.model, patience).await;
+        progress.tried.insert(self.picked.id.clone());
+        match opened {
+            Ok(upstream) if upstream.reply.is_not_run => {
+                progress.may_have_run = had_run;
+                info!(self.direct.log, "attempt: not run"; "id" => &self.work.call.id,
+                    "replica" => %self.picked.id, "status" => upstream.reply.status);
+                Next::Again("not_run")
+            }
+            Ok(upstream) if !upstream.reply.is_signed && upstream.reply.status < 300 => {
+                self.broken(progress, "unsigned", "a success without the replica's signature")
+            }
+            Ok(upstream) => self.receive(connection, progress, upstream, has_alternative).await,
+            Err(NoHead::NotSent(error)) => {
+                progress.dials += 1;
+                self.direct.note_unreachable(&self.picked.id);
+                info!(self.direct.log, "attempt: not sent"; "id" => &self.work.call.id,
+                    "replica" => %self.picked.id, "error" => error);
+                Next::Again("not_sent")
+            }
+            Err(NoHead::Lost(error)) => self.broken(progress, "lost", &error),
+            Err(NoHead::Stalled(error)) => {
+                self.note_answer(AnswerEnd::Failure);
+                self.broken(progress, "stalled", &error)
+            }
         }
     }
 
-    /// Takes note of bytes from the replica.
-    pub(crate) fn note_bytes(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        let mut state = self.direct.state();
-        let load = state.loads.entry(self.replica.clone()).or_default();
-        load.last_byte = since_boot();
-        load.unread.0 = load.unread.0.saturating_sub(unread.0);
+    /// After a failure that does not tell whether the request ran.
+    fn broken(&self, progress: &mut Progress, reason: &'static str, error: &str) -> Next {
+        let work = self.work;
+        self.direct.note_failure(&self.picked.id);
+        info!(self.direct.log, "attempt: broken"; "id" => &work.call.id,
+            "replica" => %self.picked.id, "reason" => reason, "error" => error);
+        progress.splitter.discard_partial_event();
+        if !progress.has_begun_answer() {
+            progress.version = None;
+        }
+        if work.route.kind.may_repeat() {
+            progress.avoids_new_version = true;
+            return Next::Again(reason);
+        }
+        if progress.has_begun_answer() {
+            return Next::End(End::Cut(error.to_owned()));
+        }
+        let refusal = work.refusal(ErrorKind::OutcomeUnknown, error);
+        Next::End(End::Refused(refusal))
     }
 
-    fn last_byte(&self) -> Millis {
-        self.direct.state().loads.get(&self.replica).map(|load| load.last_byte).unwrap_or_default()
+    async fn receive(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        upstream: Upstream,
+        has_alternative: bool,
+    ) -> Next {
+        if self.work.route.kind.is_stream() && upstream.reply.status == 200 {
+            self.receive_stream(connection, progress, upstream, has_alternative).await
+        } else if progress.has_begun_answer() {
+            self.broken(progress, "refused", "another replica did not go on")
+        } else {
+            self.receive_whole(connection, progress, upstream, has_alternative).await
+        }
     }
 
-    /// Waits for something from the replica, unless its silence lasts too long.
-    pub(crate) async fn wait<F, T>(&self, waiting: F, patience: Patience) -> Result<T, String>
-    where
-        F: Future<Output = T>,
-    {
-        let since = since_boot();
-        let stalled = async {
-            loop {
-                task::sleep(PATIENCE_CHECK).await;
-                let now = since_boot();
-                let on_request = now.since(since);
-                let on_replica = now.since(since.max(self.last_byte()));
-                if on_request > patience.on_request || on_replica > patience.on_replica {
-                    return Err(format!(
-                        "silent for {on_request} on this request, {on_replica} on all"
-                    ));
-                }
+    async fn receive_stream(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        mut upstream: Upstream,
+        has_alternative: bool,
+    ) -> Next {
+        let work = self.work;
+        if !progress.has_begun_answer() {
+            self.note_beginning();
+        }
+        // The larger model may have its place on the same replica.
+        progress.tried.remove(&self.picked.id);
+        if self.is_unconfident(progress, &upstream)
+            && self.direct.take_repeat(work, FAILURE_RESERVE)
+        {
+            progress.holds_repeat = true;
+            self.note_answer(AnswerEnd::Good);
+            return Next::Larger;
+        }
+        progress.tried.insert(self.picked.id.clone());
+        progress.version = Some(self.picked.version.clone());
+        let patience = Patience::for_event(work, has_alternative);
+        match relay_stream(connection, work, progress, &mut upstream, patience).await {
+            StreamEnd::Whole => {
+                self.note_answer(AnswerEnd::Good);
+                Next::End(End::Answered(upstream.reply.status))
+            }
+            StreamEnd::CallerGone => Next::End(End::CallerGone),
+            StreamEnd::Stalled(error) => {
+                self.note_answer(AnswerEnd::Failure);
+                self.broken(progress, "stalled", &error)
             }
+            StreamEnd::Broken(error) => self.broken(progress, "broken", &error),
+        }
+    }
+
+    async fn receive_whole(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        mut upstream: Upstream,
+        has_alternative: bool,
+    ) -> Next {
+        let work = self.work;
+        let limit = Patience::for_head(work, has_alternative);
+        let reading = upstream.body.read_all(&mut upstream.connection, MAX_ANSWER_BYTES);
+        let body = match upstream.place.wait(reading, limit).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return self.broken(progress, "torn", &error.to_string()),
+            Err(silence) => return self.broken(progress, "stalled", &silence),
         };
-        async { Ok(waiting.await) }.or(stalled).await
+        let is_failure = upstream.reply.status >= 500;
+        self.note_answer(if is_failure { AnswerEnd::Failure } else { AnswerEnd::Good });
+        if is_failure {
+            self.direct.note_failure(&self.picked.id);
+            if work.route.kind.may_repeat() {
+                progress.avoids_new_version = true;
+                progress.failure = Some((upstream.head, body));
+                return Next::Again("failed");
+            }
+        }
+        drop(upstream.place);
+        progress.first_at = Some(since_boot());
+        match write_whole(connection, &upstream.head, &body, work.after).await {
+            Ok(()) => Next::End(End::Answered(upstream.reply.status)),
+            Err(_gone) => Next::End(End::CallerGone),
+        }
     }
-}
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut state = self.direct.state();
-        if let Some(load) = state.loads.get_mut(&self.replica) {
-            load.running = load.running.saturating_sub(1);
-            load.unread.0 = load.unread.0.saturating_sub(self.unread.0);
+    /// Whether a small model's answer is to be replaced by a larger one's.
+    fn is_unconfident(&self, progress: &Progress, upstream: &Upstream) -> bool {
+        let (Some(step), Some(confidence)) = (self.step, upstream.reply.confidence) else {
+            return false;
+        };
+        let is_open = !progress.has_begun_answer()
+            && step.is_below(confidence)
+            && progress.sends < self.work.route.attempt_limit.0;
+        if !is_open {
+            return false;
         }
-        state.count_old(&self.service, &self.replica, false);
+        let larger = self
+            .larger
+            .and_then(|larger| self.direct.pick(self.work, progress, Some(&larger.model)));
+        let objective = self.work.arrived.plus(self.work.route.objective);
+        let rest = objective.since(since_boot());
+        larger.is_some_and(|larger| step.is_replaced(confidence, larger.wait, rest))
     }
-}
 
-/// An answer whose body has yet to be read.
-#[derive(Debug)]
-pub(crate) struct Upstream {
-    pub(crate) connection: Connection,
-    pub(crate) head: ResponseHead,
-    pub(crate) reply: Reply,
-    pub(crate) body: BodyReader,
-    pub(crate) place: Place,
-}
+    fn kind(&self) -> u32 {
+        let model = self.model.map_or("-", ModelId::as_str);
+        time_kind(&self.work.route.name, model, self.picked.unread)
+    }
 
-/// Sends the request to a replica and waits for the head of its answer.
-pub(crate) async fn open(
-    direct: &Arc<Direct>,
-    work: &Work,
-    progress: &mut Progress,
-    picked: &Picked,
-    model: Option<&ModelId>,
-    patience: Patience,
-) -> Result<Upstream, NoHead> {
-    let mut place = Place::take(direct, &work.service, picked);
-    let limit = CONNECT_TIMEOUT.min(work.rest(since_boot()));
-    let mut connection = dial(picked.address, limit.duration())
-        .await
-        .map_err(|error| NoHead::NotSent(error.to_string()))?;
-    let told = Instructions {
-        instance: picked.id.clone(),
-        rest: work.rest(since_boot()),
-        organisation: work.organisation.clone(),
-        model: model.cloned(),
-        urgency: model.map(|_| work.urgency.min(9)),
-        resume_after: progress.splitter.last_id(),
-    };
-    let mut bytes = upstream_head(&work.head, work.body.len(), &told).into_bytes();
-    bytes.extend_from_slice(&work.body);
-    progress.sends += 1;
-    progress.may_have_run = true;
-    let head = exchange(&mut connection, &bytes, &work.head.method, &work.call.id);
-    let (head, reply) = match place.wait(head, patience).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(error)) => return Err(NoHead::Lost(error.to_string())),
-        Err(silence) => return Err(NoHead::Stalled(silence)),
-    };
-    place.note_bytes();
-    let body = BodyReader::new(head.framing);
-    Ok(Upstream { connection, head, reply, body, place })
-}
+    /// Counts the time until a stream began as evidence on the replica's version.
+    fn note_beginning(&self) {
+        let took = since_boot().since(self.started);
+        let service = &self.work.service;
+        self.direct.state().note_time(service, &self.picked.version, self.kind(), took);
+    }
 
-/// Writes a request while waiting for the answer, which may come before the request is written.
-async fn exchange(
-    connection: &mut Connection,
-    bytes: &[u8],
-    method: &str,
-    id: &str,
-) -> Result<(ResponseHead, Reply), HttpError> {
-    let mut stream = connection.stream().clone();
-    let mut writing = pin!(async { stream.write_all(bytes).await });
-    let mut reading = pin!(read_own_head(connection, method, id));
-    let mut is_written = false;
-    future::poll_fn(|cx| {
-        if !is_written {
-            // After a failed write the replica's answer may still be there to read.
-            is_written = writing.as_mut().poll(cx).is_ready();
-        }
-        match reading.as_mut().poll(cx) {
-            Poll::Ready(result) => Poll::Ready(result),
-            Poll::Pending => Poll::Pending,
+    /// Counts an answer, or the lack of one, as evidence on the replica's version.
+    fn note_answer(&self, answer: AnswerEnd) {
+        let work = self.work;
+        let now = since_boot();
+        let is_bad = answer == AnswerEnd::Failure;
+        let is_call = !work.route.kind.is_stream();
+        let sample = Sample {
+            route: short(stable_hash(&[&work.route.name])),
+            kind: self.kind(),
+            replica: stable_hash(&[self.picked.id.as_str()]),
+            is_bad,
+            time_ms: is_call.then_some(now.since(self.started).0),
+        };
+        let mut state = self.direct.state();
+        state.note_answer(&work.service, &self.picked.version, &sample);
+        if !is_bad {
+            state.health.entry(self.picked.id.clone()).or_default().succeed();
         }
-    })
-    .await
-}
-
-/// Reads the head of the answer to this request, after answers to others.
-async fn read_own_head(
-    connection: &mut Connection,
-    method: &str,
-    id: &str,
-) -> Result<(ResponseHead, Reply), HttpError> {
-    for _skipped in 0..MAX_FOREIGN_ANSWERS {
-        let head = connection.read_response_head(method).await?;
-        let reply = reply(&head);
-        // An answer without an id can only be the replica's refusal of this request.
-        if reply.id.as_deref().is_none_or(|found| found == id) {
-            return Ok((head, reply));
+        if let Some(model) = self.model {
+            state.prefixes.note(&self.picked.id, model, &work.call.prompt, now);
         }
-        BodyReader::new(head.framing).read_all(connection, MAX_FOREIGN_BYTES).await?;
     }
-    Err(HttpError::Malformed("answers to other requests only".to_owned()))
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod serve;
 mod state;
+mod upstream;
 
 use crate::{StartError, cli::LogLevel, clock::since_boot, log, process::listen};
 use async_channel::{Receiver, Sender};
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -2,9 +2,9 @@
 
 use super::{
     answer::{LAST_CHUNK, chunk, forwarded_head},
-    attempt::{Patience, Upstream},
     drive::Progress,
     serve::Work,
+    upstream::{Patience, Upstream},
 };
 use crate::clock::since_boot;
 use ibissail_http1::Connection;
