Keep messages between entries apart from what they say

Cause: peers.rs held the table of peers, the form of datagrams and the tasks that send and receive them. Ruled out: nothing. Conclusion: moved, not changed.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod drive;
 mod follow;
+mod messages;
 mod metrics;
 mod orders;
 mod peers;
@@ -126,7 +127,7 @@
         task::spawn(reads::confirm_replicas(Arc::clone(&direct)));
         task::spawn(follow::follow_orders(Arc::clone(&direct)));
         task::spawn(orders::work_on_orders(Arc::clone(&direct)));
-        task::spawn(peers::exchange_reports(Arc::clone(&direct)));
+        task::spawn(messages::exchange_messages(Arc::clone(&direct)));
         task::spawn(accept::accept_callers(Arc::clone(&direct), callers));
         Ok(Self { direct, _servers_end: servers_end })
     }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,27 +1,14 @@
-//! Messages between entries over UDP: loads on replicas, evidence of roll-outs, confirmations.
-//!
-//! A lost report is replaced by the next; nothing that must last depends on them.
+//! The other entries: what each has reported last, and where reports go.
 
-use super::Direct;
-use crate::clock::{since_boot, unix_millis};
-use async_std::{net::UdpSocket, task};
-use futures_lite::FutureExt;
+use crate::clock::unix_millis;
 use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VmId};
-use ibissail_direct::{
-    Confirmation, Confirmed, DirectSettings, Incarnation, OrderReport, stable_hash,
-};
+use ibissail_direct::{DirectSettings, Incarnation, OrderReport, stable_hash};
 use serde::{Deserialize, Serialize};
-use slog::{info, warn};
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
-    sync::Arc,
-    time::Duration,
 };
 
-/// Time between two reports; loads older than a prompt's reading time would mislead.
-const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a peer's loads no longer count.
 const LOAD_TIME: Millis = Millis(1_500);
 /// Time after which a silent peer no longer counts.
@@ -36,28 +23,26 @@
 const MAX_CONTACTS: usize = 8;
 /// Sessions named in a report.
 pub(super) const MAX_HELD_SESSIONS: usize = 64;
-/// Largest report that arrives in one datagram.
-const MAX_REPORT_BYTES: usize = 1_400;
-
 /// Load that an entry has put on a replica.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct LoadReport {
-    replica: u32,
-    running: u32,
-    unread: Tokens,
+pub(super) struct LoadReport {
+    pub(super) replica: u32,
+    pub(super) running: u32,
+    pub(super) unread: Tokens,
 }
 
+/// What an entry tells its peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct Report {
-    sender: Incarnation,
+pub(super) struct Report {
+    pub(super) sender: Incarnation,
     /// When it was sent, by the sender's clock: a question whether what it believes is right.
-    asked: Millis,
-    address: SocketAddr,
-    contacts: Vec<SocketAddr>,
-    loads: Vec<LoadReport>,
-    orders: Vec<OrderReport>,
+    pub(super) asked: Millis,
+    pub(super) address: SocketAddr,
+    pub(super) contacts: Vec<SocketAddr>,
+    pub(super) loads: Vec<LoadReport>,
+    pub(super) orders: Vec<OrderReport>,
     /// Short hashes of running sessions that a trial must leave on the old version.
-    held_sessions: Vec<u32>,
+    pub(super) held_sessions: Vec<u32>,
 }
 
 #[derive(Debug, Clone)]
@@ -67,13 +52,6 @@
     report: Report,
 }
 
-/// A datagram between entries.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum Message {
-    Report(Report),
-    Confirmation(Confirmation),
-}
-
 /// A peer's question whether what it believes is right.
 #[derive(Debug, Clone)]
 pub(super) struct Question {
@@ -85,7 +63,7 @@
 /// The other entries, as far as they have been heard of.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
-    own: Incarnation,
+    pub(super) own: Incarnation,
     own_address: SocketAddr,
     peers: BTreeMap<VmId, Peer>,
     seeds: BTreeSet<SocketAddr>,
@@ -186,7 +164,7 @@
     }
 
     /// Takes over a report; returns whether its sender was not known to be alive.
-    fn learn(&mut self, report: Report, now: Millis) -> bool {
+    pub(super) fn learn(&mut self, report: Report, now: Millis) -> bool {
         let is_new =
             self.peers.get(&report.sender.vm).is_none_or(|peer| now.since(peer.heard) >= PEER_TIME);
         for contact in &report.contacts {
@@ -201,7 +179,7 @@
     }
 
     /// Where the next report goes.
-    fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
+    pub(super) fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
         self.turn += 1;
         self.contacts.retain(|_, heard| now.since(*heard) < CONTACT_TIME);
         self.peers.retain(|_, peer| now.since(peer.heard) < CONTACT_TIME);
@@ -222,121 +200,7 @@
         receivers
     }
 
-    fn contacts(&self, now: Millis) -> Vec<SocketAddr> {
+    pub(super) fn contacts(&self, now: Millis) -> Vec<SocketAddr> {
         self.live(now).map(|(_, peer)| peer.address).take(MAX_CONTACTS).collect()
     }
 }
-
-impl Direct {
-    fn report(&self, now: Millis) -> (Vec<SocketAddr>, Report) {
-        let mut state = self.state();
-        let loads = state.loads.iter().filter(|(_, load)| load.running > 0);
-        let loads = loads.map(|(id, load)| LoadReport {
-            replica: replica_hash(id),
-            running: load.running,
-            unread: load.unread,
-        });
-        let loads = loads.collect();
-        let orders = state.orders.values().map(|progress| progress.controller.report(now));
-        let orders = orders.collect();
-        let receivers = state.peers.receivers(now);
-        let report = Report {
-            sender: state.peers.own.clone(),
-            asked: now,
-            address: self.settings.peers,
-            contacts: state.peers.contacts(now),
-            loads,
-            orders,
-            held_sessions: state.held_sessions(self.settings.session_pause, now),
-        };
-        let live = state.peers.live(now).count();
-        self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
-        (receivers, report)
-    }
-
-    fn learn_message(&self, bytes: &[u8]) {
-        match rmp_serde::from_slice::<Message>(bytes) {
-            Ok(Message::Report(report)) => {
-                let (vm, address) = (report.sender.vm.clone(), report.address);
-                if self.state().peers.learn(report, since_boot()) {
-                    info!(self.log, "peers: heard"; "vm" => %vm, "address" => %address);
-                }
-            }
-            Ok(Message::Confirmation(confirmation)) => {
-                if confirmation.to == self.state().peers.own {
-                    self.learn_confirmation(&confirmation);
-                }
-            }
-            Err(error) => warn!(self.log, "peers: message ignored"; "error" => %error),
-        }
-    }
-
-    /// Tells peers what an exact read has shown that was sent after their questions.
-    pub(super) async fn confirm(&self, questions: Vec<Question>, confirmed: Confirmed) {
-        for Question { by, asked, address } in questions {
-            let confirmation = Confirmation { to: by, asked, confirmed };
-            match rmp_serde::to_vec(&Message::Confirmation(confirmation)) {
-                Ok(bytes) => {
-                    // A peer that hears nothing reads for itself.
-                    let _lost = self.peer_socket.send_to(&bytes, address).await;
-                }
-                Err(error) => {
-                    warn!(self.log, "peers: confirmation not encoded"; "error" => %error);
-                }
-            }
-        }
-    }
-}
-
-/// Sends and receives reports.
-pub(super) async fn exchange_reports(direct: Arc<Direct>) {
-    let socket = &direct.peer_socket;
-    let sending = async {
-        loop {
-            send_report(&direct, socket).await;
-            task::sleep(REPORT_INTERVAL).await;
-        }
-    };
-    let receiving = async {
-        let mut buf = [0; 4 * MAX_REPORT_BYTES];
-        loop {
-            match socket.recv_from(&mut buf).await {
-                Ok((length, _from)) => direct.learn_message(&buf[..length]),
-                // An earlier datagram met a closed port; the next may not.
-                Err(_refused) => task::sleep(Duration::from_millis(10)).await,
-            }
-        }
-    };
-    sending.or(receiving).await;
-}
-
-async fn send_report(direct: &Direct, socket: &UdpSocket) {
-    let (receivers, report) = direct.report(since_boot());
-    if receivers.is_empty() {
-        return;
-    }
-    match encode(report) {
-        Ok(bytes) => {
-            for receiver in receivers {
-                // A datagram that is not sent is like one that is lost.
-                let _lost = socket.send_to(&bytes, receiver).await;
-            }
-        }
-        Err(error) => warn!(direct.log, "peers: report not encoded"; "error" => %error),
-    }
-}
-
-/// Encodes a report for one datagram; the smallest loads are left out where all do not fit.
-fn encode(mut report: Report) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    report.loads.sort_by_key(|load| Reverse((load.unread, load.running)));
-    loop {
-        let message = Message::Report(report);
-        let bytes = rmp_serde::to_vec(&message)?;
-        let Message::Report(longer) = message else { return Ok(bytes) };
-        if bytes.len() <= MAX_REPORT_BYTES || longer.loads.is_empty() {
-            return Ok(bytes);
-        }
-        report = longer;
-        report.loads.truncate(report.loads.len() * 3 / 4);
-    }
-}
