Name runs of entries by the incarnation that the product already has

Cause: crates/direct had a type of its own for one run of a process, by VM and time of start; crates/core has Incarnation, drawn at random, which a clock set back cannot repeat. Ruled out: nothing. Change: the one of crates/core. Measured: rollout_history and rollout_judgement pass. Conclusion: one type.

--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -41,7 +41,8 @@
         let orders = orders.collect();
         let receivers = state.peers.receivers(now);
         let report = Report {
-            sender: state.peers.own.clone(),
+            vm: state.peers.vm.clone(),
+            incarnation: state.peers.incarnation,
             asked: now,
             address: self.settings.peers,
             contacts: state.peers.contacts(now),
@@ -57,13 +58,13 @@
     fn learn_message(&self, bytes: &[u8]) {
         match rmp_serde::from_slice::<Message>(bytes) {
             Ok(Message::Report(report)) => {
-                let (vm, address) = (report.sender.vm.clone(), report.address);
+                let (vm, address) = (report.vm.clone(), report.address);
                 if self.state().peers.learn(report, since_boot()) {
                     info!(self.log, "peers: heard"; "vm" => %vm, "address" => %address);
                 }
             }
             Ok(Message::Confirmation(confirmation)) => {
-                if confirmation.to == self.state().peers.own {
+                if confirmation.to == self.state().peers.incarnation {
                     self.learn_confirmation(&confirmation);
                 }
             }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,8 +1,7 @@
 //! The other entries: what each has reported last, and where reports go.
 
-use crate::clock::unix_millis;
-use ibissail_core::{InstanceId, Millis, ServiceId, Tokens, VmId};
-use ibissail_direct::{DirectSettings, Incarnation, OrderReport, stable_hash};
+use ibissail_core::{Incarnation, InstanceId, Millis, ServiceId, Tokens, VmId};
+use ibissail_direct::{DirectSettings, OrderReport, stable_hash};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -34,7 +33,8 @@
 /// What an entry tells its peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Report {
-    pub(super) sender: Incarnation,
+    pub(super) vm: VmId,
+    pub(super) incarnation: Incarnation,
     /// When it was sent, by the sender's clock: a question whether what it believes is right.
     pub(super) asked: Millis,
     pub(super) address: SocketAddr,
@@ -63,7 +63,8 @@
 /// The other entries, as far as they have been heard of.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
-    pub(super) own: Incarnation,
+    pub(super) vm: VmId,
+    pub(super) incarnation: Incarnation,
     own_address: SocketAddr,
     peers: BTreeMap<VmId, Peer>,
     seeds: BTreeSet<SocketAddr>,
@@ -84,7 +85,8 @@
 impl PeerTable {
     pub(crate) fn new(settings: &DirectSettings) -> Self {
         let mut table = Self {
-            own: Incarnation { vm: settings.vm.clone(), started_unix_ms: unix_millis() },
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(rand::random()),
             own_address: settings.peers,
             peers: BTreeMap::new(),
             seeds: BTreeSet::new(),
@@ -114,7 +116,7 @@
 
     /// How many live entries come before this one in the order of names.
     pub(crate) fn rank(&self, now: Millis) -> u64 {
-        self.live(now).filter(|(vm, _)| **vm < self.own.vm).count() as u64
+        self.live(now).filter(|(vm, _)| **vm < self.vm).count() as u64
     }
 
     /// Whether this entry reads the store for the others.
@@ -125,7 +127,7 @@
     /// The latest questions of live peers.
     pub(super) fn questions(&self, now: Millis) -> Vec<Question> {
         let question = |(_, peer): (&VmId, &Peer)| Question {
-            by: peer.report.sender.clone(),
+            by: peer.report.incarnation,
             asked: peer.report.asked,
             address: peer.address,
         };
@@ -139,10 +141,10 @@
         now: Millis,
     ) -> Vec<(Incarnation, OrderReport)> {
         let reports = self.live(now).flat_map(|(_, peer)| {
-            peer.report.orders.iter().map(|report| (&peer.report.sender, report))
+            peer.report.orders.iter().map(|report| (peer.report.incarnation, report))
         });
         let reports = reports.filter(|(_, report)| report.service == *service);
-        reports.map(|(sender, report)| (sender.clone(), report.clone())).collect()
+        reports.map(|(incarnation, report)| (incarnation, report.clone())).collect()
     }
 
     /// Whether a live peer has the session on the old version.
@@ -166,7 +168,7 @@
     /// Takes over a report; returns whether its sender was not known to be alive.
     pub(super) fn learn(&mut self, report: Report, now: Millis) -> bool {
         let is_new =
-            self.peers.get(&report.sender.vm).is_none_or(|peer| now.since(peer.heard) >= PEER_TIME);
+            self.peers.get(&report.vm).is_none_or(|peer| now.since(peer.heard) >= PEER_TIME);
         for contact in &report.contacts {
             if *contact != self.own_address {
                 self.contacts.entry(*contact).or_insert(now);
@@ -174,7 +176,7 @@
         }
         self.contacts.insert(report.address, now);
         let peer = Peer { address: report.address, heard: now, report };
-        self.peers.insert(peer.report.sender.vm.clone(), peer);
+        self.peers.insert(peer.report.vm.clone(), peer);
         is_new
     }
 
--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -4,8 +4,7 @@
 //! read agrees with them. A confirmation answers a question and counts from the time at which the
 //! question was asked, by the asking entry's own clock; the read was sent after that.
 
-use crate::Incarnation;
-use ibissail_core::{Millis, Revision};
+use ibissail_core::{Incarnation, Millis, Revision};
 use serde::{Deserialize, Serialize};
 
 /// What an exact read has shown.
--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -4,10 +4,10 @@
 //! and from the evidence that it has heard of, and writes the status if nobody has written it.
 
 use crate::{
-    Evidence, Incarnation, Order, OrderState, Phase, RolloutView, Schedule, SharedEvidence,
-    Slowdown, Trial, Verdict, is_suspect, judge, slowdown,
+    Evidence, Order, OrderState, Phase, RolloutView, Schedule, SharedEvidence, Slowdown, Trial,
+    Verdict, is_suspect, judge, slowdown,
 };
-use ibissail_core::{Millis, ServiceId, VersionId};
+use ibissail_core::{Incarnation, Millis, ServiceId, VersionId};
 use serde::{Deserialize, Serialize};
 
 /// What an entry says of an order in progress.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -51,7 +51,7 @@
 pub use request::{Prompt, PromptPart};
 pub use rollout::{Order, OrderState, Phase, RolloutView, Schedule, Trial};
 pub use settings::DirectSettings;
-pub use shared_evidence::{Incarnation, SharedEvidence};
+pub use shared_evidence::SharedEvidence;
 pub use stop::{stop_admits, stop_end};
 pub use table::RoutingTable;
 pub use trial::{ExtraTrials, trial_width};
--- a/crates/direct/src/shared_evidence.rs
+++ b/crates/direct/src/shared_evidence.rs
@@ -3,19 +3,9 @@
 //! An entry keeps nothing over a restart, but its peers have heard what it had counted.
 
 use crate::{Evidence, Sample, VersionCounts};
-use ibissail_core::{Millis, VmId};
-use serde::{Deserialize, Serialize};
+use ibissail_core::{Incarnation, Millis};
 use std::collections::BTreeMap;
 
-/// One run of an entry's process.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Incarnation {
-    /// The VM.
-    pub vm: VmId,
-    /// Unix time of its start, in milliseconds; it only has to differ from that of other runs.
-    pub started_unix_ms: u64,
-}
-
 /// What one run of a peer has said last.
 #[derive(Debug, Clone, PartialEq)]
 struct Heard {
--- a/crates/direct/tests/rollout_history.rs
+++ b/crates/direct/tests/rollout_history.rs
@@ -1,9 +1,9 @@
 //! Random histories of an order at several entries, against one controller that sees everything.
 
-use ibissail_core::{Millis, Revision};
+use ibissail_core::{Incarnation, Millis, Revision};
 use ibissail_direct::{
-    Evidence, Incarnation, Order, OrderReport, OrderState, Phase, RolloutController, Sample,
-    Schedule, Verdict, is_suspect, judge, stable_hash,
+    Evidence, Order, OrderReport, OrderState, Phase, RolloutController, Sample, Schedule, Verdict,
+    is_suspect, judge, stable_hash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
@@ -30,9 +30,9 @@
 }
 
 impl Entry {
+    /// Runs begin at different times, at different entries.
     fn incarnation(&self) -> Incarnation {
-        let vm = format!("front-{}", self.number).parse().expect("a name");
-        Incarnation { vm, started_unix_ms: self.started.unwrap_or_default() }
+        Incarnation(10 * self.started.unwrap_or_default() + self.number)
     }
 }
 
@@ -192,7 +192,7 @@
         for entry in self.entries.iter_mut().filter(|entry| entry.started.is_some()) {
             for (number, incarnation, report) in &reports {
                 if *number != entry.number && !self.rng.random_bool(self.loss) {
-                    entry.heard.insert(*number, (now, incarnation.clone(), report.clone()));
+                    entry.heard.insert(*number, (now, *incarnation, report.clone()));
                 }
             }
         }
@@ -203,7 +203,7 @@
         for entry in self.entries.iter_mut().filter(|entry| entry.started.is_some()) {
             let Some(known) = &mut entry.controller else { continue };
             let peers = entry.heard.values().filter(|(at, ..)| now - at < PEER_TIME);
-            let peers = peers.map(|(_, peer, report)| (peer.clone(), report.clone()));
+            let peers = peers.map(|(_, peer, report)| (*peer, report.clone()));
             let Some(wanted) = known.decide(peers.collect::<Vec<_>>(), Millis(now)) else {
                 continue;
             };
--- a/crates/direct/tests/rollout_judgement.rs
+++ b/crates/direct/tests/rollout_judgement.rs
@@ -1,10 +1,10 @@
 //! Bad versions are found, and good ones are not condemned.
 #![expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small numbers")]
 
-use ibissail_core::{Millis, Revision, Tokens};
+use ibissail_core::{Incarnation, Millis, Revision, Tokens};
 use ibissail_direct::{
-    Evidence, Incarnation, Order, OrderState, Phase, RolloutView, Sample, Schedule, SharedEvidence,
-    Trial, is_suspect, judge, stable_hash, time_kind,
+    Evidence, Order, OrderState, Phase, RolloutView, Sample, Schedule, SharedEvidence, Trial,
+    is_suspect, judge, stable_hash, time_kind,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -281,20 +281,17 @@
 /// Four of five entries are killed after the trial's first half; the fifth knows what they saw.
 #[test]
 fn evidence_outlives_the_entries_that_saw_it() {
-    let peer = |number: u64, started_unix_ms: u64| Incarnation {
-        vm: format!("front-{number}").parse().expect("a name"),
-        started_unix_ms,
-    };
+    let run = |number: u64, run: u64| Incarnation(10 * run + number);
     let bad = Sample { route: 1, kind: 1, replica: 1, is_bad: true, time_ms: None };
     let mut shared = SharedEvidence::new(Millis(0));
     for number in 1..5 {
         let mut evidence = Evidence::default();
         evidence.new.note(&Sample { replica: number, ..bad.clone() });
-        shared.hear(peer(number, 1), Evidence::default(), Millis(2_000));
-        shared.hear(peer(number, 1), evidence, Millis(6_000));
+        shared.hear(run(number, 1), Evidence::default(), Millis(2_000));
+        shared.hear(run(number, 1), evidence, Millis(6_000));
         // Reports of the next run, and one of the first that was delayed.
-        shared.hear(peer(number, 2), Evidence::default(), Millis(400));
-        shared.hear(peer(number, 1), Evidence::default(), Millis(4_000));
+        shared.hear(run(number, 2), Evidence::default(), Millis(400));
+        shared.hear(run(number, 1), Evidence::default(), Millis(4_000));
     }
     assert_eq!(shared.total().new.answers(), 4);
     assert!(judge(&shared.total()).is_bad());
