Answer what entry and sidecar share in one place, and set clusters up in one place

Cause: both roles decoded a message and answered comparisons and lists of VMs alike; six test files set up the same two entries. Ruled out: nothing. Change: Node::answer takes what is a role's own; Cluster::with_upstreams. Conclusion: no change of behaviour.

--- a/crates/daemon/src/entry/protocol.rs
+++ b/crates/daemon/src/entry/protocol.rs
@@ -8,20 +8,13 @@
 use std::sync::Arc;
 
 /// Answers one message.
-pub(crate) async fn answer(shared: Arc<Shared>, mut req: Request) -> Response {
-    let path = req.url().path().to_owned();
-    let envelope = match shared.node.receive(&mut req).await {
-        Ok(envelope) => envelope,
-        Err(refusal) => return refusal,
-    };
-    let answered = match path.as_str() {
-        paths::EXCHANGE => shared.node.answer_exchange(&envelope),
-        paths::VMS => Ok(shared.node.answer_vms(&envelope)),
-        paths::CONFIRM => confirm(&shared, &envelope),
-        paths::SETTLE => settle(&shared, &envelope),
+pub(crate) async fn answer(shared: Arc<Shared>, req: Request) -> Response {
+    let own = |path: &str, envelope: &Envelope| match path {
+        paths::CONFIRM => confirm(&shared, envelope),
+        paths::SETTLE => settle(&shared, envelope),
         _ => Err(Refusal::from(Fault::from(ErrorKind::NotFound))),
     };
-    answered.unwrap_or_else(|refusal| envelope.refuse(&refusal))
+    shared.node.answer(req, own).await
 }
 
 /// Holds records of another entry as their witness.
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -13,7 +13,7 @@
 use http_types::{Request, Response};
 use ibissail_catalogue::{Catalogue, Document, Exchange};
 use ibissail_core::{Incarnation, Millis};
-use ibissail_execution::Refusal;
+use ibissail_execution::{Refusal, paths};
 use ibissail_object_store::{HttpPlatform, ObjectApi};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{CallError, Envelope, Keyring, Pool, PoolOptions, Stop, call};
@@ -174,19 +174,29 @@
         answered.map_err(|refusal| refusal.fault.into())
     }
 
-    /// Reads a message of another process, or gives the answer to one that is not accepted.
-    pub(crate) async fn receive(&self, req: &mut Request) -> Result<Envelope, Response> {
-        Envelope::receive(&self.keyring, req).await.map_err(|fault| {
-            warn!(self.log, "protocol: a message is not accepted"; "error" => %fault);
-            Response::new(fault.kind.answer().status)
-        })
+    /// Answers a message of another process: what both roles answer here, the rest by `own`.
+    pub(crate) async fn answer<F>(self: &Arc<Self>, mut req: Request, own: F) -> Response
+    where
+        F: FnOnce(&str, &Envelope) -> Result<Response, Refusal>,
+    {
+        let path = req.url().path().to_owned();
+        let envelope = match Envelope::receive(&self.keyring, &mut req).await {
+            Ok(envelope) => envelope,
+            Err(fault) => {
+                warn!(self.log, "protocol: a message is not accepted"; "error" => %fault);
+                return Response::new(fault.kind.answer().status);
+            }
+        };
+        let answered = match path.as_str() {
+            paths::EXCHANGE => self.answer_exchange(&envelope),
+            paths::VMS => Ok(self.answer_vms(&envelope)),
+            _ => own(&path, &envelope),
+        };
+        answered.unwrap_or_else(|refusal| envelope.refuse(&refusal))
     }
 
     /// Answers a peer that compares or sends settings.
-    pub(crate) fn answer_exchange(
-        self: &Arc<Self>,
-        envelope: &Envelope,
-    ) -> Result<Response, Refusal> {
+    fn answer_exchange(self: &Arc<Self>, envelope: &Envelope) -> Result<Response, Refusal> {
         let message: Exchange = envelope.message()?;
         let (news, reply) = self.settings.exchange(message, &self.log);
         self.spread(&news);
@@ -194,7 +204,7 @@
     }
 
     /// Answers a peer that has no list of VMs, as one started while the platform is down.
-    pub(crate) fn answer_vms(&self, envelope: &Envelope) -> Response {
+    fn answer_vms(&self, envelope: &Envelope) -> Response {
         envelope.answer(&*self.peers.listed())
     }
 }
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -19,12 +19,10 @@
     ServiceFaults { before_ms: 0, after_ms: 1_200, fail_after: false };
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("payouts-1", "service:payouts");
-    cluster.add_upstream("payouts-2", "service:payouts");
-    cluster
+    Cluster::with_upstreams(
+        test,
+        &[("payouts-1", "service:payouts"), ("payouts-2", "service:payouts")],
+    )
 }
 
 fn all_services(cluster: &Cluster, faults: &ServiceFaults) {
--- a/crates/daemon/tests/billing.rs
+++ b/crates/daemon/tests/billing.rs
@@ -17,11 +17,8 @@
 const CALLERS: u64 = 6;
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("swift-1", "swift@1");
-    cluster.add_upstream("swift-2", "swift@1");
+    let upstreams = [("swift-1", "swift@1"), ("swift-2", "swift@1")];
+    let mut cluster = Cluster::with_upstreams(test, &upstreams);
     cluster.start_all();
     cluster
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -123,6 +123,17 @@
         cluster
     }
 
+    /// The same with two entries and these upstreams, not started: names and what they offer.
+    pub fn with_upstreams(test: &str, upstreams: &[(&str, &str)]) -> Self {
+        let mut cluster = Self::new(test);
+        cluster.add_entry("entry-1");
+        cluster.add_entry("entry-2");
+        for (name, offers) in upstreams {
+            cluster.add_upstream(name, offers);
+        }
+        cluster
+    }
+
     pub fn spawn(&mut self, name: &str, args: &[&str]) {
         let args: Vec<String> = args.iter().map(ToString::to_string).collect();
         let process = Process::start(&self.dir, name, self.log_level, &args);
--- a/crates/daemon/tests/double_failures.rs
+++ b/crates/daemon/tests/double_failures.rs
@@ -37,14 +37,14 @@
 }
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("payouts-1", "service:payouts");
-    cluster.add_upstream("payouts-2", "service:payouts");
-    cluster.add_upstream("swift-1", "swift@1");
-    cluster.add_upstream("swift-2", "swift@1");
-    cluster.add_upstream("swift-3", "swift@2");
+    let upstreams = [
+        ("payouts-1", "service:payouts"),
+        ("payouts-2", "service:payouts"),
+        ("swift-1", "swift@1"),
+        ("swift-2", "swift@1"),
+        ("swift-3", "swift@2"),
+    ];
+    let mut cluster = Cluster::with_upstreams(test, &upstreams);
     // Entry and sidecar may fail together, so that a third process must hold each record.
     let guides =
         GUIDES.replace("on_withdrawal: finish", "on_withdrawal: finish\n    witness: true");
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -12,11 +12,8 @@
 };
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("swift-1", "swift@1");
-    cluster.add_upstream("swift-2", "swift@1");
+    let upstreams = [("swift-1", "swift@1"), ("swift-2", "swift@1")];
+    let mut cluster = Cluster::with_upstreams(test, &upstreams);
     cluster.start_all();
     let slow = EngineFaults { slower_ms: 5, ..EngineFaults::default() };
     cluster.engine_faults("swift-1", &slow);
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -5,12 +5,8 @@
 use common::{Cluster, KEY, http, wait_until};
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("swift-1", "swift@1");
-    cluster.add_upstream("swift-2", "swift@2");
-    cluster.add_upstream("strong-1", "strong@1");
+    let upstreams = [("swift-1", "swift@1"), ("swift-2", "swift@2"), ("strong-1", "strong@1")];
+    let mut cluster = Cluster::with_upstreams(test, &upstreams);
     cluster.start_all();
     cluster
 }
--- a/crates/daemon/tests/withdrawal.rs
+++ b/crates/daemon/tests/withdrawal.rs
@@ -15,12 +15,7 @@
 const BAD: &str = "swift@2";
 
 fn cluster(test: &str) -> Cluster {
-    let mut cluster = Cluster::new(test);
-    cluster.add_entry("entry-1");
-    cluster.add_entry("entry-2");
-    cluster.add_upstream("swift-1", "swift@1");
-    cluster.add_upstream("swift-2", BAD);
-    cluster
+    Cluster::with_upstreams(test, &[("swift-1", "swift@1"), ("swift-2", BAD)])
 }
 
 fn down() -> PlatformFaults {
