Share the counting of stopped versions among the tests of judgement

Cause: three tests repeated the seeds, the empty evidence and the two questions. Ruled out: nothing. Conclusion: the same checks.

--- a/crates/direct/tests/rollout_judgement.rs
+++ b/crates/direct/tests/rollout_judgement.rs
@@ -58,6 +58,20 @@
     None
 }
 
+/// How many of `seeds` versions are stopped by the evidence that `play` adds.
+fn stopped<F>(seeds: u64, play: F) -> usize
+where
+    F: Fn(&mut StdRng, &mut Evidence),
+{
+    let is_stopped = |seed: &u64| {
+        let mut rng = StdRng::seed_from_u64(*seed);
+        let mut evidence = Evidence::default();
+        play(&mut rng, &mut evidence);
+        judge(&evidence).is_bad() || is_suspect(&evidence)
+    };
+    (0..seeds).filter(is_stopped).count()
+}
+
 /// The users count from a version's 50th bad answer; it must be condemned well before.
 #[test]
 fn failing_version_is_found_before_its_fiftieth_failure() {
@@ -226,22 +240,17 @@
 /// A version with a smaller share of slow answers shows too little to be condemned in a trial.
 #[test]
 fn partly_slow_version_does_not_take_over() {
-    let stopped = |slow_share: f64| {
-        (0..300_u64)
-            .filter(|seed| {
-                let mut rng = StdRng::seed_from_u64(*seed);
-                let mut evidence = Evidence::default();
-                for _ in 0..300 {
-                    evidence.old.note(&sample(&mut rng, 0.02, 0.0));
-                }
-                for _ in 0..40 {
-                    evidence.new.note(&sample(&mut rng, 0.02, slow_share));
-                }
-                judge(&evidence).is_bad() || is_suspect(&evidence)
-            })
-            .count()
+    let versions = |slow_share: f64| {
+        stopped(300, |rng, evidence| {
+            for _ in 0..300 {
+                evidence.old.note(&sample(rng, 0.02, 0.0));
+            }
+            for _ in 0..40 {
+                evidence.new.note(&sample(rng, 0.02, slow_share));
+            }
+        })
     };
-    let (bad, good) = (stopped(0.3), stopped(0.0));
+    let (bad, good) = (versions(0.3), versions(0.0));
     assert!(bad >= 285, "{bad} of 300 partly slow versions were stopped");
     assert!(good <= 9, "{good} of 300 good versions were stopped");
 }
@@ -249,31 +258,26 @@
 /// A route with few requests, whose models share the failures among them.
 #[test]
 fn version_that_fails_on_a_rare_route_does_not_take_over() {
-    let stopped = |bad_share: f64| {
-        (0..300_u64)
-            .filter(|seed| {
-                let mut rng = StdRng::seed_from_u64(*seed);
-                let mut evidence = Evidence::default();
-                for answer in 0..330_u32 {
-                    let is_new = answer % 10 == 0;
-                    // One answer in five is on the rare route.
-                    let is_rare = rng.random_bool(0.2);
-                    let share = if is_new && is_rare { bad_share } else { 0.02 };
-                    let sample = Sample {
-                        route: u32::from(is_rare),
-                        kind: 3 * u32::from(is_rare) + answer % 3,
-                        replica: rng.random_range(0..9),
-                        is_bad: rng.random_bool(share),
-                        time_ms: None,
-                    };
-                    let counts = if is_new { &mut evidence.new } else { &mut evidence.old };
-                    counts.note(&sample);
-                }
-                judge(&evidence).is_bad() || is_suspect(&evidence)
-            })
-            .count()
+    let versions = |bad_share: f64| {
+        stopped(300, |rng, evidence| {
+            for answer in 0..330_u32 {
+                let is_new = answer % 10 == 0;
+                // One answer in five is on the rare route.
+                let is_rare = rng.random_bool(0.2);
+                let share = if is_new && is_rare { bad_share } else { 0.02 };
+                let sample = Sample {
+                    route: u32::from(is_rare),
+                    kind: 3 * u32::from(is_rare) + answer % 3,
+                    replica: rng.random_range(0..9),
+                    is_bad: rng.random_bool(share),
+                    time_ms: None,
+                };
+                let counts = if is_new { &mut evidence.new } else { &mut evidence.old };
+                counts.note(&sample);
+            }
+        })
     };
-    let (bad, good) = (stopped(0.6), stopped(0.02));
+    let (bad, good) = (versions(0.6), versions(0.02));
     assert!(bad >= 255, "{bad} of 300 versions that fail on a rare route were stopped");
     assert!(good <= 15, "{good} of 300 good versions were stopped");
 }
@@ -303,16 +307,14 @@
 /// The old version's replicas have read most prompts before; those of a good new one have not.
 #[test]
 fn version_with_unread_prompts_is_not_condemned() {
-    let stopped = (0..200_u64).filter(|seed| {
-        let mut rng = StdRng::seed_from_u64(*seed);
-        let mut evidence = Evidence::default();
+    let stopped = stopped(200, |rng, evidence| {
         for answer in 0..2_400_u32 {
             let is_new = answer % 10 == 0;
             let is_known = rng.random_bool(if is_new { 0.1 } else { 0.7 });
             let unread =
                 if is_known { rng.random_range(50..800) } else { rng.random_range(3_000..9_000) };
             // A token is read in 1/50 ms.
-            let time_ms = time(&mut rng, 0) + unread / 50;
+            let time_ms = time(rng, 0) + unread / 50;
             let sample = Sample {
                 route: 1,
                 kind: time_kind("drafts", "small", Tokens(unread)),
@@ -323,8 +325,6 @@
             let counts = if is_new { &mut evidence.new } else { &mut evidence.old };
             counts.note(&sample);
         }
-        judge(&evidence).is_bad() || is_suspect(&evidence)
     });
-    let stopped = stopped.count();
     assert!(stopped <= 6, "{stopped} of 200 good versions were stopped");
 }
