Show that a stream is cut when its version is replaced

Callers whose stream runs on the old version when a rollout succeeds lose it: the old replicas stop at once. Cause: a stream that has started is continued on its own version only. Measured: the test fails, 20 of 30 events arrive (`no replica is available`).

--- /dev/null
+++ b/crates/daemon/tests/replaced_version.rs
@@ -0,0 +1,68 @@
+//! Streams that still run on the old version when a rollout succeeds.
+
+mod direct;
+
+use direct::{EntryFixture, wait_until};
+use ibissail_platform_standin::{
+    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StreamEnding,
+};
+use std::{thread, time::Duration};
+
+/// Events of the stream that outlasts the rollout.
+const EVENTS: u64 = 30;
+
+fn configuration() -> ConfigurationSpec {
+    let mut route = RouteSpec::new("/drafts/", "resumable", "writers");
+    route.request_timeout_ms = 20_000;
+    ConfigurationSpec { version: 1, routes: vec![route], organisations: Vec::new() }
+}
+
+fn draft(id: &str) -> CallerRequest {
+    let mut request = CallerRequest::new("POST", "/drafts/1", id);
+    request.deadline_ms = 20_000;
+    request
+}
+
+fn stream(sent: u64, interval_ms: u64, ending: StreamEnding) -> Behaviour {
+    let interval = Duration::from_millis(interval_ms);
+    Behaviour::Stream { events: EVENTS, sent, interval, ending, confidence: 90 }
+}
+
+#[test]
+fn stream_of_a_replaced_version_is_not_cut_when_its_replicas_stop() {
+    let fixture = EntryFixture::start("replaced", &configuration());
+    let old =
+        fixture.add_version("r-1", "writers", "v1", stream(EVENTS, 0, StreamEnding::Complete));
+    fixture.wait_ready();
+    fixture.wait_for_replica(&old);
+    let new =
+        fixture.add_version("r-2", "writers", "v2", stream(EVENTS, 0, StreamEnding::Complete));
+    fixture.start_rollout("writers", "v2", 5.0);
+    fixture.wait_for_replica(&new);
+    let mut number = 0;
+    while new.run_count() < 8 {
+        number += 1;
+        fixture.send(&draft(&format!("short-{number}")));
+        thread::sleep(Duration::from_millis(10));
+    }
+    // Its replica stops with it, in the middle of an event and without draining.
+    old.set_behaviour(stream(20, 300, StreamEnding::Truncated));
+    let response = thread::scope(|scope| {
+        let sending = scope.spawn(|| {
+            let mut number = 0;
+            loop {
+                number += 1;
+                let before = old.run_count();
+                let response = fixture.send(&draft(&format!("long-{number}")));
+                if old.run_count() > before {
+                    return response;
+                }
+            }
+        });
+        wait_until("the rollout succeeds", || fixture.rollout_state("writers") == "succeeded");
+        fixture.store.remove("servers", "r-1");
+        sending.join().expect("the caller gets a response")
+    });
+    assert!(response.status == 200 && response.is_complete, "{response:?}");
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<u64>>());
+}
