Keep a silent attempt open until another replica takes it over

Callers saw their connection closed in the middle of an answer, beside a change of the configuration, although the replica was sound and silent for a second or so only. Cause: an attempt was given up as soon as its replica exceeded the stall limits. Whether another replica could go on was guessed when the attempt began; by then there may be none of its version, no retry left in the budget, or only replicas that refuse. Change: a silent attempt stays open. If there is none, the entry waits on, and looks again after the next silence. The retry is taken from the budget only once a replica is selected. The same holds for heads and buffered bodies of requests that may be repeated. A session's version is recorded when an attempt is made, no longer when a replica is only considered. Ruled out: longer stall limits alone, as the silence of a stopped replica has no bound.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -6,15 +6,16 @@
     peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
-    retry::{FAILURE_RESERVE, Progress, RequestOutcome},
+    retry::{FAILURE_RESERVE, Progress, RequestOutcome, Target},
     selection::SelectedReplica,
     serve::AdmittedRequest,
-    upstream::{SendError, StallLimits, UpstreamResponse, send_request},
+    silence::{SilentAttempt, Upstream, hand_over},
+    upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId};
+use ibissail_core::{ErrorKind, InstanceId, ModelId};
 use ibissail_direct::{CascadeStep, Sample, latency_class, stable_hash};
-use ibissail_http1::Connection;
+use ibissail_http1::{Connection, ResponseHead};
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::{info, warn};
 use std::sync::Arc;
@@ -30,6 +31,8 @@
     Retry(&'static str),
     /// Ask the next larger model.
     Escalate,
+    /// Try another replica, and wait on if there is none.
+    Silent(Box<Upstream>),
 }
 
 /// The outcome of a replica's response, as evidence on its version.
@@ -62,77 +65,136 @@
 
 /// One attempt at one replica.
 pub(super) struct Attempt<'a> {
-    pub(super) started: Millis,
     pub(super) shared: &'a Arc<Shared>,
     pub(super) request: &'a AdmittedRequest,
-    pub(super) replica: &'a SelectedReplica,
-    pub(super) model: Option<&'a ModelId>,
+    pub(super) target: &'a Target,
     /// The step of the model cascade; `None` if the caller has chosen the model.
     pub(super) step: Option<&'a CascadeStep>,
     /// The next step, with a larger model; `None` at the end of the cascade.
     pub(super) larger: Option<&'a CascadeStep>,
 }
 
-impl Attempt<'_> {
-    /// Sends the request and forwards the response; returns the step that follows.
+impl<'a> Attempt<'a> {
+    pub(super) fn new(
+        shared: &'a Arc<Shared>,
+        request: &'a AdmittedRequest,
+        target: &'a Target,
+        steps: &'a [CascadeStep],
+    ) -> Self {
+        let step = steps.get(target.position);
+        let larger = steps.get(target.position + 1);
+        Self { shared, request, target, step, larger }
+    }
+
+    /// Sends the request and forwards the response; returns the step that follows. `silent` is an
+    /// earlier attempt that this one takes over from.
     pub(super) async fn run(
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
+        silent: &mut Option<SilentAttempt>,
     ) -> NextStep {
         let may_have_run_before = progress.may_have_run;
-        let has_alternative = self.replica.candidate_count > 1
+        let has_alternative = self.replica().candidate_count > 1
             && progress.attempts_sent + 1 < self.request.route.attempt_limit.0;
+        let resume_after = progress.splitter.last_id();
+        let model = self.target.model.as_ref();
+        let opened =
+            Exchange::open(self.shared, self.request, resume_after, self.replica(), model).await;
+        progress.tried.insert(self.replica().id.clone());
+        let mut exchange = match opened {
+            Ok(exchange) => exchange,
+            Err(error) => return self.handle_refused_connection(progress, &error.to_string()),
+        };
+        progress.attempts_sent += 1;
+        progress.may_have_run = true;
         let stall_limits = StallLimits::for_head(self.request, has_alternative);
-        let sent = send_request(
-            self.shared,
-            self.request,
-            progress,
-            self.replica,
-            self.model,
-            stall_limits,
-        )
-        .await;
-        progress.tried.insert(self.replica.id.clone());
-        if let Ok(upstream) = &sent {
-            let ReplicaResponse { is_leaving, pause, .. } = upstream.response;
-            let SelectedReplica { id, started_unix_ms, .. } = self.replica;
-            self.shared.record_signals(id, *started_unix_ms, is_leaving, pause);
+        let head = hand_over(silent, exchange.receive_head(self.request, stall_limits)).await;
+        if let Ok((_, response)) = &head
+            && let Some(rejection) = response.rejection
+        {
+            progress.may_have_run = may_have_run_before;
+            self.record_signals(response);
+            return self.handle_rejection(rejection, response.status);
+        }
+        if matches!(&head, Ok((_, response)) if response.is_success()) {
+            *silent = None;
         }
-        match sent {
-            Ok(UpstreamResponse {
-                response: ReplicaResponse { rejection: Some(rejection), status, .. },
-                ..
-            }) => {
-                progress.may_have_run = may_have_run_before;
-                info!(self.shared.log, "attempt: not run"; "id" => &self.request.params.id,
-                    "replica" => %self.replica.id, "status" => status);
-                // A model that the caller has chosen may be the reason instead.
-                let is_misdirected = rejection == Rejection::Misdirected;
-                if is_misdirected && self.request.params.model.is_none() {
-                    self.shared.eject(&self.replica.id, "another process has its address");
+        self.receive(connection, progress, exchange, head, has_alternative).await
+    }
+
+    /// Waits again for a replica that has been silent; returns the step that follows.
+    pub(super) async fn resume(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        upstream: Upstream,
+    ) -> NextStep {
+        match upstream {
+            Upstream::Unanswered(mut exchange) => {
+                let stall_limits = StallLimits::for_head(self.request, true);
+                let head = exchange.receive_head(self.request, stall_limits).await;
+                if let Ok((_, response)) = &head
+                    && let Some(rejection) = response.rejection
+                {
+                    self.record_signals(response);
+                    return self.handle_rejection(rejection, response.status);
                 }
-                NextStep::Retry("not_run")
-            }
-            Ok(upstream) if !upstream.response.is_signed && upstream.response.status < 300 => {
-                self.handle_failure(progress, "unsigned", "the successful response is not signed")
+                self.receive(connection, progress, exchange, head, true).await
             }
-            Ok(upstream) => self.receive(connection, progress, upstream, has_alternative).await,
-            Err(SendError::NotSent(error)) => {
-                progress.failed_connects += 1;
-                self.shared.eject(&self.replica.id, "it does not accept connections");
-                info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
-                    "replica" => %self.replica.id, "error" => error);
-                NextStep::Retry("not_sent")
+            Upstream::Answering(upstream) if self.is_stream(&upstream) => {
+                self.relay(connection, progress, upstream, true).await
             }
-            Err(SendError::Lost(error)) => self.handle_failure(progress, "lost", &error),
-            Err(SendError::Stalled(error)) => {
-                self.record_response(ResponseOutcome::Failure);
-                self.handle_failure(progress, "stalled", &error)
+            Upstream::Answering(upstream) => {
+                self.receive_buffered(connection, progress, upstream, true).await
             }
         }
     }
 
+    fn replica(&self) -> &SelectedReplica {
+        &self.target.replica
+    }
+
+    fn record_signals(&self, response: &ReplicaResponse) {
+        let SelectedReplica { id, started_unix_ms, .. } = self.replica();
+        self.shared.record_signals(id, *started_unix_ms, response.is_leaving, response.pause);
+    }
+
+    fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
+        progress.failed_connects += 1;
+        self.shared.eject(&self.replica().id, "it does not accept connections");
+        info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
+            "replica" => %self.replica().id, "error" => error);
+        NextStep::Retry("not_sent")
+    }
+
+    fn handle_rejection(&self, rejection: Rejection, status: u16) -> NextStep {
+        info!(self.shared.log, "attempt: not run"; "id" => &self.request.params.id,
+            "replica" => %self.replica().id, "status" => status);
+        // A model that the caller has chosen may be the reason instead.
+        let is_misdirected = rejection == Rejection::Misdirected;
+        if is_misdirected && self.request.params.model.is_none() {
+            self.shared.eject(&self.replica().id, "another process has its address");
+        }
+        NextStep::Retry("not_run")
+    }
+
+    /// Handles a silence. The replica may be sound, so its connection stays open until another
+    /// replica has taken the request over.
+    fn handle_silence(&self, progress: &mut Progress, upstream: Upstream, error: &str) -> NextStep {
+        if !self.target.has_been_silent {
+            self.record_response(ResponseOutcome::Failure);
+            self.shared.record_failure(&self.replica().id);
+            info!(self.shared.log, "attempt: silent"; "id" => &self.request.params.id,
+                "replica" => %self.replica().id, "error" => error);
+        }
+        if !progress.has_response_started() {
+            progress.pinned_version = None;
+        }
+        progress.avoids_canary = true;
+        NextStep::Silent(Box::new(upstream))
+    }
+
     /// Handles a failure that leaves open whether the request ran: retries a request that is
     /// repeatable, and ends any other.
     fn handle_failure(
@@ -142,9 +204,9 @@
         error: &str,
     ) -> NextStep {
         let request = self.request;
-        self.shared.record_failure(&self.replica.id);
+        self.shared.record_failure(&self.replica().id);
         info!(self.shared.log, "attempt: failed"; "id" => &request.params.id,
-            "replica" => %self.replica.id, "reason" => reason, "error" => error);
+            "replica" => %self.replica().id, "reason" => reason, "error" => error);
         progress.splitter.discard_partial_event();
         if !progress.has_response_started() {
             progress.pinned_version = None;
@@ -164,10 +226,22 @@
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        upstream: UpstreamResponse,
+        exchange: Exchange,
+        head: Result<(ResponseHead, ReplicaResponse), SendError>,
         has_alternative: bool,
     ) -> NextStep {
-        if self.request.route.kind.is_stream() && upstream.response.status == 200 {
+        let (head, response) = match head {
+            Ok(received) => received,
+            Err(SendError::Stalled(error)) => {
+                return self.handle_silence(progress, Upstream::Unanswered(exchange), &error);
+            }
+            Err(error) => return self.handle_failure(progress, "lost", &error.to_string()),
+        };
+        self.record_signals(&response);
+        let upstream = UpstreamResponse::new(exchange, head, response);
+        if upstream.response.status < 300 && !upstream.response.is_signed {
+            self.handle_failure(progress, "unsigned", "the successful response is not signed")
+        } else if self.is_stream(&upstream) {
             self.receive_stream(connection, progress, upstream, has_alternative).await
         } else if progress.has_response_started() {
             self.handle_failure(progress, "refused", "the replica did not resume the stream")
@@ -176,11 +250,15 @@
         }
     }
 
+    fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
+        self.request.route.kind.is_stream() && upstream.response.status == 200
+    }
+
     async fn receive_stream(
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        mut upstream: UpstreamResponse,
+        upstream: UpstreamResponse,
         has_alternative: bool,
     ) -> NextStep {
         let request = self.request;
@@ -188,7 +266,7 @@
             self.record_stream_start();
         }
         // The larger model may run on the same replica.
-        progress.tried.remove(&self.replica.id);
+        progress.tried.remove(&self.replica().id);
         if self.should_escalate(progress, &upstream)
             && self.shared.try_take_retry(request, FAILURE_RESERVE)
         {
@@ -196,18 +274,29 @@
             self.record_response(ResponseOutcome::Success);
             return NextStep::Escalate;
         }
-        progress.tried.insert(self.replica.id.clone());
-        progress.pinned_version = Some(self.replica.version.clone());
-        let stall_limits = StallLimits::for_event(request, has_alternative);
-        match relay_stream(connection, request, progress, &mut upstream, stall_limits).await {
+        progress.tried.insert(self.replica().id.clone());
+        // The bytes of an unfinished event came from the attempt that this one continues.
+        progress.splitter.discard_partial_event();
+        self.relay(connection, progress, upstream, has_alternative).await
+    }
+
+    async fn relay(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        mut upstream: UpstreamResponse,
+        has_alternative: bool,
+    ) -> NextStep {
+        progress.pinned_version = Some(self.replica().version.clone());
+        let limits = StallLimits::for_event(self.request, has_alternative);
+        match relay_stream(connection, self.request, progress, &mut upstream, limits).await {
             StreamOutcome::Complete => {
                 self.record_response(ResponseOutcome::Success);
                 NextStep::Done(RequestOutcome::Answered(upstream.response.status))
             }
             StreamOutcome::CallerGone => NextStep::Done(RequestOutcome::CallerGone),
             StreamOutcome::Stalled(error) => {
-                self.record_response(ResponseOutcome::Failure);
-                self.handle_failure(progress, "stalled", &error)
+                self.handle_silence(progress, Upstream::Answering(upstream), &error)
             }
             StreamOutcome::Broken(error) => self.handle_failure(progress, "broken", &error),
         }
@@ -222,30 +311,34 @@
     ) -> NextStep {
         let request = self.request;
         let limit = StallLimits::for_head(request, has_alternative);
-        let reading = upstream.body.read_all(&mut upstream.connection, MAX_RESPONSE_BYTES);
-        let body = match upstream.load_guard.wait(reading, limit).await {
-            Ok(Ok(body)) => body,
+        let UpstreamResponse { exchange, body, received, .. } = &mut upstream;
+        let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
+        match exchange.load_guard.wait(reading, limit).await {
+            Ok(Ok(())) => {}
             Ok(Err(error)) => return self.handle_failure(progress, "torn", &error.to_string()),
-            Err(error) => return self.handle_failure(progress, "stalled", &error),
-        };
-        let is_failure = upstream.response.status >= 500;
+            Err(error) => {
+                return self.handle_silence(progress, Upstream::Answering(upstream), &error);
+            }
+        }
+        let UpstreamResponse { exchange, head, response, received: body, .. } = upstream;
+        let is_failure = response.status >= 500;
         self.record_response(if is_failure {
             ResponseOutcome::Failure
         } else {
             ResponseOutcome::Success
         });
         if is_failure {
-            self.shared.record_failure(&self.replica.id);
+            self.shared.record_failure(&self.replica().id);
             if request.route.kind.is_repeatable() {
                 progress.avoids_canary = true;
-                progress.upstream_failure = Some((upstream.head, body));
+                progress.upstream_failure = Some((head, body));
                 return NextStep::Retry("failed");
             }
         }
-        drop(upstream.load_guard);
+        drop(exchange);
         progress.first_byte_at = Some(since_boot());
-        match write_complete(connection, &upstream.head, &body, request.after_response).await {
-            Ok(()) => NextStep::Done(RequestOutcome::Answered(upstream.response.status)),
+        match write_complete(connection, &head, &body, request.after_response).await {
+            Ok(()) => NextStep::Done(RequestOutcome::Answered(response.status)),
             Err(_gone) => NextStep::Done(RequestOutcome::CallerGone),
         }
     }
@@ -273,17 +366,17 @@
     /// Hash of the route, the model and the magnitude of the pending prefill; latencies are
     /// compared only between attempts with the same hash.
     fn latency_class(&self) -> u32 {
-        let model = self.model.map_or("-", ModelId::as_str);
-        latency_class(&self.request.route.name, model, self.replica.pending_prefill)
+        let model = self.target.model.as_ref().map_or("-", ModelId::as_str);
+        latency_class(&self.request.route.name, model, self.replica().pending_prefill)
     }
 
     /// Records the time until a stream started, as evidence on the replica's version.
     fn record_stream_start(&self) {
-        let took = since_boot().since(self.started);
+        let took = since_boot().since(self.target.started);
         let service = &self.request.service;
         self.shared.state().record_stream_start(
             service,
-            &self.replica.version,
+            &self.replica().version,
             self.latency_class(),
             took,
         );
@@ -299,17 +392,17 @@
         let sample = Sample {
             route: truncate_hash(stable_hash(&[&request.route.name])),
             latency_class: self.latency_class(),
-            replica: stable_hash(&[self.replica.id.as_str()]),
+            replica: stable_hash(&[self.replica().id.as_str()]),
             is_failure: is_bad,
-            latency_ms: is_buffered.then_some(now.since(self.started).0),
+            latency_ms: is_buffered.then_some(now.since(self.target.started).0),
         };
         let mut state = self.shared.state();
-        state.record_response(&request.service, &self.replica.version, &sample);
+        state.record_response(&request.service, &self.replica().version, &sample);
         if !is_bad {
-            state.health.entry(self.replica.id.clone()).or_default().record_success();
+            state.health.entry(self.replica().id.clone()).or_default().record_success();
         }
-        if let Some(model) = self.model {
-            state.prefixes.record(&self.replica.id, model, &request.params.prompt, now);
+        if let Some(model) = &self.target.model {
+            state.prefixes.record(&self.replica().id, model, &request.params.prompt, now);
         }
     }
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod rollouts;
 mod selection;
 mod serve;
+mod silence;
 mod spreading;
 mod state;
 mod upstream;
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -16,7 +16,7 @@
     Complete,
     /// The stream ended early, for this reason.
     Broken(String),
-    /// The replica has been silent for longer than the stall limits allow.
+    /// The replica has been silent for longer than the stall limits allow; it may go on.
     Stalled(String),
     /// The caller has disconnected.
     CallerGone,
@@ -33,8 +33,9 @@
 ) -> StreamOutcome {
     let mut last_event_at = since_boot();
     loop {
-        let next = upstream.body.next(&mut upstream.connection);
-        let waited = upstream.load_guard.wait_since(last_event_at, next, stall_limits).await;
+        let exchange = &mut upstream.exchange;
+        let next = upstream.body.next(&mut exchange.connection);
+        let waited = exchange.load_guard.wait_since(last_event_at, next, stall_limits).await;
         let data = match waited {
             Ok(Ok(data)) => data,
             Ok(Err(error)) => return StreamOutcome::Broken(error.to_string()),
@@ -43,7 +44,7 @@
         let mut bytes = Vec::new();
         let is_end = data.is_none();
         if let Some(data) = data {
-            upstream.load_guard.record_bytes();
+            exchange.load_guard.record_bytes();
             let events = progress.splitter.push(&data);
             if events.is_empty() {
                 continue;
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -4,13 +4,16 @@
     Shared,
     attempt::{Attempt, NextStep},
     response::{ErrorReply, write_complete},
+    selection::SelectedReplica,
     serve::{AdmittedRequest, RETRY_AFTER_SPREAD},
+    silence::SilentAttempt,
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
 use ibissail_direct::{CascadeStep, ModelChoice, retry_after_pause};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
 use rand::Rng;
+use slog::info;
 use std::{collections::BTreeSet, sync::Arc};
 
 /// Most connections that may fail to open for one request. They are counted separately, because
@@ -92,6 +95,19 @@
     }
 }
 
+/// Where an attempt is made.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) replica: SelectedReplica,
+    /// The model that is asked; `None` if the request names none.
+    pub(super) model: Option<ModelId>,
+    /// Position of the model in the cascade.
+    pub(super) position: usize,
+    pub(super) started: Millis,
+    /// Whether the replica has been silent for too long in this attempt.
+    pub(super) has_been_silent: bool,
+}
+
 /// Makes attempts for a request until it has an outcome.
 pub(super) async fn make_attempts(
     shared: &Arc<Shared>,
@@ -101,36 +117,35 @@
 ) -> RequestOutcome {
     let steps = cascade_steps(request);
     let mut position = 0;
+    let mut silent: Option<SilentAttempt> = None;
     loop {
-        let step = steps.get(position);
-        if let Some(reply) = shared.check_further_attempt(request, progress) {
-            return finish_without_attempt(connection, request, progress, reply).await;
-        }
-        let model = step.map(|step| step.model.clone()).or_else(|| request.params.model.clone());
-        let Some(replica) = shared.select_replica(request, progress, model.as_ref()) else {
-            let reply = shared.no_replica_reply(request, progress);
-            return finish_without_attempt(connection, request, progress, reply).await;
-        };
-        let started = since_boot();
-        let model_ref = model.as_ref();
-        let larger = steps.get(position + 1);
-        let attempt =
-            Attempt { started, shared, request, replica: &replica, model: model_ref, step, larger };
-        let next = attempt.run(connection, progress).await;
-        let took = since_boot().since(started);
-        let result = match &next {
-            NextStep::Done(RequestOutcome::Answered(_)) => "answered",
-            NextStep::Done(_) => "ended",
-            NextStep::Retry(reason) => reason,
-            NextStep::Escalate => "unconfident",
+        let selected = shared.next_target(request, progress, steps.get(position), position);
+        let (target, next) = match (selected, silent.take()) {
+            (Ok(target), mut earlier) => {
+                let attempt = Attempt::new(shared, request, &target, &steps);
+                let next = attempt.run(connection, progress, &mut earlier).await;
+                silent = earlier;
+                (target, next)
+            }
+            (Err(reply), Some(SilentAttempt { target, upstream })) => {
+                shared.log_wait(request, &target, &reply);
+                let target = Target { has_been_silent: true, ..target };
+                let attempt = Attempt::new(shared, request, &target, &steps);
+                let next = attempt.resume(connection, progress, upstream).await;
+                (target, next)
+            }
+            (Err(reply), None) => {
+                return finish_without_attempt(connection, request, progress, reply).await;
+            }
         };
-        shared.metrics.count_attempt(result);
-        let model_name = model.as_ref().map_or("-", ModelId::as_str);
-        progress.attempt_log.push(format!("{}/{model_name}:{result}:{took}", replica.id));
+        shared.record_attempt(progress, &target, &next);
         match next {
             NextStep::Done(outcome) => return outcome,
-            NextStep::Escalate => position += 1,
+            NextStep::Escalate => position = target.position + 1,
             NextStep::Retry(_) => {}
+            NextStep::Silent(upstream) => {
+                silent = Some(SilentAttempt { target, upstream: *upstream });
+            }
         }
     }
 }
@@ -144,16 +159,36 @@
 }
 
 impl Shared {
-    /// Returns the error response if no further attempt may be made, and `None` if one may. A retry
-    /// is taken from the budget unless the last attempt has reserved it.
-    fn check_further_attempt(
+    /// Selects the replica for the next attempt; returns the error response if none may be made. A
+    /// retry is taken from the budget unless the last attempt has reserved it.
+    fn next_target(
         &self,
         request: &AdmittedRequest,
         progress: &mut Progress,
-    ) -> Option<ErrorReply> {
-        let now = since_boot();
+        step: Option<&CascadeStep>,
+        position: usize,
+    ) -> Result<Target, ErrorReply> {
+        if let Some(reply) = Self::check_limits(request, progress) {
+            return Err(reply);
+        }
+        let model = step.map(|step| step.model.clone()).or_else(|| request.params.model.clone());
+        let Some(replica) = self.select_replica(request, progress, model.as_ref()) else {
+            return Err(self.no_replica_reply(request, progress));
+        };
+        let needs_retry =
+            progress.attempts_sent > 0 && !std::mem::take(&mut progress.has_reserved_retry);
+        if needs_retry && !self.try_take_retry(request, 0.0) {
+            let kind = progress.unserved_kind();
+            return Err(request.error_reply(kind, "the retry budget is exhausted"));
+        }
+        self.record_session(request, &replica.version);
+        Ok(Target { replica, model, position, started: since_boot(), has_been_silent: false })
+    }
+
+    /// Returns the error response if the time or the attempts of a request are used up.
+    fn check_limits(request: &AdmittedRequest, progress: &Progress) -> Option<ErrorReply> {
         let kind = progress.unserved_kind();
-        if request.time_left(now) < MIN_TIME_LEFT {
+        if request.time_left(since_boot()) < MIN_TIME_LEFT {
             let kind =
                 if progress.may_have_run { ErrorKind::Timeout } else { ErrorKind::DeadlineUnmet };
             return Some(request.error_reply(kind, "too little time is left for an attempt"));
@@ -164,14 +199,33 @@
         if progress.failed_connects >= MAX_FAILED_CONNECTS {
             return Some(request.error_reply(kind, "replicas do not accept connections"));
         }
-        let needs_retry =
-            progress.attempts_sent > 0 && !std::mem::take(&mut progress.has_reserved_retry);
-        if needs_retry && !self.try_take_retry(request, 0.0) {
-            return Some(request.error_reply(kind, "the retry budget is exhausted"));
-        }
         None
     }
 
+    /// Logs, once for each attempt, why a silent one is waited for.
+    fn log_wait(&self, request: &AdmittedRequest, target: &Target, reply: &ErrorReply) {
+        if !target.has_been_silent {
+            info!(self.log, "attempt: waiting on"; "id" => &request.params.id,
+                "replica" => %target.replica.id, "reason" => &reply.detail);
+        }
+    }
+
+    /// Counts an attempt and adds its result to the log line of the request.
+    fn record_attempt(&self, progress: &mut Progress, target: &Target, next: &NextStep) {
+        let result = match next {
+            NextStep::Done(RequestOutcome::Answered(_)) => "answered",
+            NextStep::Done(_) => "ended",
+            NextStep::Retry(reason) => reason,
+            NextStep::Escalate => "unconfident",
+            NextStep::Silent(_) if target.has_been_silent => return,
+            NextStep::Silent(_) => "stalled",
+        };
+        self.metrics.count_attempt(result);
+        let model = target.model.as_ref().map_or("-", ModelId::as_str);
+        let took = since_boot().since(target.started);
+        progress.attempt_log.push(format!("{}/{model}:{result}:{took}", target.replica.id));
+    }
+
     /// Error response if no replica may take the request. If all have asked for a pause, the caller
     /// is told when the first accepts requests again.
     fn no_replica_reply(&self, request: &AdmittedRequest, progress: &Progress) -> ErrorReply {
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -96,12 +96,6 @@
         let index = select_candidate(&candidates, demand, draw)?;
         let candidate = &candidates[index];
         let replica = state.replicas.get(&candidate.id)?.clone();
-        if let Some(session) = &request.params.session {
-            let used = SessionVersion { version: replica.version.clone(), last_used: now };
-            state.sessions.insert(session.clone(), used);
-            let idle_timeout = self.settings.session_idle_timeout;
-            state.sessions.retain(|_, session| now.since(session.last_used) < idle_timeout);
-        }
         let expected_wait = match demand {
             Demand::Prompt(prompt_demand) => expected_wait(candidate, &prompt_demand),
             Demand::Call => Millis(0),
@@ -118,6 +112,17 @@
             expected_wait,
         })
     }
+
+    /// Records the version that a request's session runs on.
+    pub(super) fn record_session(&self, request: &AdmittedRequest, version: &VersionId) {
+        let Some(session) = &request.params.session else { return };
+        let now = since_boot();
+        let mut state = self.state();
+        let used = SessionVersion { version: version.clone(), last_used: now };
+        state.sessions.insert(session.clone(), used);
+        let idle_timeout = self.settings.session_idle_timeout;
+        state.sessions.retain(|_, session| now.since(session.last_used) < idle_timeout);
+    }
 }
 
 impl State {
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -1,9 +1,9 @@
 //! Sends a request to a replica: opens a connection, writes the request, waits for the response
 //! head.
 
-use super::{Shared, retry::Progress, selection::SelectedReplica, serve::AdmittedRequest};
+use super::{Shared, selection::SelectedReplica, serve::AdmittedRequest};
 use crate::clock::since_boot;
-use async_std::task;
+use async_std::{net::TcpStream, task};
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use ibissail_core::{InstanceId, Millis, ModelId, ServiceId, Tokens};
 use ibissail_direct::RequestKind;
@@ -11,7 +11,7 @@
 use ibissail_platform::{
     ReplicaResponse, UpstreamHeaders, decode_replica_response, encode_upstream_head,
 };
-use std::{future::Future, pin::pin, sync::Arc, task::Poll, time::Duration};
+use std::{fmt, future::Future, io::ErrorKind, sync::Arc, time::Duration};
 
 /// Longest time for opening a connection; replicas in all zones are milliseconds away.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -29,11 +29,18 @@
     NotSent(String),
     /// The request was sent and may have run, but no valid response head was received.
     Lost(String),
-    /// The replica has been silent for longer than the stall limits allow.
+    /// The replica has been silent for longer than the stall limits allow; it may still respond.
     Stalled(String),
 }
 
-/// How long a replica may be silent before the request is tried at another.
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Self::NotSent(error) | Self::Lost(error) | Self::Stalled(error)) = self;
+        f.write_str(error)
+    }
+}
+
+/// How long a replica may be silent before another is asked to take the request over.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StallLimits {
     /// Longest silence on this request.
@@ -169,75 +176,107 @@
     }
 }
 
-/// A response whose body has not been read yet.
+/// A request that is being sent to a replica on a connection of its own.
 #[derive(Debug)]
-pub(crate) struct UpstreamResponse {
+pub(crate) struct Exchange {
     pub(crate) connection: Connection,
+    pub(crate) load_guard: LoadGuard,
+    /// The encoded request.
+    bytes: Vec<u8>,
+    /// How many of these bytes have been written.
+    written: usize,
+    /// Response heads read so far.
+    head_count: usize,
+    /// Unread body of a response to another request.
+    skipped_body: Option<BodyReader>,
+}
+
+/// A response whose body has not been read to its end.
+#[derive(Debug)]
+pub(crate) struct UpstreamResponse {
+    pub(crate) exchange: Exchange,
     pub(crate) head: ResponseHead,
     pub(crate) response: ReplicaResponse,
     pub(crate) body: BodyReader,
-    pub(crate) load_guard: LoadGuard,
+    /// The part of a buffered body that has been read.
+    pub(crate) received: Vec<u8>,
 }
 
-/// Sends the request to a replica and waits for the head of the response.
-pub(crate) async fn send_request(
-    shared: &Arc<Shared>,
-    request: &AdmittedRequest,
-    progress: &mut Progress,
-    replica: &SelectedReplica,
-    model: Option<&ModelId>,
-    stall_limits: StallLimits,
-) -> Result<UpstreamResponse, SendError> {
-    let mut load_guard = LoadGuard::acquire(shared, &request.service, replica);
-    let limit = CONNECT_TIMEOUT.min(request.time_left(since_boot()));
-    let mut connection = dial(replica.address, limit.as_duration())
-        .await
-        .map_err(|error| SendError::NotSent(error.to_string()))?;
-    let headers = UpstreamHeaders {
-        instance: replica.id.clone(),
-        time_left: request.time_left(since_boot()),
-        organisation: request.organisation.clone(),
-        model: model.cloned(),
-        urgency: model.map(|_| request.urgency.min(9)),
-        resume_after: progress.splitter.last_id(),
-    };
-    let mut bytes = encode_upstream_head(&request.head, request.body.len(), &headers).into_bytes();
-    bytes.extend_from_slice(&request.body);
-    progress.attempts_sent += 1;
-    progress.may_have_run = true;
-    let head = exchange(&mut connection, &bytes, &request.head.method, &request.params.id);
-    let (head, response) = match load_guard.wait(head, stall_limits).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(error)) => return Err(SendError::Lost(error.to_string())),
-        Err(error) => return Err(SendError::Stalled(error)),
-    };
-    load_guard.record_bytes();
-    let body = BodyReader::new(head.framing);
-    Ok(UpstreamResponse { connection, head, response, body, load_guard })
+impl UpstreamResponse {
+    pub(crate) fn new(exchange: Exchange, head: ResponseHead, response: ReplicaResponse) -> Self {
+        let body = BodyReader::new(head.framing);
+        Self { exchange, head, response, body, received: Vec::new() }
+    }
 }
 
-/// Writes a request while waiting for the response, which may arrive before all is written.
-async fn exchange(
-    connection: &mut Connection,
+impl Exchange {
+    /// Opens a connection to a replica for the request; no byte has been sent yet.
+    pub(crate) async fn open(
+        shared: &Arc<Shared>,
+        request: &AdmittedRequest,
+        resume_after: Option<u64>,
+        replica: &SelectedReplica,
+        model: Option<&ModelId>,
+    ) -> Result<Self, SendError> {
+        let load_guard = LoadGuard::acquire(shared, &request.service, replica);
+        let limit = CONNECT_TIMEOUT.min(request.time_left(since_boot()));
+        let connection = dial(replica.address, limit.as_duration())
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let headers = UpstreamHeaders {
+            instance: replica.id.clone(),
+            time_left: request.time_left(since_boot()),
+            organisation: request.organisation.clone(),
+            model: model.cloned(),
+            urgency: model.map(|_| request.urgency.min(9)),
+            resume_after,
+        };
+        let head = encode_upstream_head(&request.head, request.body.len(), &headers);
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&request.body);
+        Ok(Self { connection, load_guard, bytes, written: 0, head_count: 0, skipped_body: None })
+    }
+
+    /// Writes the request while waiting for the head of its response, which may arrive before all
+    /// is written. After `SendError::Stalled` it may be called again.
+    pub(crate) async fn receive_head(
+        &mut self,
+        request: &AdmittedRequest,
+        stall_limits: StallLimits,
+    ) -> Result<(ResponseHead, ReplicaResponse), SendError> {
+        let Self { connection, load_guard, bytes, written, head_count, skipped_body } = self;
+        let writing = write_rest(connection.stream().clone(), bytes, written);
+        let method = &request.head.method;
+        let id = &request.params.id;
+        let reading = read_matching_head(connection, method, id, head_count, skipped_body);
+        // After a failed write there may still be a response to read.
+        let writing = async {
+            let _written = writing.await;
+            future::pending().await
+        };
+        let head = match load_guard.wait(reading.or(writing), stall_limits).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(error)) => return Err(SendError::Lost(error.to_string())),
+            Err(error) => return Err(SendError::Stalled(error)),
+        };
+        load_guard.record_bytes();
+        Ok(head)
+    }
+}
+
+/// Writes the bytes after the first `written` and counts them.
+async fn write_rest(
+    mut stream: TcpStream,
     bytes: &[u8],
-    method: &str,
-    id: &str,
-) -> Result<(ResponseHead, ReplicaResponse), HttpError> {
-    let mut stream = connection.stream().clone();
-    let mut writing = pin!(async { stream.write_all(bytes).await });
-    let mut reading = pin!(read_matching_head(connection, method, id));
-    let mut is_written = false;
-    future::poll_fn(|cx| {
-        if !is_written {
-            // After a failed write there may still be a response to read.
-            is_written = writing.as_mut().poll(cx).is_ready();
+    written: &mut usize,
+) -> std::io::Result<()> {
+    while *written < bytes.len() {
+        match stream.write(&bytes[*written..]).await? {
+            0 => return Err(ErrorKind::WriteZero.into()),
+            count => *written += count,
         }
-        match reading.as_mut().poll(cx) {
-            Poll::Ready(result) => Poll::Ready(result),
-            Poll::Pending => Poll::Pending,
-        }
-    })
-    .await
+    }
+    Ok(())
 }
 
 /// Reads the head of the response to this request; skips responses to other requests.
@@ -245,15 +284,22 @@
     connection: &mut Connection,
     method: &str,
     id: &str,
+    head_count: &mut usize,
+    skipped_body: &mut Option<BodyReader>,
 ) -> Result<(ResponseHead, ReplicaResponse), HttpError> {
-    for _skipped in 0..MAX_RESPONSE_HEADS {
+    while *head_count < MAX_RESPONSE_HEADS {
+        if let Some(body) = skipped_body {
+            body.read_all(connection, MAX_SKIPPED_BODY_BYTES).await?;
+            *skipped_body = None;
+        }
         let head = connection.read_response_head(method).await?;
+        *head_count += 1;
         let response = decode_replica_response(&head);
         // A response without an id can only be the replica's refusal of this request.
         if response.id.as_deref().is_none_or(|found| found == id) {
             return Ok((head, response));
         }
-        BodyReader::new(head.framing).read_all(connection, MAX_SKIPPED_BODY_BYTES).await?;
+        *skipped_body = Some(BodyReader::new(head.framing));
     }
     Err(HttpError::Malformed("only responses to other requests arrived".to_owned()))
 }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -110,13 +110,29 @@
         limit: usize,
     ) -> Result<Vec<u8>, HttpError> {
         let mut body = Vec::new();
+        self.read_into(connection, &mut body, limit).await?;
+        Ok(body)
+    }
+
+    /// Appends the rest of the body to `body`. If the read is dropped before its end, a later one
+    /// continues it.
+    ///
+    /// # Errors
+    ///
+    /// `BodyTooLarge` above `limit` bytes in `body`, otherwise the same as for [`BodyReader::next`].
+    pub async fn read_into(
+        &mut self,
+        connection: &mut Connection,
+        body: &mut Vec<u8>,
+        limit: usize,
+    ) -> Result<(), HttpError> {
         while let Some(data) = self.next(connection).await? {
             if body.len() + data.len() > limit {
                 return Err(HttpError::BodyTooLarge);
             }
             body.extend_from_slice(&data);
         }
-        Ok(body)
+        Ok(())
     }
 }
 
