Continue streams of a replaced or rejected version on another one

Callers whose stream ran on the old version when a rollout succeeded lost it: the platform stops the old replicas at once, and a started stream was continued on its own version only. A stream on a version that was rolled back had nowhere to go either, or went to further replicas of the bad version. Change: the decision which versions continue a stream is VersionFilter::for_continuation: the target once the rollout has succeeded, any but the target once it is rejected, otherwise the version that started it. Ruled out: to move requests earlier, as the full phase of 4 to 6 s exceeds the exposure that a bad version may have; to record success later than the operators' deadline.

--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -48,7 +48,7 @@
     pub(crate) may_have_run: bool,
     /// Replicas that are not tried again.
     pub(crate) tried: BTreeSet<InstanceId>,
-    /// The version that must continue a response that has been started.
+    /// The version that has started the response to the caller.
     pub(crate) pinned_version: Option<VersionId>,
     /// Whether further attempts avoid the canary version, because an attempt has failed.
     pub(crate) avoids_canary: bool,
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -17,8 +17,8 @@
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
 use ibissail_direct::{
-    Candidate, Demand, PromptDemand, Replica, TrafficSplit, Unavailability, canary_replica_count,
-    expected_wait, select_candidate, stable_hash,
+    Candidate, Demand, PromptDemand, Replica, TrafficSplit, Unavailability, VersionFilter,
+    canary_replica_count, expected_wait, select_candidate, stable_hash,
 };
 use std::net::SocketAddr;
 
@@ -46,24 +46,6 @@
     pub(crate) expected_wait: Millis,
 }
 
-/// The versions that a request may go to.
-#[derive(Debug, Clone)]
-enum VersionFilter {
-    All,
-    Only(VersionId),
-    Except(VersionId),
-}
-
-impl VersionFilter {
-    fn allows(&self, version: &VersionId) -> bool {
-        match self {
-            Self::All => true,
-            Self::Only(only) => version == only,
-            Self::Except(excepted) => version != excepted,
-        }
-    }
-}
-
 impl Shared {
     /// Selects the replica for the next attempt; `None` if no replica may take the request now.
     pub(crate) fn select_replica(
@@ -141,7 +123,9 @@
         now: Millis,
     ) -> VersionFilter {
         if let Some(version) = &progress.pinned_version {
-            return VersionFilter::Only(version.clone());
+            let rollout = self.rollouts.get(&request.service);
+            let controller = rollout.map(|rollout| &rollout.controller);
+            return VersionFilter::for_continuation(version, controller);
         }
         let Some(rollout) = self.rollouts.get(&request.service) else {
             return self.versions_without_rollout(&request.service, now);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -40,6 +40,7 @@
 mod spreading;
 mod table;
 mod verdict;
+mod versions;
 
 pub use backoff::Backoff;
 pub use canary::{ExtraCanaryRequests, canary_replica_count};
@@ -70,3 +71,4 @@
 pub use spreading::watches_replicas;
 pub use table::RoutingTable;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, slowdown};
+pub use versions::VersionFilter;
