--- a/crates/daemon/tests/dev_mode.rs
+++ b/crates/daemon/tests/dev_mode.rs
@@ -2,42 +2,66 @@
 
 use ibissail_platform_standin::{CallerRequest, send_request};
 use std::{
+    fs::{self, File},
     io::{BufRead, BufReader},
     net::SocketAddr,
+    path::PathBuf,
     process::{Child, Command, Stdio},
 };
 
-struct DevProcess(Child);
+/// The development mode as a process; prints its log if the test fails.
+struct DevProcess {
+    child: Child,
+    log_path: PathBuf,
+}
 
-impl Drop for DevProcess {
-    fn drop(&mut self) {
-        let _ended = self.0.kill();
-        let _waited = self.0.wait();
+impl DevProcess {
+    fn start() -> Self {
+        let id = std::process::id();
+        // The development mode uses free ports after the given one.
+        let port = 20_000 + u16::try_from(id % 20_000).expect("below 20,000");
+        let log_path = std::env::temp_dir().join(format!("ibissail-dev-{id}.log"));
+        let log = File::create(&log_path).expect("the log can be created");
+        let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
+            .args(["dev", "--port", &port.to_string()])
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        Self { child, log_path }
+    }
+
+    /// Returns the address of the direct entry, which the program prints.
+    fn direct_address(&mut self) -> SocketAddr {
+        let lines = BufReader::new(self.child.stdout.take().expect("stdout is piped")).lines();
+        let mut addresses = lines
+            .map_while(Result::ok)
+            .filter_map(|line| line.strip_prefix("direct    http://").map(str::to_owned));
+        let address = addresses.next().expect("the address is printed");
+        address.parse().expect("an address")
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(&self.log_path).unwrap_or_default()
     }
 }
 
-/// Starts the development mode and returns the address of its direct entry.
-fn start() -> (DevProcess, SocketAddr) {
-    // The development mode uses free ports after the given one.
-    let port = 20_000 + u16::try_from(std::process::id() % 20_000).expect("below 20,000");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
-        .args(["dev", "--port", &port.to_string()])
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program starts");
-    let lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
-    let dev = DevProcess(child);
-    let mut addresses = lines
-        .map_while(Result::ok)
-        .filter_map(|line| line.strip_prefix("direct    http://").map(str::to_owned));
-    let address = addresses.next().expect("the address is printed");
-    (dev, address.parse().expect("an address"))
+impl Drop for DevProcess {
+    fn drop(&mut self) {
+        let exited = self.child.try_wait();
+        let _ended = self.child.kill();
+        let _waited = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("exit of the development mode: {exited:?}; its log:\n{}", self.log());
+        }
+        let _removed = fs::remove_file(&self.log_path);
+    }
 }
 
 #[test]
 fn plain_route_and_resumed_stream() {
-    let (_dev, direct) = start();
+    let mut dev = DevProcess::start();
+    let direct = dev.direct_address();
     let response = send_request(direct, &CallerRequest::new("GET", "/lookups/ridge", "lookup-1"));
     assert_eq!(response.status, 200, "{response:?}");
 
