Keep the development mode running when its output is closed

Cause: the test stops reading stdout once it has the direct entry's address, and the program prints three more lines after it. Where the reader was quicker, `println!` panicked with "Broken pipe" and the process ended. With RUST_BACKTRACE=1, as set here, writing the backtrace takes about 0.3 s, in which the other threads serve on: a lookup and the first events of a stream arrive, then the stream ends with the process.

Change: the usage is written with `writeln!`, and a failed write is logged as "usage: not printed". A new test closes the output at once and expects that log line and a served request.

The new test fails without the change.

Ruled out by reading: the retry budget (6 retries before any request), the listing of the second replica (all are registered before the entry starts), ejection (two failures in a row) and a lapse of the registration (the stand-in has none).

--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -1,7 +1,8 @@
 //! Development mode: entries, sidecars and stand-ins in one process on loopback.
 
 use crate::{
-    StartError, dev_direct,
+    StartError,
+    dev_direct::{self, DevDirect},
     entry::Entry,
     process::{listen, wait_for_stop_signal},
     sidecar::Sidecar,
@@ -13,8 +14,12 @@
 use ibissail_settings::{LocalSettings, ValidationErrors, parse_branch, parse_local};
 use ibissail_standin::{EngineOptions, run_engine, run_platform, run_service};
 use ibissail_transport::{Pool, PoolOptions, ShutdownSignal, shutdown_channel};
-use slog::Logger;
-use std::{net::SocketAddr, time::Duration};
+use slog::{Logger, warn};
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    time::Duration,
+};
 
 const ROOT: &str = include_str!("../../../examples/settings/root.yaml");
 const GUIDES: &str = include_str!("../../../examples/settings/guides.yaml");
@@ -56,8 +61,11 @@
     let direct = dev_direct::start(&mut ports, &log).await?;
     wait_until("the entry", || entry.can_serve(UPSTREAMS.len())).await?;
     wait_until("the direct entry", || direct.entry.is_ready()).await?;
-    print_usage(address, platform);
-    direct.print_usage();
+    let printed = print_usage(io::stdout().lock(), address, platform, &direct);
+    if let Err(error) = printed {
+        // A reader of the output may have closed it, which is no reason to stop serving.
+        warn!(log, "usage: not printed"; "error" => %error);
+    }
     wait_for_stop_signal().await?;
     entry.stop().await;
     direct.entry.stop().await;
@@ -68,15 +76,25 @@
     Ok(())
 }
 
-fn print_usage(address: SocketAddr, platform: SocketAddr) {
-    println!("entry     http://{address}");
-    println!("platform  http://{platform}");
-    println!("keys      demo-key (editors), shop-key (volunteers)");
-    println!();
-    println!(
-        "curl -s http://{address}/v1/chat/completions -H 'Authorization: Bearer demo-key' \
+fn print_usage<W>(
+    mut out: W,
+    entry: SocketAddr,
+    platform: SocketAddr,
+    direct: &DevDirect,
+) -> io::Result<()>
+where
+    W: Write,
+{
+    writeln!(out, "entry     http://{entry}")?;
+    writeln!(out, "platform  http://{platform}")?;
+    writeln!(out, "keys      demo-key (editors), shop-key (volunteers)")?;
+    writeln!(out)?;
+    writeln!(
+        out,
+        "curl -s http://{entry}/v1/chat/completions -H 'Authorization: Bearer demo-key' \
          -d '{{\"model\":\"auto\",\"messages\":[{{\"role\":\"user\",\"content\":\"Describe the north ridge\"}}]}}'"
-    );
+    )?;
+    direct.print_usage(out)
 }
 
 async fn start_platform(
--- a/crates/daemon/src/dev_direct.rs
+++ b/crates/daemon/src/dev_direct.rs
@@ -12,7 +12,11 @@
     curl_options,
 };
 use slog::Logger;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// Events in a draft stream.
 const DRAFT_EVENTS: u64 = 8;
@@ -29,13 +33,16 @@
 }
 
 impl DevDirect {
-    pub(crate) fn print_usage(&self) {
+    pub(crate) fn print_usage<W>(&self, mut out: W) -> io::Result<()>
+    where
+        W: Write,
+    {
         let address = self.address;
-        println!();
-        println!("direct    http://{address}");
-        println!();
-        println!("curl -s http://{address}/lookups/ridge {}", curl_options("lookup-1"));
-        println!("curl -sN -X POST http://{address}/drafts/ridge {}", curl_options("draft-1"));
+        writeln!(out)?;
+        writeln!(out, "direct    http://{address}")?;
+        writeln!(out)?;
+        writeln!(out, "curl -s http://{address}/lookups/ridge {}", curl_options("lookup-1"))?;
+        writeln!(out, "curl -sN -X POST http://{address}/drafts/ridge {}", curl_options("draft-1"))
     }
 }
 
--- a/crates/daemon/tests/dev_mode.rs
+++ b/crates/daemon/tests/dev_mode.rs
@@ -1,4 +1,8 @@
-//! The development mode serves a plain route and resumes an interrupted stream.
+//! The development mode serves a plain route, resumes an interrupted stream and outlives the reader
+//! of its output.
+
+#[path = "common/wait.rs"]
+mod wait;
 
 use ibissail_platform_standin::{CallerRequest, send_request};
 use std::{
@@ -6,8 +10,15 @@
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, ChildStdout, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
 };
+use wait::wait_until;
+
+/// Ports that one development mode may use.
+const PORTS: u16 = 200;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// The development mode as a process; prints its log if the test fails.
 struct DevProcess {
@@ -19,8 +30,10 @@
     fn start() -> Self {
         let id = std::process::id();
         // The development mode uses free ports after the given one.
-        let port = 20_000 + u16::try_from(id % 20_000).expect("below 20,000");
-        let log_path = std::env::temp_dir().join(format!("ibissail-dev-{id}.log"));
+        let port = 20_000
+            + u16::try_from(id % 20_000).expect("below 20,000")
+            + NEXT_PORT.fetch_add(PORTS, Ordering::Relaxed);
+        let log_path = std::env::temp_dir().join(format!("ibissail-dev-{id}-{port}.log"));
         let log = File::create(&log_path).expect("the log can be created");
         let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
             .args(["dev", "--port", &port.to_string()])
@@ -31,9 +44,13 @@
         Self { child, log_path }
     }
 
+    fn stdout(&mut self) -> ChildStdout {
+        self.child.stdout.take().expect("stdout is piped")
+    }
+
     /// Returns the address of the direct entry, which the program prints.
     fn direct_address(&mut self) -> SocketAddr {
-        let lines = BufReader::new(self.child.stdout.take().expect("stdout is piped")).lines();
+        let lines = BufReader::new(self.stdout()).lines();
         let mut addresses = lines
             .map_while(Result::ok)
             .filter_map(|line| line.strip_prefix("direct    http://").map(str::to_owned));
@@ -77,3 +94,16 @@
         assert_eq!(ids, events, "{response:?}");
     }
 }
+
+#[test]
+fn closed_output_does_not_end_the_process() {
+    let mut dev = DevProcess::start();
+    drop(dev.stdout());
+    wait_until("the lost output is logged", || dev.log().contains("usage: not printed"));
+    let log = dev.log();
+    let found = log.split_once(", callers: ").and_then(|(_, rest)| rest.split_once(", "));
+    let direct =
+        found.and_then(|(address, _)| address.parse().ok()).expect("its address is logged");
+    let response = send_request(direct, &CallerRequest::new("GET", "/lookups/ridge", "lookup-1"));
+    assert_eq!(response.status, 200, "{response:?}");
+}
