Give each development mode of the tests ports of its own

Copies of the test that start at once have adjacent process ids and shared ports, and ports from 32,768 on may belong to outgoing connections. The ports now start 101 apart, below those of outgoing connections.

--- a/crates/daemon/tests/dev_mode.rs
+++ b/crates/daemon/tests/dev_mode.rs
@@ -11,14 +11,18 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
 };
 use wait::wait_until;
 
-/// Ports that one development mode may use.
-const PORTS: u16 = 200;
+/// Distance between the ports of development modes that start one after another. It has no common
+/// divisor with `ALL_PORTS`, so that others rarely share ports either.
+const PORT_STRIDE: u32 = 101;
+/// First port and number of ports of all development modes; outgoing connections use higher ports.
+const FIRST_PORT: u32 = 20_000;
+const ALL_PORTS: u32 = 12_000;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+static STARTED: AtomicU32 = AtomicU32::new(0);
 
 /// The development mode as a process; prints its log if the test fails.
 struct DevProcess {
@@ -29,10 +33,10 @@
 impl DevProcess {
     fn start() -> Self {
         let id = std::process::id();
+        // This process starts two development modes, and copies of it may run beside it.
+        let place = 2 * (id % ALL_PORTS) + STARTED.fetch_add(1, Ordering::Relaxed);
         // The development mode uses free ports after the given one.
-        let port = 20_000
-            + u16::try_from(id % 20_000).expect("below 20,000")
-            + NEXT_PORT.fetch_add(PORTS, Ordering::Relaxed);
+        let port = FIRST_PORT + place * PORT_STRIDE % ALL_PORTS;
         let log_path = std::env::temp_dir().join(format!("ibissail-dev-{id}-{port}.log"));
         let log = File::create(&log_path).expect("the log can be created");
         let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
