Hand a silent stream over without corrupting or doubling it

A caller could get a stream with broken events that looked complete: the failure of a successor dropped the bytes of an event that the silent replica had begun and later finished. Successors that failed one after another let the silent replica work on beside them without a limit, and a successor that broke after its head ended a stream that the silent replica would have gone on with. Cause: the incomplete event belonged to the request, not to the attempt; the time for the handover began anew with each successor; success of a head counted as success. Change: a silent attempt keeps its incomplete event and how much the caller had received, and goes on only from there. ScriptedReplicas of the stand-ins play a script by the order of requests. Ruled out: to keep the silent replica while successors fail without having answered; they may have run the request.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, ModelId};
 use ibissail_direct::{CascadeStep, Sample, latency_class, stable_hash};
-use ibissail_http1::{Connection, ResponseHead};
+use ibissail_http1::Connection;
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::{info, warn};
 use std::sync::Arc;
@@ -23,6 +23,9 @@
 /// Largest body, in bytes, of a response that is not a stream; it is held in memory.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Result of an attempt whose replica guarantees that it has not run the request.
+const NOT_RUN: &str = "not_run";
+
 /// The next step after an attempt.
 #[derive(Debug)]
 pub(super) enum NextStep {
@@ -102,25 +105,22 @@
         let opened =
             Exchange::open(self.shared, self.request, resume_after, self.replica(), model).await;
         progress.tried.insert(self.replica().id.clone());
-        let mut exchange = match opened {
+        let exchange = match opened {
             Ok(exchange) => exchange,
             Err(error) => return self.handle_refused_connection(progress, &error.to_string()),
         };
         progress.attempts_sent += 1;
         progress.may_have_run = true;
-        let stall_limits = StallLimits::for_head(self.request, has_alternative);
-        let head = hand_over(silent, exchange.receive_head(self.request, stall_limits)).await;
-        if let Ok((_, response)) = &head
-            && let Some(rejection) = response.rejection
-        {
+        let close_at = silent.as_ref().and_then(SilentAttempt::close_at);
+        let response = self.receive_response(connection, progress, exchange, has_alternative);
+        let next = hand_over(silent, response).await;
+        if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
-            self.record_signals(response);
-            return self.handle_rejection(rejection, response.status);
-        }
-        if matches!(&head, Ok((_, response)) if response.is_success()) {
-            *silent = None;
+            if let Some(attempt) = silent {
+                attempt.set_close_at(close_at);
+            }
         }
-        self.receive(connection, progress, exchange, head, has_alternative).await
+        next
     }
 
     /// Waits again for a replica that has been silent; returns the step that follows.
@@ -131,16 +131,8 @@
         upstream: Upstream,
     ) -> NextStep {
         match upstream {
-            Upstream::Unanswered(mut exchange) => {
-                let stall_limits = StallLimits::for_head(self.request, true);
-                let head = exchange.receive_head(self.request, stall_limits).await;
-                if let Ok((_, response)) = &head
-                    && let Some(rejection) = response.rejection
-                {
-                    self.record_signals(response);
-                    return self.handle_rejection(rejection, response.status);
-                }
-                self.receive(connection, progress, exchange, head, true).await
+            Upstream::Unanswered(exchange) => {
+                self.receive_response(connection, progress, exchange, true).await
             }
             Upstream::Answering(upstream) if self.is_stream(&upstream) => {
                 self.relay(connection, progress, upstream, true).await
@@ -176,7 +168,7 @@
         if is_misdirected && self.request.params.model.is_none() {
             self.shared.eject(&self.replica().id, "another process has its address");
         }
-        NextStep::Retry("not_run")
+        NextStep::Retry(NOT_RUN)
     }
 
     /// Handles a silence. The replica may be sound, so its connection stays open until another
@@ -207,7 +199,6 @@
         self.shared.record_failure(&self.replica().id);
         info!(self.shared.log, "attempt: failed"; "id" => &request.params.id,
             "replica" => %self.replica().id, "reason" => reason, "error" => error);
-        progress.splitter.discard_partial_event();
         if !progress.has_response_started() {
             progress.pinned_version = None;
         }
@@ -222,15 +213,15 @@
         NextStep::Done(RequestOutcome::Failed(reply))
     }
 
-    async fn receive(
+    async fn receive_response(
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        exchange: Exchange,
-        head: Result<(ResponseHead, ReplicaResponse), SendError>,
+        mut exchange: Exchange,
         has_alternative: bool,
     ) -> NextStep {
-        let (head, response) = match head {
+        let stall_limits = StallLimits::for_head(self.request, has_alternative);
+        let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
                 return self.handle_silence(progress, Upstream::Unanswered(exchange), &error);
@@ -238,6 +229,9 @@
             Err(error) => return self.handle_failure(progress, "lost", &error.to_string()),
         };
         self.record_signals(&response);
+        if let Some(rejection) = response.rejection {
+            return self.handle_rejection(rejection, response.status);
+        }
         let upstream = UpstreamResponse::new(exchange, head, response);
         if upstream.response.status < 300 && !upstream.response.is_signed {
             self.handle_failure(progress, "unsigned", "the successful response is not signed")
@@ -275,7 +269,7 @@
             return NextStep::Escalate;
         }
         progress.tried.insert(self.replica().id.clone());
-        // The bytes of an unfinished event came from the attempt that this one continues.
+        // The bytes of an incomplete event came from an attempt that has failed.
         progress.splitter.discard_partial_event();
         self.relay(connection, progress, upstream, has_alternative).await
     }
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -62,6 +62,7 @@
         if is_end {
             bytes.extend_from_slice(LAST_CHUNK);
         }
+        progress.relayed_bytes += bytes.len() as u64;
         if caller.write(&bytes).await.is_err() {
             return StreamOutcome::CallerGone;
         }
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -6,9 +6,10 @@
     response::{ErrorReply, write_complete},
     selection::SelectedReplica,
     serve::{AdmittedRequest, RETRY_AFTER_SPREAD},
-    silence::SilentAttempt,
+    silence::{SilentAttempt, wait_until},
 };
 use crate::clock::since_boot;
+use futures_lite::FutureExt;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
 use ibissail_direct::{CascadeStep, ModelChoice, retry_after_pause};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
@@ -54,6 +55,8 @@
     pub(crate) avoids_canary: bool,
     /// When the first bytes of the response were sent to the caller.
     pub(crate) first_byte_at: Option<Millis>,
+    /// Bytes of the response that have been sent to the caller.
+    pub(super) relayed_bytes: u64,
     /// Splits a stream into events.
     pub(crate) splitter: EventSplitter,
     /// One entry per attempt for the log: replica, model, result, duration.
@@ -86,6 +89,7 @@
             pinned_version: None,
             avoids_canary: false,
             first_byte_at: None,
+            relayed_bytes: 0,
             splitter: EventSplitter::default(),
             attempt_log: Vec::new(),
             failed_connects: 0,
@@ -120,19 +124,17 @@
     let mut silent: Option<SilentAttempt> = None;
     loop {
         let selected = shared.next_target(request, progress, steps.get(position), position);
-        let (target, next) = match (selected, silent.take()) {
+        let waiting = silent.take().filter(|attempt| attempt.is_current(progress));
+        let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
                 silent = earlier;
                 (target, next)
             }
-            (Err(reply), Some(SilentAttempt { target, upstream })) => {
-                shared.log_wait(request, &target, &reply);
-                let target = Target { has_been_silent: true, ..target };
-                let attempt = Attempt::new(shared, request, &target, &steps);
-                let next = attempt.resume(connection, progress, upstream).await;
-                (target, next)
+            (Err(reply), Some(attempt)) => {
+                shared.log_wait(request, &attempt.target, &reply);
+                wait_on(shared, connection, request, progress, &steps, attempt).await
             }
             (Err(reply), None) => {
                 return finish_without_attempt(connection, request, progress, reply).await;
@@ -144,12 +146,35 @@
             NextStep::Escalate => position = target.position + 1,
             NextStep::Retry(_) => {}
             NextStep::Silent(upstream) => {
-                silent = Some(SilentAttempt { target, upstream: *upstream });
+                silent = Some(SilentAttempt::new(target, *upstream, progress));
             }
         }
     }
 }
 
+/// Waits again for a replica that has been silent.
+async fn wait_on(
+    shared: &Arc<Shared>,
+    connection: &mut Connection,
+    request: &AdmittedRequest,
+    progress: &mut Progress,
+    steps: &[CascadeStep],
+    mut silent: SilentAttempt,
+) -> (Target, NextStep) {
+    silent.restore(progress);
+    let close_at = silent.close_at();
+    let SilentAttempt { target, upstream, .. } = silent;
+    let target = Target { has_been_silent: true, ..target };
+    shared.record_session(request, &target.replica.version);
+    let attempt = Attempt::new(shared, request, &target, steps);
+    let closing = async {
+        wait_until(close_at).await;
+        NextStep::Retry("handed_over")
+    };
+    let next = attempt.resume(connection, progress, upstream).or(closing).await;
+    (target, next)
+}
+
 /// The models to try in turn; none if the caller has chosen the model.
 fn cascade_steps(request: &AdmittedRequest) -> Vec<CascadeStep> {
     if request.params.model.is_some() {
--- /dev/null
+++ b/crates/daemon/tests/silent_handover.rs
@@ -0,0 +1,206 @@
+//! Two replicas at one request: the first falls silent, another is asked to take it over.
+
+mod direct;
+
+use direct::{EntryFixture, wait_until};
+use ibissail_platform_standin::{
+    CallerRequest, CallerResponse, ConfigurationSpec, RouteSpec, ScriptedExchange, ScriptedReplicas,
+};
+use std::{
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Longer than the silence after which another replica is asked, 400 ms to 1 s.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Longest time for which two replicas may work on one request.
+const LONGEST_OVERLAP: Duration = Duration::from_millis(400);
+/// Events of the complete stream, and those before the silence.
+const EVENTS: u64 = 8;
+const EVENTS_BEFORE: u64 = 3;
+
+fn fixture(test: &str, kind: &str) -> EntryFixture {
+    let mut route = RouteSpec::new("/drafts/", kind, "writers");
+    route.request_timeout_ms = 20_000;
+    let configuration =
+        ConfigurationSpec { version: 1, routes: vec![route], organisations: Vec::new() };
+    EntryFixture::start(test, &configuration)
+}
+
+fn add_replicas(fixture: &EntryFixture, replicas: &ScriptedReplicas, ids: &[&str]) {
+    for id in ids {
+        replicas.add(&fixture.store, id, "writers");
+    }
+    for id in ids {
+        wait_until("the entry knows the replica", || fixture.log().contains(id));
+    }
+    fixture.wait_ready();
+}
+
+fn request(deadline_ms: u64) -> CallerRequest {
+    let mut request = CallerRequest::new("POST", "/drafts/1", "draft-1");
+    request.deadline_ms = deadline_ms;
+    request
+}
+
+fn start_stream(exchange: &mut ScriptedExchange) {
+    exchange.send_stream_head();
+    exchange.send_events(1..=EVENTS_BEFORE);
+}
+
+fn finish_stream(exchange: &mut ScriptedExchange) {
+    exchange.send_events(EVENTS_BEFORE + 1..=EVENTS);
+    exchange.end_stream();
+}
+
+fn continue_stream(exchange: &mut ScriptedExchange) {
+    exchange.send_stream_head();
+    exchange.send_events(exchange.resume_after + 1..=EVENTS);
+    exchange.end_stream();
+}
+
+fn whole_stream() -> String {
+    (1..=EVENTS).fold(String::new(), |text, id| text + &format!("id: {id}\ndata: word {id}\n\n"))
+}
+
+fn assert_whole_stream(response: &CallerResponse) {
+    assert_eq!(response.body, whole_stream(), "{response:?}");
+    assert!(response.status == 200 && response.is_complete, "{response:?}");
+}
+
+#[test]
+fn partial_event_of_a_silent_stream_is_not_lost_with_its_successor() {
+    let fixture = fixture("partial", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            return exchange.refuse();
+        }
+        start_stream(exchange);
+        exchange.send_chunk("id: 4\nda");
+        thread::sleep(SILENCE);
+        exchange.send_chunk("ta: word 4\n\n");
+        exchange.send_events(5..=EVENTS);
+        exchange.end_stream();
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    assert_whole_stream(&fixture.send(&request(10_000)));
+    assert!(replicas.received_at().len() > 1, "another replica was asked");
+}
+
+#[test]
+fn failed_successor_does_not_corrupt_a_silent_stream() {
+    let fixture = fixture("corrupt", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            return;
+        }
+        start_stream(exchange);
+        exchange.send_chunk("id: 4\nda");
+        thread::sleep(Duration::from_millis(600));
+        exchange.send_chunk("ta: word 4\n\n");
+        exchange.send_events(5..=EVENTS);
+        exchange.end_stream();
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let response = fixture.send(&request(10_000));
+    let whole = whole_stream();
+    assert!(whole.starts_with(&response.body), "{response:?}");
+    assert!(!response.is_complete || response.body == whole, "{response:?}");
+}
+
+#[test]
+fn successor_that_breaks_after_its_head_does_not_end_a_silent_stream() {
+    let fixture = fixture("broken_head", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            exchange.send_stream_head();
+            thread::sleep(Duration::from_millis(50));
+            return;
+        }
+        start_stream(exchange);
+        thread::sleep(Duration::from_millis(600));
+        finish_stream(exchange);
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    assert_whole_stream(&fixture.send(&request(10_000)));
+}
+
+#[test]
+fn silent_replica_is_closed_while_its_successor_works() {
+    let fixture = fixture("overlap", "resumable");
+    let closed_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let closed = Arc::clone(&closed_at);
+    let replicas = ScriptedReplicas::new(move |exchange| {
+        if exchange.number > 0 {
+            thread::sleep(Duration::from_secs(1));
+            return continue_stream(exchange);
+        }
+        start_stream(exchange);
+        let at = exchange.wait_until_closed();
+        *closed.lock().expect("no script panics") = Some(at);
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    assert_whole_stream(&fixture.send(&request(10_000)));
+    let closed_at = closed_at.lock().expect("no script panics").expect("the connection is closed");
+    let overlap = closed_at.duration_since(replicas.received_at()[1]);
+    assert!(overlap < LONGEST_OVERLAP, "{overlap:?}");
+}
+
+#[test]
+fn silent_replica_is_closed_although_its_successors_fail() {
+    let fixture = fixture("overlaps", "resumable");
+    let closed_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let closed = Arc::clone(&closed_at);
+    let replicas = ScriptedReplicas::new(move |exchange| match exchange.number {
+        0 => {
+            start_stream(exchange);
+            let at = exchange.wait_until_closed();
+            *closed.lock().expect("no script panics") = Some(at);
+        }
+        _ => thread::sleep(Duration::from_millis(280)),
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2", "r-3"]);
+    let response = fixture.send(&request(4_000));
+    assert!(!response.is_complete, "{response:?}");
+    let closed_at = closed_at.lock().expect("no script panics").expect("the connection is closed");
+    let overlap = closed_at.duration_since(replicas.received_at()[1]);
+    assert!(overlap < LONGEST_OVERLAP, "{overlap:?}");
+}
+
+#[test]
+fn silent_response_to_a_repeatable_request_is_waited_for() {
+    let fixture = fixture("repeatable", "safe");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            return exchange.refuse();
+        }
+        thread::sleep(SILENCE);
+        exchange.send_head(200, 2);
+        exchange.send("o");
+        thread::sleep(SILENCE);
+        exchange.send("k");
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let response = fixture.send(&request(6_000));
+    assert_eq!((response.status, response.body.as_str()), (200, "ok"), "{response:?}");
+}
+
+#[test]
+fn silent_replica_may_speak_again_during_a_handover() {
+    let fixture = fixture("speaks", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            thread::sleep(Duration::from_millis(250));
+            return continue_stream(exchange);
+        }
+        start_stream(exchange);
+        exchange.send_chunk("id: 4\nda");
+        thread::sleep(Duration::from_millis(700));
+        exchange.send_chunk("ta: word 4\n\n");
+        exchange.send_events(5..=6);
+        exchange.wait_until_closed();
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    assert_whole_stream(&fixture.send(&request(6_000)));
+}
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -51,6 +51,17 @@
         !self.pending.is_empty()
     }
 
+    /// Takes the bytes of an incomplete event, while the stream may continue from another source.
+    #[must_use]
+    pub fn take_partial_event(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Puts back the bytes of an incomplete event, when the source that they came from goes on.
+    pub fn restore_partial_event(&mut self, bytes: Vec<u8>) {
+        self.pending = bytes;
+    }
+
     /// Drops an incomplete event, before the stream is resumed from another source.
     pub fn discard_partial_event(&mut self) {
         self.pending.clear();
