Look for a successor of a silent attempt again and again

Callers of a silent replica waited until their deadline although a sound replica had come, or one that had refused the request once could have served it. Cause: whether an attempt had an alternative was still guessed when it began, and without one nobody looked again; four refused connections ended the search for good, and so did one refusal for its replica. A canary on one replica had no alternative either, so that a hung one held requests that may be repeated to their deadline. Change: the stall limits hold for every attempt that may be repeated, as a silence closes nothing any more. After each silence, replicas that have not run the request may be asked again. Measured: four tests of silent_handover and silent_streams failed before and pass.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -98,8 +98,6 @@
         silent: &mut Option<SilentAttempt>,
     ) -> NextStep {
         let may_have_run_before = progress.may_have_run;
-        let has_alternative = self.replica().candidate_count > 1
-            && progress.attempts_sent + 1 < self.request.route.attempt_limit.0;
         let resume_after = progress.splitter.last_id();
         let model = self.target.model.as_ref();
         let opened =
@@ -112,7 +110,7 @@
         progress.attempts_sent += 1;
         progress.may_have_run = true;
         let close_at = silent.as_ref().and_then(SilentAttempt::close_at);
-        let response = self.receive_response(connection, progress, exchange, has_alternative);
+        let response = self.receive_response(connection, progress, exchange);
         let next = hand_over(silent, response).await;
         if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
@@ -132,13 +130,13 @@
     ) -> NextStep {
         match upstream {
             Upstream::Unanswered(exchange) => {
-                self.receive_response(connection, progress, exchange, true).await
+                self.receive_response(connection, progress, exchange).await
             }
             Upstream::Answering(upstream) if self.is_stream(&upstream) => {
-                self.relay(connection, progress, upstream, true).await
+                self.relay(connection, progress, upstream).await
             }
             Upstream::Answering(upstream) => {
-                self.receive_buffered(connection, progress, upstream, true).await
+                self.receive_buffered(connection, progress, upstream).await
             }
         }
     }
@@ -154,13 +152,20 @@
 
     fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
         progress.failed_connects += 1;
+        progress.refused.insert(self.replica().id.clone());
         self.shared.eject(&self.replica().id, "it does not accept connections");
         info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
             "replica" => %self.replica().id, "error" => error);
         NextStep::Retry("not_sent")
     }
 
-    fn handle_rejection(&self, rejection: Rejection, status: u16) -> NextStep {
+    fn handle_rejection(
+        &self,
+        progress: &mut Progress,
+        rejection: Rejection,
+        status: u16,
+    ) -> NextStep {
+        progress.refused.insert(self.replica().id.clone());
         info!(self.shared.log, "attempt: not run"; "id" => &self.request.params.id,
             "replica" => %self.replica().id, "status" => status);
         // A model that the caller has chosen may be the reason instead.
@@ -218,9 +223,8 @@
         connection: &mut Connection,
         progress: &mut Progress,
         mut exchange: Exchange,
-        has_alternative: bool,
     ) -> NextStep {
-        let stall_limits = StallLimits::for_head(self.request, has_alternative);
+        let stall_limits = StallLimits::for_head(self.request);
         let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
@@ -230,17 +234,17 @@
         };
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
-            return self.handle_rejection(rejection, response.status);
+            return self.handle_rejection(progress, rejection, response.status);
         }
         let upstream = UpstreamResponse::new(exchange, head, response);
         if upstream.response.status < 300 && !upstream.response.is_signed {
             self.handle_failure(progress, "unsigned", "the successful response is not signed")
         } else if self.is_stream(&upstream) {
-            self.receive_stream(connection, progress, upstream, has_alternative).await
+            self.receive_stream(connection, progress, upstream).await
         } else if progress.has_response_started() {
             self.handle_failure(progress, "refused", "the replica did not resume the stream")
         } else {
-            self.receive_buffered(connection, progress, upstream, has_alternative).await
+            self.receive_buffered(connection, progress, upstream).await
         }
     }
 
@@ -253,7 +257,6 @@
         connection: &mut Connection,
         progress: &mut Progress,
         upstream: UpstreamResponse,
-        has_alternative: bool,
     ) -> NextStep {
         let request = self.request;
         if !progress.has_response_started() {
@@ -271,7 +274,7 @@
         progress.tried.insert(self.replica().id.clone());
         // The bytes of an incomplete event came from an attempt that has failed.
         progress.splitter.discard_partial_event();
-        self.relay(connection, progress, upstream, has_alternative).await
+        self.relay(connection, progress, upstream).await
     }
 
     async fn relay(
@@ -279,10 +282,9 @@
         connection: &mut Connection,
         progress: &mut Progress,
         mut upstream: UpstreamResponse,
-        has_alternative: bool,
     ) -> NextStep {
         progress.pinned_version = Some(self.replica().version.clone());
-        let limits = StallLimits::for_event(self.request, has_alternative);
+        let limits = StallLimits::for_event(self.request);
         match relay_stream(connection, self.request, progress, &mut upstream, limits).await {
             StreamOutcome::Complete => {
                 self.record_response(ResponseOutcome::Success);
@@ -301,10 +303,9 @@
         connection: &mut Connection,
         progress: &mut Progress,
         mut upstream: UpstreamResponse,
-        has_alternative: bool,
     ) -> NextStep {
         let request = self.request;
-        let limit = StallLimits::for_head(request, has_alternative);
+        let limit = StallLimits::for_head(request);
         let UpstreamResponse { exchange, body, received, .. } = &mut upstream;
         let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
         match exchange.load_guard.wait(reading, limit).await {
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -49,6 +49,8 @@
     pub(crate) may_have_run: bool,
     /// Replicas that are not tried again.
     pub(crate) tried: BTreeSet<InstanceId>,
+    /// Those of them that have not run the request.
+    pub(super) refused: BTreeSet<InstanceId>,
     /// The version that has started the response to the caller.
     pub(crate) pinned_version: Option<VersionId>,
     /// Whether further attempts avoid the canary version, because an attempt has failed.
@@ -81,11 +83,20 @@
         self.first_byte_at.is_some()
     }
 
+    /// Lets replicas that have not run the request be asked again, after a silence.
+    fn forget_refusals(&mut self) {
+        for replica in std::mem::take(&mut self.refused) {
+            self.tried.remove(&replica);
+        }
+        self.failed_connects = 0;
+    }
+
     pub(crate) fn new() -> Self {
         Self {
             attempts_sent: 0,
             may_have_run: false,
             tried: BTreeSet::new(),
+            refused: BTreeSet::new(),
             pinned_version: None,
             avoids_canary: false,
             first_byte_at: None,
@@ -162,6 +173,7 @@
     mut silent: SilentAttempt,
 ) -> (Target, NextStep) {
     silent.restore(progress);
+    progress.forget_refusals();
     let close_at = silent.close_at();
     let SilentAttempt { target, upstream, .. } = silent;
     let target = Target { has_been_silent: true, ..target };
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -40,8 +40,6 @@
     pub(crate) started_unix_ms: Option<u64>,
     /// Prompt tokens that the replica probably has not cached, in tokens of the largest model.
     pub(crate) pending_prefill: Tokens,
-    /// Number of candidates that the replica was selected from.
-    pub(crate) candidate_count: usize,
     /// Expected time until the replica has prefilled the prompt.
     pub(crate) expected_wait: Millis,
 }
@@ -90,7 +88,6 @@
             version: replica.version,
             started_unix_ms: replica.started_unix_ms,
             pending_prefill: Tokens(pending_prefill as u64),
-            candidate_count: candidates.len(),
             expected_wait,
         })
     }
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -55,10 +55,9 @@
         Self { on_request: Millis(u64::MAX), on_replica: Millis(u64::MAX) };
 
     /// Limits for the head of a response.
-    pub(crate) fn for_head(request: &AdmittedRequest, has_alternative: bool) -> Self {
+    pub(crate) fn for_head(request: &AdmittedRequest) -> Self {
         let objective = request.route.objective;
         match request.route.kind {
-            _ if !has_alternative => Self::UNBOUNDED,
             RequestKind::OnceAtMost | RequestKind::Stream => Self::UNBOUNDED,
             RequestKind::Repeatable => {
                 let limit = Millis((objective.0 * 5 / 2).max(300));
@@ -72,9 +71,9 @@
     }
 
     /// Limits for the next event of a stream.
-    pub(crate) fn for_event(request: &AdmittedRequest, has_alternative: bool) -> Self {
+    pub(crate) fn for_event(request: &AdmittedRequest) -> Self {
         let Some(gap) = request.route.gap_objective else { return Self::UNBOUNDED };
-        if !has_alternative || request.route.kind != RequestKind::ResumableStream {
+        if request.route.kind != RequestKind::ResumableStream {
             return Self::UNBOUNDED;
         }
         Self { on_request: Millis(gap.0 * 2), on_replica: gap }
--- a/crates/daemon/tests/silent_handover.rs
+++ b/crates/daemon/tests/silent_handover.rs
@@ -204,3 +204,62 @@
     add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
     assert_whole_stream(&fixture.send(&request(6_000)));
 }
+
+/// Falls silent for good after the first events.
+fn hang_after_start(exchange: &mut ScriptedExchange) {
+    start_stream(exchange);
+    exchange.wait_until_closed();
+}
+
+#[test]
+fn replica_that_starts_later_continues_a_silent_stream() {
+    let fixture = fixture("later", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| match exchange.number {
+        0 => hang_after_start(exchange),
+        _ => continue_stream(exchange),
+    });
+    add_replicas(&fixture, &replicas, &["r-1"]);
+    let response = thread::scope(|scope| {
+        let sending = scope.spawn(|| fixture.send(&request(8_000)));
+        wait_until("the replica has the request", || !replicas.received_at().is_empty());
+        add_replicas(&fixture, &replicas, &["r-2"]);
+        sending.join().expect("the caller gets a response")
+    });
+    assert_whole_stream(&response);
+}
+
+#[test]
+fn refused_connections_do_not_end_the_search_for_a_successor() {
+    let fixture = fixture("dead", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| match exchange.number {
+        0 => hang_after_start(exchange),
+        _ => continue_stream(exchange),
+    });
+    add_replicas(&fixture, &replicas, &["r-1"]);
+    for number in 0..4 {
+        let id = format!("dead-{number}");
+        fixture.store.register_dead_replica(&id, "writers");
+        wait_until("the entry knows the replica", || fixture.log().contains(&id));
+    }
+    let response = thread::scope(|scope| {
+        let sending = scope.spawn(|| fixture.send(&request(9_000)));
+        wait_until("the dead replicas have been tried", || {
+            fixture.log().matches("attempt: not sent").count() >= 4
+        });
+        add_replicas(&fixture, &replicas, &["r-2"]);
+        sending.join().expect("the caller gets a response")
+    });
+    assert_whole_stream(&response);
+}
+
+#[test]
+fn replica_that_refused_once_is_asked_again() {
+    let fixture = fixture("again", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| match exchange.number {
+        0 => hang_after_start(exchange),
+        1 => exchange.refuse(),
+        _ => continue_stream(exchange),
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    assert_whole_stream(&fixture.send(&request(6_000)));
+}
--- a/crates/daemon/tests/silent_streams.rs
+++ b/crates/daemon/tests/silent_streams.rs
@@ -119,3 +119,25 @@
     });
     assert_complete(&response, 8);
 }
+
+#[test]
+fn hung_canary_does_not_hold_a_repeatable_request() {
+    let route = RouteSpec::new("/look/", "safe", "records");
+    let configuration =
+        ConfigurationSpec { version: 1, routes: vec![route], organisations: Vec::new() };
+    let fixture = EntryFixture::start("hung_canary", &configuration);
+    let answering = Behaviour::Respond(200, Duration::ZERO);
+    let old = fixture.add_version("r-1", "records", "v1", answering);
+    fixture.wait_ready();
+    fixture.wait_for_replica(&old);
+    let new = fixture.add_version("r-2", "records", "v2", Behaviour::Hang);
+    fixture.start_rollout("records", "v2", 60.0);
+    fixture.wait_for_replica(&new);
+    let mut number = 0;
+    while new.run_count() == 0 {
+        number += 1;
+        let request = CallerRequest::new("GET", "/look/1", &format!("look-{number}"));
+        let response = fixture.send(&request);
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
