Count an attempt that was silent once as evidence on its version

Cause: an attempt whose replica was silent counted as a failure of its version, and once more with its later response. Change: only the silence counts; the replica's own health still learns of the response. No test of its own: the counts of an entry show only in the log line of a decision.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -392,7 +392,10 @@
             latency_ms: is_buffered.then_some(now.since(self.target.started).0),
         };
         let mut state = self.shared.state();
-        state.record_response(&request.service, &self.replica().version, &sample);
+        // The silence has been counted as a failure of this attempt.
+        if !self.target.has_been_silent {
+            state.record_response(&request.service, &self.replica().version, &sample);
+        }
         if !is_bad {
             state.health.entry(self.replica().id.clone()).or_default().record_success();
         }
