Continue a stream whose version an earlier rollout has replaced

Callers whose stream outlasted a rollout lost it when the next one was ordered soon after. Cause: the version that continues a stream was derived from the current rollout only, so that a new rollout hid the success of the one before. Change: the version of the last successful rollout counts too.

--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -122,7 +122,8 @@
         if let Some(version) = &progress.pinned_version {
             let rollout = self.rollouts.get(&request.service);
             let controller = rollout.map(|rollout| &rollout.controller);
-            return VersionFilter::for_continuation(version, controller);
+            let baseline = self.baselines.get(&request.service);
+            return VersionFilter::for_continuation(version, controller, baseline);
         }
         let Some(rollout) = self.rollouts.get(&request.service) else {
             return self.versions_without_rollout(&request.service, now);
--- a/crates/daemon/tests/replaced_version.rs
+++ b/crates/daemon/tests/replaced_version.rs
@@ -28,9 +28,13 @@
     Behaviour::Stream { events: EVENTS, sent, interval, ending, confidence: 90 }
 }
 
-#[test]
-fn stream_of_a_replaced_version_is_not_cut_when_its_replicas_stop() {
-    let fixture = EntryFixture::start("replaced", &configuration());
+/// Runs a stream on `v1` that outlasts the rollout to `v2`, and calls `after_success` when the
+/// rollout has succeeded and the replicas of `v1` are gone.
+fn stream_over_a_rollout<F>(test: &str, after_success: F)
+where
+    F: FnOnce(&EntryFixture),
+{
+    let fixture = EntryFixture::start(test, &configuration());
     let old =
         fixture.add_version("r-1", "writers", "v1", stream(EVENTS, 0, StreamEnding::Complete));
     fixture.wait_ready();
@@ -61,8 +65,25 @@
         });
         wait_until("the rollout succeeds", || fixture.rollout_state("writers") == "succeeded");
         fixture.store.remove("servers", "r-1");
+        after_success(&fixture);
         sending.join().expect("the caller gets a response")
     });
     assert!(response.status == 200 && response.is_complete, "{response:?}");
     assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<u64>>());
 }
+
+#[test]
+fn stream_of_a_replaced_version_is_not_cut_when_its_replicas_stop() {
+    stream_over_a_rollout("replaced", |_fixture| {});
+}
+
+#[test]
+fn stream_of_a_replaced_version_is_not_cut_by_the_next_rollout() {
+    stream_over_a_rollout("replaced_again", |fixture| {
+        fixture.add_version("r-3", "writers", "v3", stream(EVENTS, 0, StreamEnding::Complete));
+        fixture.start_rollout("writers", "v3", 20.0);
+        wait_until("the entry has received the rollout", || {
+            fixture.decisions().contains("\"target\":\"v3\"")
+        });
+    });
+}
--- a/crates/direct/src/versions.rs
+++ b/crates/direct/src/versions.rs
@@ -1,6 +1,6 @@
 //! Versions of a service that a request may go to.
 
-use crate::{RolloutController, RolloutState};
+use crate::{Rollout, RolloutController, RolloutState};
 use ibissail_core::VersionId;
 
 /// The versions that a request may go to.
@@ -34,19 +34,31 @@
         }
     }
 
-    /// The versions that may continue a stream. That is the version that started it, unless the
-    /// service's rollout has replaced or rejected it: the replicas of a replaced version stop at
-    /// once, and a bad version gets no further requests.
+    /// The versions that may continue a stream. That is the version that started it, unless a
+    /// rollout of the service has replaced or rejected it: the replicas of a replaced version stop
+    /// at once, and a bad version gets no further requests.
+    ///
+    /// `baseline` is the version that the last successful rollout moved the service to.
     #[must_use]
-    pub fn for_continuation(started_by: &VersionId, rollout: Option<&RolloutController>) -> Self {
-        let started_by = started_by.clone();
-        let Some(controller) = rollout else { return Self::Only(started_by) };
-        let target = controller.rollout.target.clone();
-        match controller.rollout.state {
-            RolloutState::Succeeded => Self::Only(target),
-            RolloutState::RolledBack if started_by == target => Self::Except(target),
-            _ if controller.verdict().is_bad() && started_by == target => Self::Except(target),
-            _ => Self::Only(started_by),
+    pub fn for_continuation(
+        started_by: &VersionId,
+        rollout: Option<&RolloutController>,
+        baseline: Option<&VersionId>,
+    ) -> Self {
+        let Some(controller) = rollout else { return Self::Only(started_by.clone()) };
+        let Rollout { target, state, .. } = &controller.rollout;
+        if *state == RolloutState::Succeeded {
+            return Self::Only(target.clone());
+        }
+        if started_by == target {
+            let is_rejected = *state == RolloutState::RolledBack || controller.verdict().is_bad();
+            return if is_rejected {
+                Self::Except(target.clone())
+            } else {
+                Self::Only(target.clone())
+            };
         }
+        // An earlier rollout may have replaced the version that started the stream.
+        Self::Only(baseline.filter(|version| *version != target).unwrap_or(started_by).clone())
     }
 }
--- a/crates/direct/tests/stream_versions.rs
+++ b/crates/direct/tests/stream_versions.rs
@@ -21,7 +21,7 @@
 }
 
 fn continuation(started_by: &str, state: RolloutState) -> VersionFilter {
-    VersionFilter::for_continuation(&version(started_by), Some(&rollout(state)))
+    VersionFilter::for_continuation(&version(started_by), Some(&rollout(state)), None)
 }
 
 #[test]
@@ -32,7 +32,7 @@
             assert_eq!(continuation(started_by, state), only, "{state}");
         }
     }
-    let without_rollout = VersionFilter::for_continuation(&version("v1"), None);
+    let without_rollout = VersionFilter::for_continuation(&version("v1"), None, None);
     assert_eq!(without_rollout, VersionFilter::Only(version("v1")));
 }
 
@@ -50,3 +50,17 @@
     let only_old = VersionFilter::Only(version("v1"));
     assert_eq!(continuation("v1", RolloutState::RolledBack), only_old);
 }
+
+#[test]
+fn stream_of_a_version_replaced_before_the_last_rollout_continues_on_its_successor() {
+    for state in [RolloutState::Pending, RolloutState::Running, RolloutState::RolledBack] {
+        let rollout = rollout(state);
+        let continuation = |started_by, baseline| {
+            let baseline = Some(version(baseline));
+            VersionFilter::for_continuation(&version(started_by), Some(&rollout), baseline.as_ref())
+        };
+        // The rollout to `v2` follows one from `v0` to `v1`.
+        assert_eq!(continuation("v0", "v1"), VersionFilter::Only(version("v1")), "{state}");
+        assert_eq!(continuation("v1", "v1"), VersionFilter::Only(version("v1")), "{state}");
+    }
+}
