Give a retry back when the connection for it is refused

Callers of streams were cut with an exhausted retry budget although no request had reached a second replica: replicas that have just ended refuse connections, and each refusal used up a retry of all. Cause: the retry is taken before the connection is opened. Change: it goes back to the budget when no byte was sent. Measured: refused_connections_do_not_use_up_the_retry_budget failed before and passes.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -152,6 +152,9 @@
 
     fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
         progress.failed_connects += 1;
+        if progress.attempts_sent > 0 {
+            self.shared.state().budget(&self.request.service).return_retry();
+        }
         progress.refused.insert(self.replica().id.clone());
         self.shared.eject(&self.replica().id, "it does not accept connections");
         info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
--- /dev/null
+++ b/crates/daemon/tests/refused_connections.rs
@@ -0,0 +1,30 @@
+//! Replicas that accept no connections.
+
+mod direct;
+
+use direct::{EntryFixture, wait_until};
+use ibissail_platform_standin::{CallerRequest, ConfigurationSpec, RouteSpec, ScriptedReplicas};
+
+#[test]
+fn refused_connections_do_not_use_up_the_retry_budget() {
+    let route = RouteSpec::new("/drafts/", "resumable", "writers");
+    let configuration =
+        ConfigurationSpec { version: 1, routes: vec![route], organisations: Vec::new() };
+    let fixture = EntryFixture::start("dead_replicas", &configuration);
+    let breaking = ScriptedReplicas::new(|exchange| {
+        exchange.send_stream_head();
+        exchange.send_events(1..=3);
+    });
+    breaking.add(&fixture.store, "r-1", "writers");
+    for id in ["dead-1", "dead-2", "dead-3", "dead-4"] {
+        fixture.store.register_dead_replica(id, "writers");
+    }
+    for id in ["r-1", "dead-1", "dead-2", "dead-3", "dead-4"] {
+        wait_until("the entry knows the replica", || fixture.log().contains(id));
+    }
+    for number in 0..40 {
+        fixture.send(&CallerRequest::new("POST", "/drafts/1", &format!("draft-{number}")));
+    }
+    // No request has reached a second replica.
+    assert!(!fixture.log().contains("the retry budget is exhausted"));
+}
--- a/crates/direct/src/retry_budget.rs
+++ b/crates/direct/src/retry_budget.rs
@@ -77,6 +77,27 @@
         is_allowed
     }
 
+    /// Gives back a retry that has reached no replica.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::{RetryBudget, RetryBudgetLimits};
+    /// let limits = RetryBudgetLimits { ratio: 0.5, allowance: 8.0, window: Millis(10_000) };
+    /// let mut budget = RetryBudget::new(limits);
+    /// assert!(budget.try_take_retry(Millis(0), 1, 0.0));
+    /// assert!(!budget.try_take_retry(Millis(0), 1, 0.0));
+    /// budget.return_retry();
+    /// assert!(budget.try_take_retry(Millis(0), 1, 0.0));
+    /// ```
+    pub fn return_retry(&mut self) {
+        // It may have been taken in an earlier bucket.
+        if let Some(bucket) = self.buckets.iter_mut().rev().find(|bucket| bucket.retries > 0) {
+            bucket.retries -= 1;
+        }
+    }
+
     fn counts(&mut self, now: Millis) -> (u32, u32) {
         self.drop_expired(now);
         let sum = |counts: (u32, u32), bucket: &Bucket| {
