Refuse requests with a part that crashes replicas

Cause: a request whose prompt has a certain part ends each replica that begins to answer it; the entry retried it on up to three replicas, and sent on all others like it. Evidence goes to peers in a notice of its own, new crashes and quarantines at once. Log lines and three metrics show it. Ruled out: to blame replicas that still accept connections, which only break off answers.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -73,6 +73,8 @@
         DeadlineUnmet { display("the deadline cannot be met") }
         /// No replica of an allowed version is ready, reachable and has free capacity.
         NoReplica { display("no replica of an allowed version is ready") }
+        /// A part of the prompt is quarantined because it has crashed replicas.
+        PromptQuarantined { display("a part of the prompt has crashed replicas") }
         /// The process is shutting down.
         Draining { display("the process is shutting down") }
         /// The process has not received its settings yet.
@@ -106,7 +108,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order in which `ibissail errors` prints them.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Unauthorized,
         Self::SessionInvalid,
         Self::BadRequest,
@@ -123,6 +125,7 @@
         Self::Overloaded,
         Self::DeadlineUnmet,
         Self::NoReplica,
+        Self::PromptQuarantined,
         Self::Draining,
         Self::SettingsMissing,
         Self::SettingsStale,
@@ -166,6 +169,7 @@
             | Self::SettingsStale
             | Self::StaleTicket => (503, Ran::No, Some(1)),
             Self::SettingsMissing => (503, Ran::No, Some(5)),
+            Self::PromptQuarantined => (503, Ran::No, Some(60)),
             // An earlier request with the same idempotency key may have run.
             Self::PlatformDown => (503, Ran::Unknown, Some(5)),
             Self::AnswerGone => (409, Ran::Yes, None),
@@ -196,6 +200,7 @@
             Self::Overloaded => "overloaded",
             Self::DeadlineUnmet => "deadline_unmet",
             Self::NoReplica => "no_replica",
+            Self::PromptQuarantined => "prompt_quarantined",
             Self::Draining => "draining",
             Self::SettingsMissing => "settings_missing",
             Self::SettingsStale => "settings_stale",
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -10,6 +10,7 @@
     selection::SelectedReplica,
     serve::AdmittedRequest,
     silence::{SilentAttempt, Upstream, hand_over},
+    trials::Trial,
     upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
@@ -133,10 +134,10 @@
                 self.receive_response(connection, progress, exchange).await
             }
             Upstream::Answering(upstream) if self.is_stream(&upstream) => {
-                self.relay(connection, progress, upstream).await
+                self.relay(connection, progress, *upstream).await
             }
             Upstream::Answering(upstream) => {
-                self.receive_buffered(connection, progress, upstream).await
+                self.receive_buffered(connection, progress, *upstream).await
             }
         }
     }
@@ -233,13 +234,19 @@
             Err(SendError::Stalled(error)) => {
                 return self.handle_silence(progress, Upstream::Unanswered(exchange), &error);
             }
-            Err(error) => return self.handle_failure(progress, "lost", &error.to_string()),
+            Err(error) => {
+                // A buffered response may have begun before its head arrives.
+                if !self.request.route.kind.is_stream() {
+                    self.start_trial().fail();
+                }
+                return self.handle_failure(progress, "lost", &error.to_string());
+            }
         };
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
             return self.handle_rejection(progress, rejection, response.status);
         }
-        let upstream = UpstreamResponse::new(exchange, head, response);
+        let upstream = UpstreamResponse::new(exchange, head, response, self.start_trial());
         if upstream.response.status < 300 && !upstream.response.is_signed {
             self.handle_failure(progress, "unsigned", "the successful response is not signed")
         } else if self.is_stream(&upstream) {
@@ -251,6 +258,10 @@
         }
     }
 
+    fn start_trial(&self) -> Trial {
+        Trial::new(self.shared, self.request, self.replica())
+    }
+
     fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
         self.request.route.kind.is_stream() && upstream.response.status == 200
     }
@@ -290,14 +301,18 @@
         let limits = StallLimits::for_event(self.request);
         match relay_stream(connection, self.request, progress, &mut upstream, limits).await {
             StreamOutcome::Complete => {
+                upstream.trial.succeed();
                 self.record_response(ResponseOutcome::Success);
                 NextStep::Done(RequestOutcome::Answered(upstream.response.status))
             }
             StreamOutcome::CallerGone => NextStep::Done(RequestOutcome::CallerGone),
             StreamOutcome::Stalled(error) => {
-                self.handle_silence(progress, Upstream::Answering(upstream), &error)
+                self.handle_silence(progress, Upstream::Answering(Box::new(upstream)), &error)
+            }
+            StreamOutcome::Broken(error) => {
+                upstream.trial.fail();
+                self.handle_failure(progress, "broken", &error)
             }
-            StreamOutcome::Broken(error) => self.handle_failure(progress, "broken", &error),
         }
     }
 
@@ -313,12 +328,19 @@
         let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
         match exchange.load_guard.wait(reading, limit).await {
             Ok(Ok(())) => {}
-            Ok(Err(error)) => return self.handle_failure(progress, "torn", &error.to_string()),
+            Ok(Err(error)) => {
+                upstream.trial.fail();
+                return self.handle_failure(progress, "torn", &error.to_string());
+            }
             Err(error) => {
-                return self.handle_silence(progress, Upstream::Answering(upstream), &error);
+                return self.handle_silence(
+                    progress,
+                    Upstream::Answering(Box::new(upstream)),
+                    &error,
+                );
             }
         }
-        let UpstreamResponse { exchange, head, response, received: body, .. } = upstream;
+        let UpstreamResponse { exchange, head, response, received: body, mut trial, .. } = upstream;
         let is_failure = response.status >= 500;
         self.record_response(if is_failure {
             ResponseOutcome::Failure
@@ -333,6 +355,9 @@
                 return NextStep::Retry("failed");
             }
         }
+        if response.status < 300 {
+            trial.succeed();
+        }
         drop(exchange);
         progress.first_byte_at = Some(since_boot());
         match write_complete(connection, &head, &body, request.after_response).await {
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -187,6 +187,12 @@
             shared.send(&message, *receiver).await;
         }
     }
+    if let Some(notice) = shared.build_evidence(now) {
+        let message = Message::Notice(notice);
+        for receiver in &receivers {
+            shared.send(&message, *receiver).await;
+        }
+    }
     match encode(report) {
         Ok(bytes) => {
             for receiver in receivers {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -51,6 +51,12 @@
     pub(crate) leaving_replicas: Counter,
     /// Pauses that replicas have asked for.
     pub(crate) replica_pauses: Counter,
+    /// Crashes of replicas that a request may have caused.
+    pub(crate) crashes: Counter,
+    /// Quarantined parts of prompts.
+    pub(crate) quarantined_parts: Gauge,
+    /// Requests refused because of a quarantined part.
+    pub(crate) quarantine_refusals: Counter,
     /// Age of the configuration, in milliseconds.
     pub(crate) configuration_age: Gauge,
     /// Listed replicas.
@@ -73,6 +79,9 @@
             store_restores: Counter::default(),
             leaving_replicas: Counter::default(),
             replica_pauses: Counter::default(),
+            crashes: Counter::default(),
+            quarantined_parts: Gauge::default(),
+            quarantine_refusals: Counter::default(),
             configuration_age: Gauge::default(),
             replicas: Gauge::default(),
             peers: Gauge::default(),
@@ -98,6 +107,12 @@
         registry.register("leaving_replicas", "Replicas that said that they leave", leaving);
         let pauses = metrics.replica_pauses.clone();
         registry.register("replica_pauses", "Pauses that replicas asked for", pauses);
+        let crashes = metrics.crashes.clone();
+        registry.register("replica_crashes", "Crashes that a request may have caused", crashes);
+        let parts = metrics.quarantined_parts.clone();
+        registry.register("quarantined_parts", "Quarantined parts of prompts", parts);
+        let refusals = metrics.quarantine_refusals.clone();
+        registry.register("quarantine_refusals", "Requests refused for such a part", refusals);
         let age = metrics.configuration_age.clone();
         registry.register("configuration_age_ms", "Age of the configuration", age);
         registry.register("replicas", "Replicas listed", metrics.replicas.clone());
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod peers;
 mod polling;
+mod quarantine;
 mod readiness;
 mod relay;
 mod response;
@@ -18,6 +19,7 @@
 mod silence;
 mod spreading;
 mod state;
+mod trials;
 mod upstream;
 mod watch;
 
@@ -141,6 +143,7 @@
         task::spawn(watch::watch_rollouts(Arc::clone(&shared)));
         task::spawn(rollouts::run_rollouts(Arc::clone(&shared)));
         task::spawn(messages::exchange_messages(Arc::clone(&shared)));
+        task::spawn(quarantine::review_quarantines(Arc::clone(&shared)));
         task::spawn(accept::accept_callers(Arc::clone(&shared), callers));
         Ok(Self { shared, _stop_handle: stop_handle })
     }
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -49,6 +49,7 @@
             if events.is_empty() {
                 continue;
             }
+            upstream.trial.record_events();
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -205,6 +205,9 @@
         step: Option<&CascadeStep>,
         position: usize,
     ) -> Result<Target, ErrorReply> {
+        if let Some(reply) = self.quarantine_reply(request, progress) {
+            return Err(reply);
+        }
         if let Some(reply) = Self::check_limits(request, progress) {
             return Err(reply);
         }
--- a/crates/daemon/src/direct/silence.rs
+++ b/crates/daemon/src/direct/silence.rs
@@ -20,7 +20,7 @@
     /// The head of the response has not arrived.
     Unanswered(Exchange),
     /// The head has arrived, the body not completely.
-    Answering(UpstreamResponse),
+    Answering(Box<UpstreamResponse>),
 }
 
 /// An attempt whose replica is silent. The replica may be sound and go on, so that the attempt is
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -1,11 +1,11 @@
 //! The mutable state of a direct entry: data from the store and from peers, and its own load on
 //! each replica.
 
-use super::{peers::PeerTable, rollouts::RolloutProgress};
+use super::{peers::PeerTable, rollouts::RolloutProgress, trials::PendingChecks};
 use ibissail_core::{Count, Epoch, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
-    DirectSettings, Freshness, Health, PrefixCacheIndex, ReplicaSet, ReplicaSignals, RetryBudget,
-    RetryBudgetLimits, RoutingTable,
+    DirectSettings, Freshness, Health, PartHash, PrefixCacheIndex, PromptQuarantine, ReplicaSet,
+    ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable,
 };
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -40,6 +40,12 @@
     pub(crate) replicas: ReplicaSet,
     /// What replicas have said about themselves in responses.
     pub(super) signals: ReplicaSignals,
+    /// Parts of prompts that crash replicas.
+    pub(super) prompts: PromptQuarantine,
+    /// Ids of parts that were suspects at this entry, for the log.
+    pub(super) part_names: BTreeMap<PartHash, String>,
+    /// Replicas that may have crashed and are being checked.
+    pub(super) pending_checks: PendingChecks,
     /// Time as of which the list of replicas was last known to be current.
     pub(crate) replicas_confirmed_at: Option<Millis>,
     /// Whether a peer has read a newer configuration than this entry has.
@@ -71,6 +77,9 @@
             restored_at: None,
             replicas: ReplicaSet::default(),
             signals: ReplicaSignals::default(),
+            prompts: PromptQuarantine::default(),
+            part_names: BTreeMap::new(),
+            pending_checks: PendingChecks::new(),
             replicas_confirmed_at: None,
             is_configuration_outdated: false,
             health: BTreeMap::new(),
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -1,7 +1,7 @@
 //! Sends a request to a replica: opens a connection, writes the request, waits for the response
 //! head.
 
-use super::{Shared, selection::SelectedReplica, serve::AdmittedRequest};
+use super::{Shared, selection::SelectedReplica, serve::AdmittedRequest, trials::Trial};
 use crate::clock::since_boot;
 use async_std::{net::TcpStream, task};
 use futures_lite::{AsyncWriteExt, FutureExt, future};
@@ -199,12 +199,18 @@
     pub(crate) body: BodyReader,
     /// The part of a buffered body that has been read.
     pub(crate) received: Vec<u8>,
+    pub(super) trial: Trial,
 }
 
 impl UpstreamResponse {
-    pub(crate) fn new(exchange: Exchange, head: ResponseHead, response: ReplicaResponse) -> Self {
+    pub(super) fn new(
+        exchange: Exchange,
+        head: ResponseHead,
+        response: ReplicaResponse,
+        trial: Trial,
+    ) -> Self {
         let body = BodyReader::new(head.framing);
-        Self { exchange, head, response, body, received: Vec::new() }
+        Self { exchange, head, response, body, received: Vec::new(), trial }
     }
 }
 
