Bound the interim responses before a response

Cause: read_response_head skipped 1xx heads without a limit. A replica that sends them for ever kept its attempt and, because it always had bytes to read, the only thread: no deadline, no other request. Change: more than 8 are an error, and the replica counts as failed. The stand-in replica sends a part of a response until its caller closes. Ruled out: a head without end and empty lines before one stop at 32 KiB, and bytes after a complete response are not read; their tests pass before too.

--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -11,6 +11,9 @@
 /// Bytes that may be buffered while a response head is still incomplete.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 << 10;
 
+/// Most interim (1xx) responses before a final one.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// A TCP connection with the bytes that were received but not parsed yet.
 #[derive(Debug)]
 pub struct Connection {
@@ -123,8 +126,9 @@
     ///
     /// `Closed` when the peer closed before the first byte, `Truncated` when it closed inside the
     /// head, `HeadTooLarge` when it is still incomplete after more than 32 KiB, `Malformed` for an
-    /// invalid head.
+    /// invalid head or more than 8 interim responses.
     pub async fn read_response_head(&mut self, method: &str) -> Result<ResponseHead, HttpError> {
+        let mut interim_responses = 0;
         loop {
             match parse_response(&self.unread, method)? {
                 Some((head, length)) => {
@@ -132,6 +136,10 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return Err(HttpError::Malformed("too many interim responses".to_owned()));
+                    }
                 }
                 None if self.unread.len() > MAX_RESPONSE_HEAD_BYTES => {
                     return Err(HttpError::HeadTooLarge);
--- /dev/null
+++ b/crates/http1/tests/endless_input.rs
@@ -0,0 +1,68 @@
+//! A peer that sends without end is given up at a limit, and leaves other tasks their turn.
+
+use async_std::{net::TcpListener, task};
+use futures_lite::AsyncWriteExt;
+use ibissail_http1::{Connection, HttpError, dial};
+use std::{future::Future, sync::mpsc, thread, time::Duration};
+
+/// Time within which a reader must give up, on a busy machine.
+const GIVE_UP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Connects to a peer that sends `first` once and `repeated` until the connection is closed.
+async fn connect(first: &'static str, repeated: &str) -> Connection {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let repeated = repeated.repeat((64 << 10) / repeated.len());
+    thread::spawn(move || {
+        task::block_on(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut next = first.as_bytes();
+            while stream.write_all(next).await.is_ok() {
+                next = repeated.as_bytes();
+            }
+        });
+    });
+    dial(address, Duration::from_secs(1)).await.expect("a connection")
+}
+
+/// Result of a future that runs on a thread of its own; fails if it takes too long.
+fn within_limit<F, T>(future: F) -> T
+where
+    F: Future<Output = T> + Send + 'static,
+    T: Send + 'static,
+{
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || tx.send(task::block_on(future)));
+    rx.recv_timeout(GIVE_UP_LIMIT).expect("the reader gives up in time")
+}
+
+/// Error of a response head of which this part is repeated without end.
+fn head_error(first: &'static str, repeated: &'static str) -> HttpError {
+    let head =
+        within_limit(async move { connect(first, repeated).await.read_response_head("GET").await });
+    head.expect_err("the head has no end")
+}
+
+#[test]
+fn interim_responses_are_bounded() {
+    let error = head_error("", "HTTP/1.1 102 Processing\r\n\r\n");
+    assert!(matches!(error, HttpError::Malformed(_)), "{error}");
+}
+
+#[test]
+fn some_interim_responses_are_skipped() {
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let sound = [interim, interim, interim, "HTTP/1.1 200 OK\r\n\r\n"].concat();
+    let head = within_limit(async move {
+        connect("", &sound).await.read_response_head("GET").await.expect("a head")
+    });
+    assert_eq!(head.status, 200);
+}
+
+#[test]
+fn heads_are_bounded() {
+    assert_eq!(head_error("HTTP/1.1 200 OK\r\nX: ", "x"), HttpError::HeadTooLarge);
+    assert_eq!(head_error("", "\r\n"), HttpError::HeadTooLarge);
+    let error = head_error("HTTP/1.1 200 OK\r\n", "X: y\r\n");
+    assert!(matches!(error, HttpError::Malformed(_)), "{error}");
+}
