Let other tasks run between reads of one connection

Cause: a read from a peer that sends without end is always ready, so that the reading task never gave up its thread, and the limits of time polled beside it never ran; an entry has one thread. Change: a connection yields after four reads. Measured: before, reader_of_an_endless_body_can_be_stopped failed (a limit of 100 ms had not ended the read after 5 s); it takes under 0.4 s with the other tests of its file now. Ruled out: a limit on bytes alone, since a stream of complete events has none.

--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -11,6 +11,10 @@
 /// Bytes that may be buffered while a response head is still incomplete.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 << 10;
 
+/// Reads after which a task lets others run, because a peer that sends without end always has bytes
+/// to read.
+const READS_PER_TURN: u32 = 4;
+
 /// Most interim (1xx) responses before a final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -19,6 +23,8 @@
 pub struct Connection {
     stream: TcpStream,
     unread: Vec<u8>,
+    /// Reads since other tasks were last let run.
+    reads: u32,
 }
 
 /// Opens a connection to a peer.
@@ -48,7 +54,7 @@
         if let Err(_error) = stream.set_nodelay(true) {
             // The peer has already closed the connection, which the next read reports.
         }
-        Self { stream, unread: Vec::new() }
+        Self { stream, unread: Vec::new(), reads: 0 }
     }
 
     /// The underlying stream, for detecting that the peer has closed it.
@@ -77,7 +83,12 @@
     ///
     /// `Closed` when the peer has closed the connection, `Io` when it fails.
     pub async fn fill(&mut self) -> Result<(), HttpError> {
-        let Self { stream, unread } = self;
+        if self.reads >= READS_PER_TURN {
+            self.reads = 0;
+            future::yield_now().await;
+        }
+        self.reads += 1;
+        let Self { stream, unread, .. } = self;
         // The read buffer exists only during a poll, so that waiting connections use little memory.
         let count = future::poll_fn(|cx| {
             let mut buf = [0; READ_BUFFER_BYTES];
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -1,8 +1,8 @@
 //! A peer that sends without end is given up at a limit, and leaves other tasks their turn.
 
-use async_std::{net::TcpListener, task};
+use async_std::{future::timeout, net::TcpListener, task};
 use futures_lite::AsyncWriteExt;
-use ibissail_http1::{Connection, HttpError, dial};
+use ibissail_http1::{BodyReader, Connection, Framing, HttpError, dial};
 use std::{future::Future, sync::mpsc, thread, time::Duration};
 
 /// Time within which a reader must give up, on a busy machine.
@@ -59,6 +59,28 @@
     assert_eq!(head.status, 200);
 }
 
+/// Reads a body until its end.
+async fn read_to_end(connection: &mut Connection, framing: Framing) -> Result<(), HttpError> {
+    let mut body = BodyReader::new(framing);
+    while body.next(connection).await?.is_some() {}
+    Ok(())
+}
+
+#[test]
+fn reader_of_an_endless_body_can_be_stopped() {
+    for (framing, repeated) in [
+        (Framing::UntilClose, "x"),
+        (Framing::Chunked, "1\r\nx\r\n"),
+        (Framing::Length(u64::MAX), "x"),
+    ] {
+        let stopped = within_limit(async move {
+            let mut connection = connect("", repeated).await;
+            timeout(Duration::from_millis(100), read_to_end(&mut connection, framing)).await
+        });
+        assert!(stopped.is_err(), "{framing:?}: the limit of time ends the read");
+    }
+}
+
 #[test]
 fn heads_are_bounded() {
     assert_eq!(head_error("HTTP/1.1 200 OK\r\nX: ", "x"), HttpError::HeadTooLarge);
