Break off a stream whose event or comments do not end

Cause: EventSplitter kept an unfinished event of any length and let comments pass without end. The entry's memory grew by some 470 MB in 15 s of one such stream, and no other request was served. Change: an event, or the comments and blank lines before one, of more than 64 KiB are an error; the stream is broken off, or resumed elsewhere. Measured: before, event_without_end_breaks_its_stream failed (no answer) and stream_with_an_event_without_end_is_resumed failed (incomplete); with comments, the process test hung until killed. Ruled out: counting every block without an id as a comment, which would cut sound streams without ids.

--- a/crates/daemon/src/direct/accept.rs
+++ b/crates/daemon/src/direct/accept.rs
@@ -140,7 +140,7 @@
         // Also for a body that arrives too slowly, for which there is no other kind.
         HttpError::Timeout => ErrorKind::HeadTimeout,
         HttpError::HeadTooLarge => ErrorKind::HeadTooLarge,
-        HttpError::BodyTooLarge => ErrorKind::BodyTooLarge,
+        HttpError::BodyTooLarge | HttpError::EventTooLarge => ErrorKind::BodyTooLarge,
         HttpError::Malformed(_) => ErrorKind::BadRequest,
     };
     warn!(shared.log, "callers: request refused"; "kind" => kind.code(), "error" => %error);
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -45,7 +45,10 @@
         let is_end = data.is_none();
         if let Some(data) = data {
             exchange.load_guard.record_bytes();
-            let events = progress.splitter.push(&data);
+            let events = match progress.splitter.push(&data) {
+                Ok(events) => events,
+                Err(error) => return StreamOutcome::Broken(error.to_string()),
+            };
             if events.is_empty() {
                 continue;
             }
--- a/crates/daemon/tests/endless_bytes.rs
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -5,6 +5,7 @@
 use direct::{EntryFixture, wait_until};
 use ibissail_platform_standin::{
     Behaviour, CallerRequest, ConfigurationSpec, EndlessPart, ReplicaStandin, RouteSpec,
+    StreamEnding,
 };
 use std::{
     thread,
@@ -42,6 +43,11 @@
     request
 }
 
+fn complete_stream() -> Behaviour {
+    let ending = StreamEnding::Complete;
+    Behaviour::Stream { events: 6, sent: 6, interval: Duration::ZERO, ending, confidence: 90 }
+}
+
 /// Fails unless a request to a replica of another service is served.
 fn assert_serves(fixture: &EntryFixture) {
     let response = fixture.send(&CallerRequest::new("GET", "/other/1", "other"));
@@ -131,3 +137,49 @@
         assert_closed_soon(&endless);
     }
 }
+
+/// Sends a stream to the replica without end, which is the only one; the stream must be broken off
+/// after its first event.
+fn assert_broken_stream(part: EndlessPart) {
+    let (fixture, endless) = start(&format!("endless_{part:?}"), "writers", part);
+    let before = fixture.peak_memory_kb();
+    thread::scope(|scope| {
+        let failing = scope.spawn(|| fixture.send(&request("/tail/1", "id-1")));
+        while !failing.is_finished() {
+            assert_serves(&fixture);
+        }
+        let response = failing.join().expect("the caller ends");
+        assert_eq!((response.status, response.is_complete), (200, false), "{part:?}");
+        assert_eq!(response.event_ids(), vec![1], "{part:?}");
+    });
+    assert_closed_soon(&endless);
+    let grown = fixture.peak_memory_kb() - before;
+    assert!(grown < MEMORY_GROWTH_KB, "{part:?}: {grown} kB more");
+    wait_until("the failure is logged", || fixture.log().contains("attempt: failed"));
+}
+
+#[test]
+fn event_without_end_breaks_its_stream() {
+    assert_broken_stream(EndlessPart::Event);
+    assert_broken_stream(EndlessPart::IdLine);
+}
+
+#[test]
+fn comments_without_end_break_their_stream() {
+    assert_broken_stream(EndlessPart::Comments);
+}
+
+#[test]
+fn stream_with_an_event_without_end_is_resumed() {
+    let (fixture, endless) = start("endless_resumed", "writers", EndlessPart::Event);
+    let sound = fixture.add_replica("r-sound", "writers", complete_stream());
+    fixture.wait_for_replica(&sound);
+    let mut number = 0;
+    while endless.run_count() == 0 {
+        number += 1;
+        let response = fixture.send(&request("/drafts/1", &format!("id-{number}")));
+        assert!(response.status == 200 && response.is_complete, "{response:?}");
+        assert_eq!(response.event_ids(), (1..=6).collect::<Vec<u64>>());
+    }
+    assert_closed_soon(&endless);
+}
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -14,6 +14,8 @@
         HeadTooLarge { display("the head is longer than the limit") }
         /// The body exceeds the size limit.
         BodyTooLarge { display("the body is longer than the limit") }
+        /// An event of a stream exceeds the size limit.
+        EventTooLarge { display("an event is longer than the limit") }
         /// The bytes are not a valid HTTP/1.1 message.
         Malformed(detail: String) { display("malformed message: {}", detail) }
         /// The connection failed, or could not be opened.
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -2,7 +2,7 @@
 
 use async_std::{future::timeout, net::TcpListener, task};
 use futures_lite::AsyncWriteExt;
-use ibissail_http1::{BodyReader, Connection, Framing, HttpError, dial};
+use ibissail_http1::{BodyReader, Connection, EventSplitter, Framing, HttpError, dial};
 use std::{future::Future, sync::mpsc, thread, time::Duration};
 
 /// Time within which a reader must give up, on a busy machine.
@@ -88,3 +88,21 @@
     let error = head_error("HTTP/1.1 200 OK\r\n", "X: y\r\n");
     assert!(matches!(error, HttpError::Malformed(_)), "{error}");
 }
+
+/// Bytes that a splitter takes, of this part without end, before it fails; `None` without a failure.
+fn bytes_until_failure(repeated: &str) -> Option<usize> {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\n").expect("a short event");
+    let part = repeated.repeat(1_000 / repeated.len());
+    (1..1_000).find(|_| splitter.push(part.as_bytes()).is_err()).map(|count| count * part.len())
+}
+
+#[test]
+fn events_and_comments_are_bounded() {
+    for repeated in ["x", "data: x\n", "data: x\r\n", "id: 2", ": x\n\n", ":\r\n\r\n", "\n"] {
+        let taken = bytes_until_failure(repeated).expect("a failure");
+        assert!((64 << 10..66 << 10).contains(&taken), "{repeated:?}: {taken}");
+    }
+    assert_eq!(bytes_until_failure("id: 2\ndata: x\n\n"), None);
+    assert_eq!(bytes_until_failure(": x\n\ndata: x\n\n"), None);
+}
--- a/crates/http1/tests/message_framing.rs
+++ b/crates/http1/tests/message_framing.rs
@@ -120,7 +120,7 @@
         let mut splitter = EventSplitter::default();
         let mut passed = Vec::new();
         for segment in stream.as_bytes().chunks(segment_length) {
-            passed.extend(splitter.push(segment));
+            passed.extend(splitter.push(segment).expect("short events"));
             // The bytes passed on always end at the end of an event.
             let length = passed.len();
             let mut ends = events.iter().scan(0, |end, event| { *end += event.len(); Some(*end) });
