Hold at most 256 KiB of a buffered response

Cause: up to 4 MiB of a body, and 1 MiB of a skipped one, were held for each request. Change: 256 KiB for both; a body declared longer is refused before it is read. Bodies have some 800 bytes. Ruled out: a budget of bytes over all responses, which would fail sound responses beside a faulty replica.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -21,8 +21,9 @@
 use slog::{info, warn};
 use std::sync::Arc;
 
-/// Largest body, in bytes, of a response that is not a stream; it is held in memory.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Largest body, in bytes, of a response that is not a stream; it is held in memory. Bodies have
+/// some 800 bytes.
+const MAX_RESPONSE_BYTES: usize = 256 << 10;
 
 /// Result of an attempt whose replica guarantees that it has not run the request.
 const NOT_RUN: &str = "not_run";
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -19,8 +19,8 @@
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Most response heads read on one connection, counting responses to other requests.
 const MAX_RESPONSE_HEADS: usize = 3;
-/// Largest body of a skipped response.
-const MAX_SKIPPED_BODY_BYTES: usize = 1 << 20;
+/// Largest body, in bytes, of a skipped response.
+const MAX_SKIPPED_BODY_BYTES: usize = 256 << 10;
 
 /// Why an attempt received no response head.
 #[derive(Debug, Clone)]
--- a/crates/daemon/tests/endless_bytes.rs
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -19,6 +19,10 @@
 const MEMORY_GROWTH_KB: u64 = 16 << 10;
 /// Requests served before memory is first read.
 const WARM_UP_REQUESTS: u32 = 20;
+/// Requests at a time of `many_responses_without_end`.
+const PARALLEL_REQUESTS: u64 = 20;
+/// Largest growth of the peak resident memory under these requests.
+const PARALLEL_MEMORY_GROWTH_KB: u64 = PARALLEL_REQUESTS * (2 << 10);
 
 fn configuration() -> ConfigurationSpec {
     let mut drafts = RouteSpec::new("/drafts/", "resumable", "writers");
@@ -111,6 +115,19 @@
     }
 }
 
+#[test]
+fn body_without_end_fails_the_attempt() {
+    for part in [
+        EndlessPart::Body,
+        EndlessPart::ChunkedBody,
+        EndlessPart::ChunkSizeLine,
+        EndlessPart::Trailers,
+        EndlessPart::OtherBody,
+    ] {
+        assert_failure(part);
+    }
+}
+
 #[test]
 fn bytes_after_a_response_are_not_read() {
     let (fixture, endless) = start("endless_after", "records", EndlessPart::AfterResponse);
@@ -183,3 +200,20 @@
     }
     assert_closed_soon(&endless);
 }
+
+#[test]
+fn memory_stays_bounded_under_many_responses_without_end() {
+    let (fixture, _endless) = start("endless_many", "records", EndlessPart::Body);
+    let before = fixture.peak_memory_kb();
+    thread::scope(|scope| {
+        for number in 0..PARALLEL_REQUESTS {
+            let fixture = &fixture;
+            scope.spawn(move || {
+                let response = fixture.send(&request("/records/1", &format!("id-{number}")));
+                assert_eq!(response.status, 502, "{response:?}");
+            });
+        }
+    });
+    let grown = fixture.peak_memory_kb() - before;
+    assert!(grown < PARALLEL_MEMORY_GROWTH_KB, "{grown} kB more");
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -103,7 +103,8 @@
     ///
     /// # Errors
     ///
-    /// `BodyTooLarge` above `limit` bytes, otherwise the same as for [`BodyReader::next`].
+    /// `BodyTooLarge` above `limit` bytes, before anything is read if the declared length is
+    /// above it; otherwise the same as for [`BodyReader::next`].
     pub async fn read_all(
         &mut self,
         connection: &mut Connection,
@@ -126,6 +127,10 @@
         body: &mut Vec<u8>,
         limit: usize,
     ) -> Result<(), HttpError> {
+        let unread = if let State::Remaining(length) = self.state { length } else { 0 };
+        if unread + body.len() as u64 > limit as u64 {
+            return Err(HttpError::BodyTooLarge);
+        }
         while let Some(data) = self.next(connection).await? {
             if body.len() + data.len() > limit {
                 return Err(HttpError::BodyTooLarge);
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -106,3 +106,14 @@
     assert_eq!(bytes_until_failure("id: 2\ndata: x\n\n"), None);
     assert_eq!(bytes_until_failure(": x\n\ndata: x\n\n"), None);
 }
+
+#[test]
+fn body_declared_too_long_is_not_read() {
+    let unread = within_limit(async {
+        let mut connection = connect("", "x").await;
+        let mut body = BodyReader::new(Framing::Length(1_001));
+        assert_eq!(body.read_all(&mut connection, 1_000).await, Err(HttpError::BodyTooLarge));
+        connection.unread().len()
+    });
+    assert_eq!(unread, 0);
+}
