Bound the chunk extensions of a body

Cause: only the data of chunks counted towards the size of a body. Chunks of one byte with extensions of 1 kB kept an attempt until its deadline: 504 after 8 s, and without the yield between reads nothing else was served. Change: 1 MiB of extensions in a body are an error. Measured: before, chunk_extensions_are_bounded failed (no error in 5 s) and chunk_extensions_without_end_fail_the_attempt got a 504; both pass now. Ruled out: rejecting extensions, which are valid.

--- a/crates/daemon/tests/endless_bytes.rs
+++ b/crates/daemon/tests/endless_bytes.rs
@@ -128,6 +128,11 @@
     }
 }
 
+#[test]
+fn chunk_extensions_without_end_fail_the_attempt() {
+    assert_failure(EndlessPart::ChunkExtensions);
+}
+
 #[test]
 fn bytes_after_a_response_are_not_read() {
     let (fixture, endless) = start("endless_after", "records", EndlessPart::AfterResponse);
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -5,6 +5,8 @@
 
 /// Longest chunk-size line, with its extensions, or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 10;
+/// Most bytes of extensions in the chunk-size lines of a body.
+const MAX_EXTENSION_BYTES: usize = 1 << 20;
 /// Most trailer lines after the last chunk.
 const MAX_TRAILER_LINES: u32 = 100;
 
@@ -28,6 +30,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyReader {
     state: State,
+    /// Bytes of extensions in the chunk-size lines read so far.
+    extension_bytes: usize,
 }
 
 impl BodyReader {
@@ -40,7 +44,7 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { state, extension_bytes: 0 }
     }
 
     /// Whether the body has been read to its end.
@@ -78,7 +82,12 @@
                     return Ok(Some(data));
                 }
                 State::ChunkSize => {
-                    self.state = match take_chunk_size(connection).await? {
+                    let (size, extension_bytes) = take_chunk_size(connection).await?;
+                    self.extension_bytes += extension_bytes;
+                    if self.extension_bytes > MAX_EXTENSION_BYTES {
+                        return Err(HttpError::Malformed("too many chunk extensions".to_owned()));
+                    }
+                    self.state = match size {
                         0 => State::Trailers(0),
                         size => State::ChunkData(size),
                     };
@@ -151,13 +160,16 @@
     Ok(connection.take(usize::try_from(max_bytes).unwrap_or(usize::MAX)))
 }
 
-async fn take_chunk_size(connection: &mut Connection) -> Result<u64, HttpError> {
+/// Takes a chunk-size line and returns the size, and the length of the line's extensions.
+async fn take_chunk_size(connection: &mut Connection) -> Result<(u64, usize), HttpError> {
     let mut line = take_line(connection).await?;
     // The parser takes a line without digits for the size 0, which ends a body.
     if line.first().is_some_and(u8::is_ascii_hexdigit) {
+        let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+        let extension_bytes = line.len() - digits;
         line.extend_from_slice(b"\r\n");
         if let Ok(Status::Complete((_length, size))) = parse_chunk_size(&line) {
-            return Ok(size);
+            return Ok((size, extension_bytes));
         }
     }
     Err(HttpError::Malformed(
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -107,6 +107,16 @@
     assert_eq!(bytes_until_failure(": x\n\ndata: x\n\n"), None);
 }
 
+#[test]
+fn chunk_extensions_are_bounded() {
+    let line = ["1;", &"x".repeat(1_000), "\r\nx\r\n"].concat();
+    let body = within_limit(async move {
+        let mut connection = connect("", &line).await;
+        read_to_end(&mut connection, Framing::Chunked).await
+    });
+    assert!(matches!(body, Err(HttpError::Malformed(_))), "{body:?}");
+}
+
 #[test]
 fn body_declared_too_long_is_not_read() {
     let unread = within_limit(async {
