--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -137,7 +137,7 @@
         limit: usize,
     ) -> Result<(), HttpError> {
         let unread = if let State::Remaining(length) = self.state { length } else { 0 };
-        if unread + body.len() as u64 > limit as u64 {
+        if unread.saturating_add(body.len() as u64) > limit as u64 {
             return Err(HttpError::BodyTooLarge);
         }
         while let Some(data) = self.next(connection).await? {
