Bound the head of a response to a message

Cause: async-h1 reads a line of a head to its end before it checks the length, so that a peer or an engine that sends one without end grew the process, and the limit of time never ran while bytes were ready. Ruled out: heads that async-h1 refuses itself, with short lines and above 8 KiB.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod message;
 mod pool;
 mod server;
+mod upstream;
 
 pub use body::{BodySender, body_channel, read_body};
 pub use frame::{FrameReader, encode_frame};
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of client connections, which are reused for further requests to the same peer.
 
+use crate::upstream::Upstream;
 use async_std::{future::timeout, net::TcpStream};
 use futures_lite::{FutureExt, future};
 use http_types::{Body, Request, Response, headers::CONNECTION};
@@ -98,8 +99,13 @@
             None => self.connect(peer).await?,
         };
         let time_left = limit.saturating_sub(started.elapsed());
-        match timeout(time_left, async_h1::connect(stream.clone(), req)).await {
-            Ok(Ok(response)) => Ok(PooledResponse { response, peer, stream, pool: self.clone() }),
+        let upstream = Upstream::new(stream.clone());
+        let progress = Arc::clone(&upstream.progress);
+        match timeout(time_left, async_h1::connect(upstream, req)).await {
+            Ok(Ok(response)) => {
+                progress.mark_head();
+                Ok(PooledResponse { response, peer, stream, pool: self.clone() })
+            }
             Ok(Err(error)) => {
                 self.close_idle(peer);
                 Err(SendError::ResponseLost(peer, error.to_string()))
