Fail a run whose event does not end

Cause: the sidecar kept an unfinished event of its engine without a limit and searched all of it after each read, until the caller's deadline. Change: an event of more than 1 MiB fails the run. Ruled out: buffered bodies, which end at 8 MiB, and forwarded events, which the memory limit of the sidecar ends.

--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -1,11 +1,14 @@
 //! Parses server-sent events, to count tokens and to detect the end of a stream.
 
-use ibissail_core::Tokens;
+use ibissail_core::{ErrorKind, Fault, Tokens};
 use ibissail_execution::TokenCounts;
 use serde::Deserialize;
 
 const DONE_PREFIX: &[u8] = b"data: [DONE]";
 
+/// Longest event, in bytes; an event carries a few tokens with their probabilities.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Incremental parser of an inference engine's event stream.
 #[derive(Debug)]
 pub(crate) struct EventStream {
@@ -44,8 +47,9 @@
         Self { buf: Vec::new(), keep_usage, tokens: None, event_count: 0, done: false }
     }
 
-    /// Adds bytes; returns the complete events to forward.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    /// Adds bytes; returns the complete events to forward, or the fault of an event that is too
+    /// long.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Fault> {
         self.buf.extend_from_slice(bytes);
         let mut forwarded = Vec::new();
         while let Some(end) = event_end(&self.buf) {
@@ -54,7 +58,13 @@
                 forwarded.extend_from_slice(&event);
             }
         }
-        forwarded
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(Fault::new(
+                ErrorKind::UpstreamFailed,
+                "an event of the engine is too long",
+            ));
+        }
+        Ok(forwarded)
     }
 
     /// Counts an event and reads its usage report; returns whether to forward the event.
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -153,7 +153,7 @@
         if count == 0 {
             break;
         }
-        let forwarded = events.push(&chunk[..count]);
+        let forwarded = events.push(&chunk[..count])?;
         if !forwarded.is_empty() && !sink.append(&forwarded) {
             return Err(Fault::new(
                 ErrorKind::UpstreamFailed,
