Do not take comments for events of a stream

Cause: a comment with its blank line passed as an event and ended the silence of its stream, so that one comment every 150 ms kept a stalled stream until its deadline. Ruled out: dropping comments, which belong to the replica's bytes.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -33,6 +33,7 @@
 ) -> StreamOutcome {
     let mut last_event_at = since_boot();
     loop {
+        let event_count = progress.splitter.event_count();
         let exchange = &mut upstream.exchange;
         let next = upstream.body.next(&mut exchange.connection);
         let waited = exchange.load_guard.wait_since(last_event_at, next, stall_limits).await;
@@ -73,6 +74,9 @@
         if is_end {
             return StreamOutcome::Complete;
         }
-        last_event_at = since_boot();
+        // Comments do not end a silence.
+        if progress.splitter.event_count() > event_count {
+            last_event_at = since_boot();
+        }
     }
 }
--- a/crates/daemon/tests/hazards_streams.rs
+++ b/crates/daemon/tests/hazards_streams.rs
@@ -42,10 +42,10 @@
     assert_eq!(runs, 1, "the stream was not resumed elsewhere");
 }
 
-#[test]
-fn trickling_stream_is_resumed_at_another_replica() {
-    let fixture = EntryFixture::start("trickle", &configuration());
-    let trickle = Behaviour::Trickle(3, Duration::from_millis(150));
+/// Fails unless a stream that stalls while these bytes arrive is resumed at another replica.
+fn assert_resumed(test: &str, bytes: &'static str) {
+    let fixture = EntryFixture::start(test, &configuration());
+    let trickle = Behaviour::Trickle(3, bytes, Duration::from_millis(150));
     let stalled = fixture.add_replica("r-1", "writers", trickle);
     let sound = fixture.add_replica("r-2", "writers", stream(12, Duration::from_millis(10)));
     fixture.wait_ready();
@@ -61,3 +61,13 @@
         assert!(sent.elapsed() < Duration::from_secs(4), "{:?}", sent.elapsed());
     }
 }
+
+#[test]
+fn trickling_stream_is_resumed_at_another_replica() {
+    assert_resumed("trickle", "x");
+}
+
+#[test]
+fn stream_of_comments_is_resumed_at_another_replica() {
+    assert_resumed("trickling_comments", ": x\n\n");
+}
