Check the key again before a request is sent once more

Callers' requests could run under a key that had been taken away seconds before: an entry that was suspended while it waited for a replica retried at the next one when it woke, with the permission of the admission. Cause: the key was checked at admission only. Change: it is checked before each attempt until the response has started, by the same function; a request that may have run ends with an unknown outcome, and a silent attempt is waited for. Ruled out: checking it for streams that have started, which may finish.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -374,7 +374,8 @@
         };
         let may_escalate = !progress.has_response_started()
             && step.is_unconfident(confidence)
-            && progress.attempts_sent < self.request.route.attempt_limit.0;
+            && progress.attempts_sent < self.request.route.attempt_limit.0
+            && self.shared.check_permission(self.request, true).is_none();
         if !may_escalate {
             return false;
         }
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -211,6 +211,12 @@
         if let Some(reply) = Self::check_limits(request, progress) {
             return Err(reply);
         }
+        // A response that has started may be finished.
+        if !progress.has_response_started()
+            && let Some(reply) = self.check_permission(request, progress.may_have_run)
+        {
+            return Err(reply);
+        }
         let model = step.map(|step| step.model.clone()).or_else(|| request.params.model.clone());
         let Some(replica) = self.select_replica(request, progress, model.as_ref()) else {
             return Err(self.no_replica_reply(request, progress));
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -6,12 +6,15 @@
     metrics::RouteLabels,
     response::ErrorReply,
     retry::{Progress, RequestOutcome, make_attempts},
+    state::State,
 };
 use crate::clock::since_boot;
 use async_std::{net::TcpStream, task};
 use futures_lite::{FutureExt, future};
 use ibissail_core::{ErrorKind, Millis, OrganisationId, ServiceId};
-use ibissail_direct::{RequestKind, Route, retry_after, stable_hash};
+use ibissail_direct::{
+    Organisation, OrganisationKey, RequestKind, Route, RoutingTable, retry_after, stable_hash,
+};
 use ibissail_http1::{Connection, RequestHead};
 use ibissail_platform::{CallerRequest, decode_caller_request, invalid_request_reason};
 use rand::Rng;
@@ -217,20 +220,9 @@
                 format!("no route for this host and path in configuration {}", table.version);
             return Err(refuse(ErrorKind::NotFound, &detail));
         };
-        let mut organisation = None;
-        if table.requires_keys() && !route.allows_anonymous {
-            if !state.freshness.allows_keys(now) {
-                let age = age.map_or_else(|| "an unknown time".to_owned(), |age| age.to_string());
-                let detail = format!("the configuration was last confirmed {age} ago");
-                return Err(refuse(ErrorKind::SettingsStale, &detail));
-            }
-            let owner = params.key.as_ref().and_then(|key| table.organisation(key));
-            let Some(owner) = owner else {
-                let detail = format!("unknown key in configuration {}", table.version);
-                return Err(refuse(ErrorKind::Unauthorized, &detail));
-            };
-            organisation = Some(Arc::clone(owner));
-        }
+        let organisation = state
+            .check_key(&table, &route, params.key.as_ref(), now)
+            .map_err(|(kind, detail)| refuse(kind, &detail))?;
         let Some(service) = select_service(&route, &params.id) else {
             return Err(refuse(ErrorKind::NoReplica, "the route names no service"));
         };
@@ -258,6 +250,22 @@
         })
     }
 
+    /// The error response to a request whose key has been taken away, or can no longer be checked,
+    /// since the request was admitted; `None` if a further attempt is permitted.
+    pub(super) fn check_permission(
+        &self,
+        request: &AdmittedRequest,
+        may_have_run: bool,
+    ) -> Option<ErrorReply> {
+        request.organisation.as_ref()?;
+        let state = self.state();
+        let table = state.table.as_ref()?;
+        let key = request.params.key.as_ref();
+        let (kind, detail) = state.check_key(table, &request.route, key, since_boot()).err()?;
+        let kind = if may_have_run { ErrorKind::OutcomeUnknown } else { kind };
+        Some(request.error_reply(kind, &detail))
+    }
+
     /// Logs and counts the outcome of a request.
     fn record_outcome(
         &self,
@@ -305,6 +313,34 @@
     }
 }
 
+impl State {
+    /// Looks up the organisation that a key belongs to; `None` if the route needs no key. The error
+    /// says why requests with this key are refused now.
+    fn check_key(
+        &self,
+        table: &RoutingTable,
+        route: &Route,
+        key: Option<&OrganisationKey>,
+        now: Millis,
+    ) -> Result<Option<Arc<Organisation>>, (ErrorKind, String)> {
+        if !table.requires_keys() || route.allows_anonymous {
+            return Ok(None);
+        }
+        if !self.freshness.allows_keys(now) {
+            let age = self.freshness.age(now);
+            let age = age.map_or_else(|| "an unknown time".to_owned(), |age| age.to_string());
+            let detail = format!("the configuration was last confirmed {age} ago");
+            return Err((ErrorKind::SettingsStale, detail));
+        }
+        let owner = key.and_then(|key| table.organisation(key));
+        let owner = owner.ok_or_else(|| {
+            let detail = format!("unknown key in configuration {}", table.version);
+            (ErrorKind::Unauthorized, detail)
+        })?;
+        Ok(Some(Arc::clone(owner)))
+    }
+}
+
 /// Selects a service by the weights of the route and a hash of the request's id, so that the same
 /// id gets the same service; `None` if the route has no service.
 fn select_service(route: &Route, id: &str) -> Option<ServiceId> {
