Close connections of callers that may still be sending without a reset

A caller that keeps its connection and sends its next request as a stopping entry answers the one before could lose that answer: bytes that nobody reads make the close a reset. Found by a reviewer. Cause: the socket was dropped right after the response. Change: during a stop, and wherever unread bytes are buffered, the entry ends its own direction and discards what arrives, for half a second at most. Discarded bytes are no longer collected in memory (up to 1 MiB for each refused caller before).

--- a/crates/daemon/src/direct/accept.rs
+++ b/crates/daemon/src/direct/accept.rs
@@ -9,9 +9,10 @@
 use futures_lite::FutureExt;
 use ibissail_core::ErrorKind;
 use ibissail_direct::Limits;
-use ibissail_http1::{BodyReader, Connection, HttpError, RequestHead};
+use ibissail_http1::{BodyReader, Connection, Framing, HttpError, RequestHead};
 use slog::{debug, warn};
 use std::{
+    net::Shutdown,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -81,6 +82,7 @@
             return;
         }
         let read = read_request(&mut connection, limits).await;
+        let is_refused = read.is_err();
         let after_response = match read {
             Ok((head, body)) => handle_request(shared, &mut connection, head, body).await,
             Err(error) => {
@@ -89,6 +91,10 @@
             }
         };
         if after_response == AfterResponse::Close {
+            // A caller that keeps its connection may have sent its next request already.
+            if is_refused || shared.is_stopping() || !connection.unread().is_empty() {
+                close_gracefully(&mut connection).await;
+            }
             return;
         }
     }
@@ -146,17 +152,30 @@
     warn!(shared.log, "callers: request refused"; "kind" => kind.code(), "error" => %error);
     shared.metrics.count_request("none", kind.code());
     let reply = ErrorReply { kind, detail: error.to_string(), retry_after: None };
-    if reply.write(connection, AfterResponse::Close).await.is_ok() {
+    if let Err(error) = reply.write(connection, AfterResponse::Close).await {
+        debug!(shared.log, "callers: disconnected during a response"; "error" => %error);
+    }
+}
+
+/// Ends a connection on which the caller may still be sending: closing it with unread bytes would
+/// reset it, and the caller could lose the response.
+async fn close_gracefully(connection: &mut Connection) {
+    if connection.stream().shutdown(Shutdown::Write).is_ok() {
         discard_input(connection).await;
     }
 }
 
-/// Discards input for a while: closing a connection with unread bytes resets it, and the caller
-/// would lose the response.
+/// Discards input for a while, until the caller closes the connection.
 async fn discard_input(connection: &mut Connection) {
     let reading = async {
-        let mut reader = BodyReader::new(ibissail_http1::Framing::UntilClose);
-        let _read = reader.read_all(connection, MAX_DISCARDED_BYTES).await;
+        let mut reader = BodyReader::new(Framing::UntilClose);
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            match reader.next(connection).await {
+                Ok(Some(data)) => discarded += data.len(),
+                Ok(None) | Err(_) => return,
+            }
+        }
     };
     let timed_out = async {
         task::sleep(DISCARD_TIMEOUT).await;
--- a/crates/daemon/tests/direct_stop.rs
+++ b/crates/daemon/tests/direct_stop.rs
@@ -4,9 +4,11 @@
 
 use direct::{EntryFixture, wait_until};
 use ibissail_platform_standin::{
-    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StreamEnding, send_request,
+    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StreamEnding, head_lines, send_request,
 };
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -136,3 +138,25 @@
     wait_until("the reload is logged", || fixture.log().contains("settings reloaded"));
     assert!(!fixture.has_exited());
 }
+
+#[test]
+fn request_that_crosses_a_stop_does_not_reset_the_response_before_it() {
+    let fixture = EntryFixture::start("pipelined", &configuration());
+    let replica =
+        fixture.add_replica("r-1", "records", Behaviour::Respond(200, Duration::from_millis(300)));
+    fixture.wait_ready();
+    fixture.wait_for_replica(&replica);
+    let mut caller = TcpStream::connect(fixture.callers).expect("the entry accepts connections");
+    fixture.signal("-TERM");
+    wait_until("the entry is stopping", || !fixture.is_ready());
+    let first = head_lines("GET", "/look/1", "look-1") + "\r\n";
+    caller.write_all(first.as_bytes()).expect("the request is sent");
+    wait_until("the replica runs the request", || replica.run_count() > 0);
+    let second = head_lines("GET", "/look/1", "look-2") + "\r\n";
+    caller.write_all(second.as_bytes()).expect("the request is sent");
+    // The caller reads late, so that a reset would arrive first.
+    thread::sleep(Duration::from_millis(600));
+    let mut response = String::new();
+    caller.read_to_string(&mut response).expect("the connection is closed without a reset");
+    assert!(response.ends_with("answer of r-1 to look-1"), "{response}");
+}
