Name the response of a silent attempt by what it is

Cause: upstream is the users' word for a back end, not for a response. Change: PendingResponse, and two comments. Measured: clippy, silent_streams and silent_handover pass.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -9,7 +9,7 @@
     retry::{FAILURE_RESERVE, Progress, RequestOutcome, Target},
     selection::SelectedReplica,
     serve::AdmittedRequest,
-    silence::{SilentAttempt, Upstream, hand_over},
+    silence::{PendingResponse, SilentAttempt, hand_over},
     trials::Trial,
     upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
 };
@@ -37,7 +37,7 @@
     /// Ask the next larger model.
     Escalate,
     /// Try another replica, and wait on if there is none.
-    Silent(Box<Upstream>),
+    Silent(Box<PendingResponse>),
 }
 
 /// The outcome of a replica's response, as evidence on its version.
@@ -128,16 +128,16 @@
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        upstream: Upstream,
+        pending: PendingResponse,
     ) -> NextStep {
-        match upstream {
-            Upstream::Unanswered(exchange) => {
+        match pending {
+            PendingResponse::Unanswered(exchange) => {
                 self.receive_response(connection, progress, exchange).await
             }
-            Upstream::Answering(upstream) if self.is_stream(&upstream) => {
+            PendingResponse::Answering(upstream) if self.is_stream(&upstream) => {
                 self.relay(connection, progress, *upstream).await
             }
-            Upstream::Answering(upstream) => {
+            PendingResponse::Answering(upstream) => {
                 self.receive_buffered(connection, progress, *upstream).await
             }
         }
@@ -183,7 +183,12 @@
 
     /// Handles a silence. The replica may be sound, so its connection stays open until another
     /// replica has taken the request over.
-    fn handle_silence(&self, progress: &mut Progress, upstream: Upstream, error: &str) -> NextStep {
+    fn handle_silence(
+        &self,
+        progress: &mut Progress,
+        pending: PendingResponse,
+        error: &str,
+    ) -> NextStep {
         if !self.target.has_been_silent {
             self.record_response(ResponseOutcome::Failure);
             self.shared.record_failure(&self.replica().id);
@@ -194,7 +199,7 @@
             progress.pinned_version = None;
         }
         progress.avoids_canary = true;
-        NextStep::Silent(Box::new(upstream))
+        NextStep::Silent(Box::new(pending))
     }
 
     /// Handles a failure that leaves open whether the request ran: retries a request that is
@@ -233,7 +238,11 @@
         let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
-                return self.handle_silence(progress, Upstream::Unanswered(exchange), &error);
+                return self.handle_silence(
+                    progress,
+                    PendingResponse::Unanswered(exchange),
+                    &error,
+                );
             }
             Err(error) => {
                 // A buffered response may have begun before its head arrives.
@@ -307,9 +316,11 @@
                 NextStep::Done(RequestOutcome::Answered(upstream.response.status))
             }
             StreamOutcome::CallerGone => NextStep::Done(RequestOutcome::CallerGone),
-            StreamOutcome::Stalled(error) => {
-                self.handle_silence(progress, Upstream::Answering(Box::new(upstream)), &error)
-            }
+            StreamOutcome::Stalled(error) => self.handle_silence(
+                progress,
+                PendingResponse::Answering(Box::new(upstream)),
+                &error,
+            ),
             StreamOutcome::Broken(error) => {
                 upstream.trial.fail();
                 self.handle_failure(progress, "broken", &error)
@@ -336,7 +347,7 @@
             Err(error) => {
                 return self.handle_silence(
                     progress,
-                    Upstream::Answering(Box::new(upstream)),
+                    PendingResponse::Answering(Box::new(upstream)),
                     &error,
                 );
             }
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -156,14 +156,14 @@
             NextStep::Done(outcome) => return outcome,
             NextStep::Escalate => position = target.position + 1,
             NextStep::Retry(_) => {}
-            NextStep::Silent(upstream) => {
-                silent = Some(SilentAttempt::new(target, *upstream, progress));
+            NextStep::Silent(pending) => {
+                silent = Some(SilentAttempt::new(target, *pending, progress));
             }
         }
     }
 }
 
-/// Waits again for a replica that has been silent.
+/// Waits again for a replica that has been silent, until it may no longer work on the request.
 async fn wait_on(
     shared: &Arc<Shared>,
     connection: &mut Connection,
@@ -175,7 +175,7 @@
     silent.restore(progress);
     progress.forget_refusals();
     let close_at = silent.close_at();
-    let SilentAttempt { target, upstream, .. } = silent;
+    let SilentAttempt { target, pending, .. } = silent;
     let target = Target { has_been_silent: true, ..target };
     shared.record_session(request, &target.replica.version);
     let attempt = Attempt::new(shared, request, &target, steps);
@@ -183,7 +183,7 @@
         wait_until(close_at).await;
         NextStep::Retry("handed_over")
     };
-    let next = attempt.resume(connection, progress, upstream).or(closing).await;
+    let next = attempt.resume(connection, progress, pending).or(closing).await;
     (target, next)
 }
 
--- a/crates/daemon/src/direct/silence.rs
+++ b/crates/daemon/src/direct/silence.rs
@@ -16,7 +16,7 @@
 
 /// How far an attempt got before its replica fell silent.
 #[derive(Debug)]
-pub(super) enum Upstream {
+pub(super) enum PendingResponse {
     /// The head of the response has not arrived.
     Unanswered(Exchange),
     /// The head has arrived, the body not completely.
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(super) struct SilentAttempt {
     pub(super) target: Target,
-    pub(super) upstream: Upstream,
+    pub(super) pending: PendingResponse,
     /// Bytes of an event that the replica has not completed.
     partial_event: Vec<u8>,
     /// Bytes that the caller had received when the replica fell silent.
@@ -38,10 +38,10 @@
 }
 
 impl SilentAttempt {
-    pub(super) fn new(target: Target, upstream: Upstream, progress: &mut Progress) -> Self {
+    pub(super) fn new(target: Target, pending: PendingResponse, progress: &mut Progress) -> Self {
         let partial_event = progress.splitter.take_partial_event();
         let relayed_bytes = progress.relayed_bytes;
-        Self { target, upstream, partial_event, relayed_bytes, close_at: None }
+        Self { target, pending, partial_event, relayed_bytes, close_at: None }
     }
 
     /// Whether the response to the caller is still where this attempt left it.
@@ -62,7 +62,7 @@
         self.close_at
     }
 
-    /// Records that a successor has refused the request, after an earlier time to close.
+    /// Sets the time back to what it was before a successor that has refused the request.
     pub(super) fn set_close_at(&mut self, close_at: Option<Millis>) {
         self.close_at = close_at;
     }
