Let no starting process of the tests hold the ports of another

Its log says `cannot listen on 127.80.7.6:40023: address in use`, while a connection to that address was accepted. The fixture finds a free port with a listener and closes it; a process that another test starts meanwhile has a copy of that listener until it runs its own program. Change: finding ports and starting processes exclude each other within a test program. Measured: direct_requests and direct_fleet pass. The failure was not provoked again; the cause is read from that log. Ruled out: a connection to itself (a million connects to a free port of such an address made none), other listeners on the machine.

--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -15,13 +15,19 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
 };
 
 /// Log lines of the entry that a failed test prints.
 const LOG_LINES: usize = 12;
 
 static NEXT_ADDRESS: AtomicU16 = AtomicU16::new(1);
+/// Held while a process starts and while free ports are found: a process that is being started still
+/// has all sockets of this one.
+static STARTING: Mutex<()> = Mutex::new(());
 
 /// A direct entry process and its store.
 #[derive(Debug)]
@@ -93,6 +99,7 @@
         let path = self.dir.join("boot.json");
         fs::write(&path, settings).expect("the settings can be written");
         let log = File::create(self.dir.join("entry.log")).expect("the log can be created");
+        let starting = lock_starting();
         let child = Command::new(env!("CARGO_BIN_EXE_ibissaild"))
             .args(["--threads", "1", "direct", "--settings"])
             .arg(&path)
@@ -100,6 +107,7 @@
             .stdout(log)
             .spawn()
             .expect("the daemon starts");
+        drop(starting);
         self.child = Some(child);
         wait_until("the entry listens", || TcpStream::connect(self.callers).is_ok());
     }
@@ -165,7 +173,9 @@
     /// Sends a signal to the entry.
     pub fn signal(&self, signal: &str) {
         let id = self.child.as_ref().expect("the entry runs").id().to_string();
+        let starting = lock_starting();
         let status = Command::new("kill").args([signal, &id]).status();
+        drop(starting);
         assert!(status.expect("kill runs").success(), "the entry receives {signal}");
     }
 
@@ -235,8 +245,13 @@
     }
 }
 
+fn lock_starting() -> MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Finds free addresses that differ from each other and from the ports in `taken`.
 fn free_addresses<const N: usize>(host: &str, taken: &[u16]) -> [SocketAddr; N] {
+    let _starting = lock_starting();
     loop {
         // All ports stay bound until the last is found, so that none is returned twice.
         let listeners: [TcpListener; N] =
