Name the quarantine by crashes instead of prompts

Cause: whole requests are about to be quarantined by the same records and review as parts of prompts. Change: CrashQuarantine and CrashEvidence instead of PromptQuarantine and PromptEvidence, and the files likewise; suspects.rs holds the identities. No behaviour and no message changes. Measured: the workspace and its tests compile; nothing else was run.

--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,7 +1,7 @@
 //! The other entries: the latest report of each, and the addresses that reports are sent to.
 
 use ibissail_core::{Epoch, Incarnation, InstanceId, Millis, ServiceId, Tokens, VmId};
-use ibissail_direct::{DirectSettings, PromptEvidence, RolloutReport, stable_hash};
+use ibissail_direct::{CrashEvidence, DirectSettings, RolloutReport, stable_hash};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -83,7 +83,7 @@
     pub(super) paused: Vec<PausedReplica>,
     /// Parts of prompts that crash replicas.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(super) prompts: Option<PromptEvidence>,
+    pub(super) prompts: Option<CrashEvidence>,
 }
 
 /// Another entry.
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -4,7 +4,7 @@
 use super::{peers::PeerTable, rollouts::RolloutProgress, trials::PendingChecks};
 use ibissail_core::{Count, Epoch, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
-    DirectSettings, Freshness, Health, PartHash, PrefixCacheIndex, PromptQuarantine, ReplicaSet,
+    CrashQuarantine, DirectSettings, Freshness, Health, PartHash, PrefixCacheIndex, ReplicaSet,
     ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable,
 };
 use std::{collections::BTreeMap, sync::Arc};
@@ -41,7 +41,7 @@
     /// What replicas have said about themselves in responses.
     pub(super) signals: ReplicaSignals,
     /// Parts of prompts that crash replicas.
-    pub(super) prompts: PromptQuarantine,
+    pub(super) prompts: CrashQuarantine,
     /// Ids of parts that were suspects at this entry, for the log.
     pub(super) part_names: BTreeMap<PartHash, String>,
     /// Replicas that may have crashed and are being checked.
@@ -77,7 +77,7 @@
             restored_at: None,
             replicas: ReplicaSet::default(),
             signals: ReplicaSignals::default(),
-            prompts: PromptQuarantine::default(),
+            prompts: CrashQuarantine::default(),
             part_names: BTreeMap::new(),
             pending_checks: PendingChecks::new(),
             replicas_confirmed_at: None,
--- a/crates/direct/src/prompt_evidence.rs
+++ b/crates/direct/src/crash_evidence.rs
@@ -23,7 +23,7 @@
 
 /// What one entry tells its peers about parts that crash replicas; all times are ages.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptEvidence {
+pub struct CrashEvidence {
     /// Recent crashes.
     #[serde(default)]
     pub crashes: Vec<ToldCrash>,
@@ -35,7 +35,7 @@
     pub quarantined: Vec<(PartHash, Millis)>,
 }
 
-impl PromptEvidence {
+impl CrashEvidence {
     /// Whether there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/direct/src/prompt_exchange.rs
+++ b/crates/direct/src/crash_exchange.rs
@@ -1,8 +1,8 @@
 //! How entries tell each other about parts of prompts that crash replicas.
 
 use crate::{
-    PartHash, PromptEvidence, PromptQuarantine, QUARANTINE_TIME, RequestHash,
-    prompt_quarantine::{MIN_BLAMED_CRASHES, Quarantine, TELL_COUNT},
+    CrashEvidence, CrashQuarantine, PartHash, QUARANTINE_TIME, RequestHash,
+    crash_quarantine::{MIN_BLAMED_CRASHES, Quarantine, TELL_COUNT},
 };
 use ibissail_core::Millis;
 use std::{cmp::Reverse, collections::BTreeMap};
@@ -13,11 +13,11 @@
 /// The same for the start of a quarantine, which entries may also decide separately.
 const QUARANTINE_SLACK: Millis = Millis(5_000);
 
-impl PromptQuarantine {
+impl CrashQuarantine {
     /// Evidence for the peers, with the crashes that were told least often; `None` if there is
     /// nothing to tell.
-    pub fn evidence(&mut self, now: Millis) -> Option<PromptEvidence> {
-        let mut evidence = PromptEvidence::default();
+    pub fn evidence(&mut self, now: Millis) -> Option<CrashEvidence> {
+        let mut evidence = CrashEvidence::default();
         let mut quarantined: Vec<(PartHash, Millis)> = self
             .quarantines
             .iter()
@@ -35,7 +35,7 @@
         (!evidence.is_empty()).then_some(evidence)
     }
 
-    fn tell_sound(&mut self, evidence: &mut PromptEvidence, now: Millis) {
+    fn tell_sound(&mut self, evidence: &mut CrashEvidence, now: Millis) {
         let mut due: Vec<(PartHash, u32)> =
             self.to_tell.iter().map(|(part, left)| (*part, *left)).collect();
         due.sort_by_key(|(_, left)| Reverse(*left));
@@ -54,7 +54,7 @@
         }
     }
 
-    fn tell_crashes(&mut self, evidence: &mut PromptEvidence, now: Millis) {
+    fn tell_crashes(&mut self, evidence: &mut CrashEvidence, now: Millis) {
         let due = self.crashes.iter().filter(|(_, crash)| crash.told < TELL_COUNT);
         let mut due: Vec<_> = due.map(|(run, crash)| (crash.told, crash.at, run)).collect();
         due.sort_unstable();
@@ -77,7 +77,7 @@
     }
 
     /// Adds what a peer has told.
-    pub fn merge(&mut self, evidence: &PromptEvidence, now: Millis) {
+    pub fn merge(&mut self, evidence: &CrashEvidence, now: Millis) {
         let at = |age: Millis| now.since(age);
         for (part, age) in &evidence.sound {
             let known = self.sound.proven_at(*part);
--- a/crates/direct/src/prompt_quarantine.rs
+++ b/crates/direct/src/crash_quarantine.rs
@@ -11,8 +11,8 @@
     answer_outcomes::AnswerOutcomes,
     blame::{Blame, History, most_blamed},
     crash_records::{Crash, CrashRecords},
-    prompt_parts::SoundParts,
     redundancy::redundant_part,
+    suspects::SoundParts,
 };
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -71,7 +71,7 @@
 
 /// What an entry knows about parts of prompts that crash replicas.
 #[derive(Debug, Clone, Default)]
-pub struct PromptQuarantine {
+pub struct CrashQuarantine {
     pub(crate) crashes: CrashRecords,
     pub(crate) sound: SoundParts,
     /// Answers of this entry.
@@ -81,7 +81,7 @@
     pub(crate) to_tell: BTreeMap<PartHash, u32>,
 }
 
-impl PromptQuarantine {
+impl CrashQuarantine {
     /// Records that a replica has crashed `BLAME_TIME` or less after it had begun to answer a
     /// request with these parts; returns whether this is new.
     pub fn record_crash(
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,9 @@
 mod configuration;
 mod confirmation;
 mod controller;
+mod crash_evidence;
+mod crash_exchange;
+mod crash_quarantine;
 mod crash_records;
 mod departures;
 mod evidence;
@@ -30,10 +33,6 @@
 mod health;
 mod placement;
 mod prefix_cache;
-mod prompt_evidence;
-mod prompt_exchange;
-mod prompt_parts;
-mod prompt_quarantine;
 mod redundancy;
 mod replicas;
 mod request;
@@ -46,6 +45,7 @@
 mod shutdown;
 mod signals;
 mod spreading;
+mod suspects;
 mod table;
 mod verdict;
 mod versions;
@@ -58,6 +58,10 @@
 };
 pub use confirmation::{Confirmation, Confirmed, EpochConfirmation, EpochConfirmed, ReadSchedule};
 pub use controller::{RolloutController, RolloutReport};
+pub use crash_evidence::{CrashEvidence, SuspectRequest, ToldCrash};
+pub use crash_quarantine::{
+    BLAME_TIME, CrashQuarantine, PROOF_TIME, QUARANTINE_TIME, QuarantineChange, QuarantineSource,
+};
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use freshness::Freshness;
 pub use hash::stable_hash;
@@ -66,11 +70,6 @@
     Candidate, Demand, PromptDemand, expected_wait, placement_cost, select_candidate,
 };
 pub use prefix_cache::PrefixCacheIndex;
-pub use prompt_evidence::{PromptEvidence, SuspectRequest, ToldCrash};
-pub use prompt_parts::{MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash};
-pub use prompt_quarantine::{
-    BLAME_TIME, PROOF_TIME, PromptQuarantine, QUARANTINE_TIME, QuarantineChange, QuarantineSource,
-};
 pub use replicas::{Replica, ReplicaChange, ReplicaSet, ReplicaState};
 pub use request::{Prompt, PromptPart};
 pub use restored_rollout::{RolloutChange, RolloutRecords, restored_state};
@@ -82,6 +81,7 @@
 pub use shutdown::{admits_during_shutdown, shutdown_deadline};
 pub use signals::{MAX_PAUSE, ReplicaSignals, Unavailability};
 pub use spreading::watches_replicas;
+pub use suspects::{MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash};
 pub use table::RoutingTable;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, slowdown};
 pub use versions::VersionFilter;
--- a/crates/direct/tests/prompt_crashes.rs
+++ b/crates/direct/tests/prompt_crashes.rs
@@ -9,7 +9,7 @@
 
 use ibissail_core::Millis;
 use ibissail_direct::{
-    BLAME_TIME, PROOF_TIME, PartHash, PromptEvidence, PromptQuarantine, RequestHash, RunHash,
+    BLAME_TIME, CrashEvidence, CrashQuarantine, PROOF_TIME, PartHash, RequestHash, RunHash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
@@ -99,12 +99,12 @@
     conditions: Conditions,
     rng: StdRng,
     now: u64,
-    entries: Vec<PromptQuarantine>,
+    entries: Vec<CrashQuarantine>,
     clocks: Vec<u64>,
     /// Number of the run of each replica, and when it is up.
     replicas: Vec<(u64, u64)>,
     attempts: Vec<Attempt>,
-    messages: Vec<(u64, usize, PromptEvidence)>,
+    messages: Vec<(u64, usize, CrashEvidence)>,
     /// Crashes to be confirmed: when, entry, run, request.
     confirmations: Vec<(u64, usize, RunHash, Request)>,
     next_id: u32,
@@ -125,7 +125,7 @@
         let clocks = (0..conditions.entries).map(|_| rng.random_range(300_000..9_000_000));
         let clocks = clocks.collect();
         Self {
-            entries: vec![PromptQuarantine::default(); conditions.entries],
+            entries: vec![CrashQuarantine::default(); conditions.entries],
             clocks,
             replicas: (0..conditions.replicas).map(|_| (rng.random(), 0)).collect(),
             conditions,
@@ -337,7 +337,7 @@
         self.now += STEP;
         if self.conditions.restarts.contains(&self.now) {
             let entry = self.rng.random_range(0..self.entries.len());
-            self.entries[entry] = PromptQuarantine::default();
+            self.entries[entry] = CrashQuarantine::default();
         }
         let expected = self.conditions.rate * STEP as f64 / 1_000.0;
         let more = usize::from(self.rng.random_bool(expected.fract()));
--- a/crates/direct/tests/prompt_evidence.rs
+++ b/crates/direct/tests/prompt_evidence.rs
@@ -2,7 +2,7 @@
 
 use ibissail_core::Millis;
 use ibissail_direct::{
-    PartHash, PromptEvidence, PromptQuarantine, QUARANTINE_TIME, QuarantineChange, RequestHash,
+    CrashEvidence, CrashQuarantine, PartHash, QUARANTINE_TIME, QuarantineChange, RequestHash,
     RunHash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -16,8 +16,8 @@
 }
 
 /// A quarantine of this part, after enough crashes and answers on others.
-fn quarantine_of(part: PartHash) -> PromptQuarantine {
-    let mut quarantine = PromptQuarantine::default();
+fn quarantine_of(part: PartHash) -> CrashQuarantine {
+    let mut quarantine = CrashQuarantine::default();
     let common = PartHash(1);
     for number in 0..40 {
         quarantine.record_sound(&[common], at(number * 10), at(number * 10 + 400));
@@ -33,7 +33,7 @@
     quarantine
 }
 
-fn is_refused(quarantine: &PromptQuarantine, part: PartHash, now: Millis) -> bool {
+fn is_refused(quarantine: &CrashQuarantine, part: PartHash, now: Millis) -> bool {
     quarantine.quarantined(&[part], now).is_some()
 }
 
@@ -68,7 +68,7 @@
 fn relayed_quarantine_reaches_an_entry_that_has_seen_no_crash() {
     let part = PartHash(2);
     let mut first = quarantine_of(part);
-    let (mut second, mut third) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let (mut second, mut third) = (CrashQuarantine::default(), CrashQuarantine::default());
     second.merge(&first.evidence(at(5_100)).expect("something to tell"), at(5_110));
     third.merge(&second.evidence(at(5_500)).expect("something to tell"), at(5_510));
     assert!(is_refused(&third, part, at(5_510)));
@@ -88,17 +88,17 @@
             let request = RequestHash(u32::try_from(number % 9).expect("a small number"));
             let age = Millis(number % 7 * 500 + 3_000);
             let dated = |part: PartHash| (part, Millis(40_000 + part.0 * 1_000));
-            PromptEvidence {
+            CrashEvidence {
                 crashes: vec![(RunHash(number % 7), age, vec![(request, random_parts(3))])],
                 sound: random_parts(number % 2).into_iter().map(dated).collect(),
                 quarantined: Vec::new(),
             }
         };
-        let mut messages: Vec<PromptEvidence> = (0..30).map(message).collect();
+        let mut messages: Vec<CrashEvidence> = (0..30).map(message).collect();
         let mut results = Vec::new();
         for _order in 0..4 {
             messages.shuffle(&mut rng);
-            let mut quarantine = PromptQuarantine::default();
+            let mut quarantine = CrashQuarantine::default();
             for message in messages.iter().chain(&messages) {
                 quarantine.merge(message, at(0));
             }
@@ -116,14 +116,14 @@
 #[test]
 fn evidence_fits_in_a_datagram_and_state_is_bounded() {
     let mut rng = StdRng::seed_from_u64(1);
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CrashQuarantine::default();
     let mut largest = 0;
     for number in 0..150_u64 {
         let now = at(number * 20);
         let parts: Vec<PartHash> = (0..40).map(|_| PartHash(rng.random())).collect();
         let request = RequestHash(rng.random());
         let age = Millis(rng.random_range(0..99_999));
-        let told = PromptEvidence {
+        let told = CrashEvidence {
             crashes: vec![(RunHash(rng.random()), age, vec![(request, parts.clone()); 50])],
             sound: parts.iter().map(|part| (*part, age)).collect(),
             quarantined: parts.iter().map(|part| (*part, age)).collect(),
