Log what a failed attempt asked for

What operators see: no line tells whether two attempts that ended their replicas carried the same request. Cause: path, caller and body of a request are not logged, and must not be. Change: ContentHash, a hash of the caller, the method, the host, the path with its query, and the body; attempt: failed has it as the key content.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -213,7 +213,8 @@
         let request = self.request;
         self.shared.record_failure(&self.replica().id);
         info!(self.shared.log, "attempt: failed"; "id" => &request.params.id,
-            "replica" => %self.replica().id, "reason" => reason, "error" => error);
+            "content" => %request.content, "replica" => %self.replica().id, "reason" => reason,
+            "error" => error);
         if !progress.has_response_started() {
             progress.pinned_version = None;
         }
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -13,7 +13,8 @@
 use futures_lite::{FutureExt, future};
 use ibissail_core::{ErrorKind, Millis, OrganisationId, ServiceId};
 use ibissail_direct::{
-    Organisation, OrganisationKey, RequestKind, Route, RoutingTable, retry_after, stable_hash,
+    ContentHash, Organisation, OrganisationKey, RequestKind, Route, RoutingTable, retry_after,
+    stable_hash,
 };
 use ibissail_http1::{Connection, RequestHead};
 use ibissail_platform::{CallerRequest, decode_caller_request, invalid_request_reason};
@@ -39,6 +40,8 @@
     pub(crate) body: Vec<u8>,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<OrganisationId>,
+    /// What the request asks for.
+    pub(crate) content: ContentHash,
     /// Rank of the request; 0 is the most urgent.
     pub(crate) urgency: u32,
     pub(crate) service: ServiceId,
@@ -234,9 +237,12 @@
         state.budget(&service).record_request(now);
         drop(state);
         let urgency = organisation.as_ref().and_then(|organisation| organisation.urgency);
+        let organisation = organisation.map(|organisation| organisation.id.clone());
+        let content = content_hash(organisation.as_ref(), &params, &head, &body);
         Ok(AdmittedRequest {
+            content,
             urgency: urgency.unwrap_or(route.urgency),
-            organisation: organisation.map(|organisation| organisation.id.clone()),
+            organisation,
             params,
             head,
             body,
@@ -341,6 +347,19 @@
     }
 }
 
+/// Hashes what a request asks for. Its caller is the organisation, or the key on a route that needs
+/// none.
+fn content_hash(
+    organisation: Option<&OrganisationId>,
+    params: &CallerRequest,
+    head: &RequestHead,
+    body: &[u8],
+) -> ContentHash {
+    let key = params.key.as_ref().map(|key| key.0.as_str());
+    let caller = organisation.map(OrganisationId::as_str).or(key).unwrap_or_default();
+    ContentHash::new(caller, &head.method, &params.host, &head.target, body)
+}
+
 /// Selects a service by the weights of the route and a hash of the request's id, so that the same
 /// id gets the same service; `None` if the route has no service.
 fn select_service(route: &Route, id: &str) -> Option<ServiceId> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -81,7 +81,7 @@
 pub use shutdown::{admits_during_shutdown, shutdown_deadline};
 pub use signals::{MAX_PAUSE, ReplicaSignals, Unavailability};
 pub use spreading::watches_replicas;
-pub use suspects::{MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash};
+pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash};
 pub use table::RoutingTable;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, slowdown};
 pub use versions::VersionFilter;
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Identities of what may crash a replica, and the parts that are known not to.
 
-use crate::{Prompt, stable_hash};
+use crate::{Prompt, hash::stable_hash_with_bytes, stable_hash};
 use derive_more::Display;
 use ibissail_core::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
@@ -23,7 +23,13 @@
 #[serde(transparent)]
 pub struct RunHash(pub u64);
 
-/// Identifies a request.
+/// Identifies what a request asks for; a request that its caller repeats has the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct ContentHash(pub u64);
+
+/// Identifies a request; one that its caller repeats has another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display("{_0:08x}")]
 #[serde(transparent)]
@@ -52,6 +58,23 @@
     }
 }
 
+impl ContentHash {
+    /// Hashes the caller, the method, the host, the path with its query, and the body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_direct::ContentHash;
+    /// let first = ContentHash::new("editors", "PUT", "guides.example", "/routes/1?v=2", b"ridge");
+    /// let other = ContentHash::new("editors", "PUT", "guides.example", "/routes/1?v=2", b"face");
+    /// assert_ne!(first, other);
+    /// ```
+    #[must_use]
+    pub fn new(caller: &str, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        Self(stable_hash_with_bytes(&[caller, method, host, target], body))
+    }
+}
+
 impl RunHash {
     /// Hashes the name of a replica and the start time of its run, if reported.
     #[must_use]
