--- a/crates/daemon/tests/crashing_prompts.rs
+++ b/crates/daemon/tests/crashing_prompts.rs
@@ -2,19 +2,13 @@
 
 mod direct;
 
-use direct::{EntryFixture, wait_until};
-use ibissail_platform_standin::{
-    CallerRequest, CallerResponse, ConfigurationSpec, CrashingReplicas, RouteSpec, send_request,
-};
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread::{self, JoinHandle},
-    time::{Duration, Instant},
+use direct::{
+    EntryFixture,
+    traffic::{Traffic, assert_mostly_served, assert_quarantined, sent_after},
+    wait_until,
 };
+use ibissail_platform_standin::{CallerRequest, ConfigurationSpec, CrashingReplicas, RouteSpec};
+use std::{net::SocketAddr, thread, time::Duration};
 
 /// The part that crashes replicas.
 const CRASHING_PART: &str = "bad0bad0";
@@ -24,8 +18,6 @@
 const CRASHING_INTERVAL: Duration = Duration::from_millis(250);
 const SOUND_INTERVAL: Duration = Duration::from_millis(60);
 
-type Responses = Arc<Mutex<Vec<(Instant, CallerResponse)>>>;
-
 fn configuration() -> ConfigurationSpec {
     let mut drafts = RouteSpec::new("/drafts/", "resumable", "writers");
     drafts.models = vec!["small".into()];
@@ -42,87 +34,26 @@
     request
 }
 
-/// Sends requests to the entries in turn until `stop`; `parts` names the parts of a request.
-fn send_in_turn<F>(
-    entries: Vec<SocketAddr>,
-    interval: Duration,
-    stop: &Arc<AtomicBool>,
-    parts: F,
-) -> (JoinHandle<()>, Responses)
-where
-    F: Fn(usize) -> Vec<String> + Send + 'static,
-{
-    let responses = Responses::default();
-    let (kept, stop) = (Arc::clone(&responses), Arc::clone(stop));
-    let sender = thread::spawn(move || {
-        let mut callers = Vec::new();
-        for number in 0.. {
-            if stop.load(Ordering::Relaxed) {
-                break;
-            }
-            let entry = entries[number % entries.len()];
-            let parts = parts(number);
-            let kept = Arc::clone(&kept);
-            callers.push(thread::spawn(move || {
-                let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
-                let sent_at = Instant::now();
-                let id = format!("{}-{number}", parts.join("-"));
-                let response = send_request(entry, &draft(&id, &parts));
-                kept.lock().expect("no caller panics").push((sent_at, response));
-            }));
-            thread::sleep(interval);
-        }
-        for caller in callers {
-            caller.join().expect("the caller ends");
-        }
-    });
-    (sender, responses)
-}
-
 #[test]
 fn prompt_part_does_not_crash_one_replica_after_another() {
-    let fixture = EntryFixture::start("crashing_a", &configuration());
-    let replicas = CrashingReplicas::start(&fixture.store, "writers", CRASHING_PART, 8);
-    let peers = [fixture.start_peer("crashing_b"), fixture.start_peer("crashing_c")];
-    let fleet = [&fixture, &peers[0], &peers[1]];
-    for entry in fleet {
-        entry.wait_ready();
-        wait_until("the entries discover each other", || {
-            entry.log().matches("peers: discovered").count() >= 2
-        });
-    }
-    let entries: Vec<SocketAddr> = fleet.iter().map(|entry| entry.callers).collect();
-    let stop = Arc::new(AtomicBool::new(false));
-    let sound_parts = |number: usize| vec!["5e5e".to_owned(), format!("a{number:x}")];
-    let crashing_parts =
-        |number: usize| vec![CRASHING_PART.to_owned(), "5e5e".to_owned(), format!("c{number:x}")];
-    let sound = send_in_turn(entries.clone(), SOUND_INTERVAL, &stop, sound_parts);
+    let fleet = EntryFixture::start_fleet("crashing", &configuration());
+    let replicas = CrashingReplicas::start(&fleet[0].store, "writers", CRASHING_PART, 8);
+    EntryFixture::wait_for_fleet(&fleet);
+    let entries: [SocketAddr; 3] = fleet.each_ref().map(|entry| entry.callers);
+    let sound = Traffic::start(&entries, SOUND_INTERVAL, |number| {
+        draft(&format!("sound-{number}"), &["5e5e", &format!("a{number:x}")])
+    });
     thread::sleep(Duration::from_secs(1));
-    let crashing = send_in_turn(entries, CRASHING_INTERVAL, &stop, crashing_parts);
+    let crashing = Traffic::start(&entries, CRASHING_INTERVAL, |number| {
+        draft(&format!("crash-{number}"), &[CRASHING_PART, "5e5e", &format!("c{number:x}")])
+    });
     wait_until("five replicas have crashed", || replicas.crashes().len() >= 5);
     let bound = replicas.crashes()[4] + STABILITY_WINDOW;
     thread::sleep(STABILITY_WINDOW * 3);
-    stop.store(true, Ordering::Relaxed);
-    for sender in [sound.0, crashing.0] {
-        sender.join().expect("the sender ends");
-    }
+    let (sound, crashing) = (sound.stop(), crashing.stop());
 
     let late = replicas.arrivals().iter().filter(|arrived| **arrived > bound).count();
     assert!(late <= 3, "{late} requests with the part, {} crashes", replicas.crashes().len());
-    let sent_late = |responses: &Responses| -> Vec<CallerResponse> {
-        let responses = responses.lock().expect("no caller panics");
-        let late = responses.iter().filter(|(sent_at, _)| *sent_at > bound);
-        late.map(|(_, response)| response.clone()).collect()
-    };
-    let refused = sent_late(&crashing.1);
-    assert!(refused.len() >= 10, "{} requests with the part were sent late", refused.len());
-    for response in refused {
-        let kind = response.error_kind();
-        assert_eq!((response.status, kind.as_str()), (503, "prompt_quarantined"), "{response:?}");
-        assert!(response.retry_after().is_some_and(|time| time > 1.0), "{response:?}");
-    }
-    let sound = sent_late(&sound.1);
-    let served = sound.iter().filter(|response| response.status == 200 && response.is_complete);
-    let (served, sent) = (served.count(), sound.len());
-    assert!(sent >= 50 && served * 10 >= sent * 9, "{served} of {sent} sound ones were served");
+    assert_quarantined(&sent_after(&crashing, bound), "prompt_quarantined", 10);
+    assert_mostly_served(&sent_after(&sound, bound), 50);
 }
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a direct entry as a process, with stand-ins for the users' platform.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod traffic;
 #[path = "../common/wait.rs"]
 mod wait;
 
@@ -85,6 +86,24 @@
         peer
     }
 
+    /// Starts a store with a configuration, and three entries.
+    pub fn start_fleet(test: &str, configuration: &ConfigurationSpec) -> [Self; 3] {
+        let first = Self::start(&format!("{test}_a"), configuration);
+        let second = first.start_peer(&format!("{test}_b"));
+        let third = first.start_peer(&format!("{test}_c"));
+        [first, second, third]
+    }
+
+    /// Waits until the entries are ready, for which they need replicas, and know each other.
+    pub fn wait_for_fleet(fleet: &[Self]) {
+        for entry in fleet {
+            entry.wait_ready();
+            wait_until("the entries discover each other", || {
+                entry.log().matches("peers: discovered").count() >= fleet.len() - 1
+            });
+        }
+    }
+
     /// Starts or restarts the entry.
     pub fn start_entry(&mut self) {
         let name = format!("entry-{}", self.callers.ip());
