--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -75,6 +75,8 @@
         NoReplica { display("no replica of an allowed version is ready") }
         /// A part of the prompt is quarantined because it has crashed replicas.
         PromptQuarantined { display("a part of the prompt has crashed replicas") }
+        /// The request is quarantined because it has crashed replicas.
+        RequestQuarantined { display("the request has crashed replicas") }
         /// The process is shutting down.
         Draining { display("the process is shutting down") }
         /// The process has not received its settings yet.
@@ -108,7 +110,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order in which `ibissail errors` prints them.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Unauthorized,
         Self::SessionInvalid,
         Self::BadRequest,
@@ -126,6 +128,7 @@
         Self::DeadlineUnmet,
         Self::NoReplica,
         Self::PromptQuarantined,
+        Self::RequestQuarantined,
         Self::Draining,
         Self::SettingsMissing,
         Self::SettingsStale,
@@ -169,7 +172,7 @@
             | Self::SettingsStale
             | Self::StaleTicket => (503, Ran::No, Some(1)),
             Self::SettingsMissing => (503, Ran::No, Some(5)),
-            Self::PromptQuarantined => (503, Ran::No, Some(60)),
+            Self::PromptQuarantined | Self::RequestQuarantined => (503, Ran::No, Some(60)),
             // An earlier request with the same idempotency key may have run.
             Self::PlatformDown => (503, Ran::Unknown, Some(5)),
             Self::AnswerGone => (409, Ran::Yes, None),
@@ -201,6 +204,7 @@
             Self::DeadlineUnmet => "deadline_unmet",
             Self::NoReplica => "no_replica",
             Self::PromptQuarantined => "prompt_quarantined",
+            Self::RequestQuarantined => "request_quarantined",
             Self::Draining => "draining",
             Self::SettingsMissing => "settings_missing",
             Self::SettingsStale => "settings_stale",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,7 @@
 //! Identifiers, units, signing keys and error kinds shared by all crates of ibissail.
 
+#![recursion_limit = "256"]
+
 mod error;
 mod id;
 mod key;
--- a/crates/daemon/src/direct/accept.rs
+++ b/crates/daemon/src/direct/accept.rs
@@ -139,7 +139,7 @@
 /// Responds to a request that cannot be read, if the caller is still connected.
 async fn refuse(shared: &Shared, connection: &mut Connection, error: &HttpError) {
     let kind = match error {
-        HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => {
+        HttpError::Closed | HttpError::Truncated | HttpError::Refused | HttpError::Io(_) => {
             debug!(shared.log, "callers: disconnected during a request"; "error" => %error);
             return;
         }
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -246,10 +246,11 @@
                 );
             }
             Err(error) => {
+                let trial = self.start_trial();
                 // A buffered response may have begun before its head arrives.
-                if !self.request.route.kind.is_stream() {
-                    self.start_trial().fail();
-                }
+                let is_stream = self.request.route.kind.is_stream();
+                let trial = if is_stream { trial.without_parts() } else { trial };
+                trial.fail();
                 return self.handle_failure(progress, "lost", &error.to_string());
             }
         };
@@ -270,7 +271,7 @@
     }
 
     fn start_trial(&self) -> Trial {
-        Trial::new(self.shared, self.request, self.replica())
+        Trial::new(self.shared, self.request, self.target)
     }
 
     fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
@@ -368,7 +369,7 @@
                 return NextStep::Retry("failed");
             }
         }
-        if response.status < 300 {
+        if response.status < 500 {
             trial.succeed();
         }
         drop(exchange);
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -103,12 +103,14 @@
         (receivers, report)
     }
 
-    fn handle_message(&self, bytes: &[u8]) {
+    /// Handles a message; returns the address of a peer that was not known to be alive.
+    fn handle_message(&self, bytes: &[u8]) -> Option<SocketAddr> {
         match rmp_serde::from_slice::<Message>(bytes) {
             Ok(Message::Report(report)) => {
                 let (vm, address) = (report.vm.clone(), report.address);
                 if self.state().peers.store_report(report, since_boot()) {
                     info!(self.log, "peers: discovered"; "vm" => %vm, "address" => %address);
+                    return Some(address);
                 }
             }
             Ok(Message::Confirmation(confirmation)) => {
@@ -125,6 +127,7 @@
             Ok(Message::Notice(notice)) => self.apply_notice(&notice, since_boot()),
             Err(error) => warn!(self.log, "peers: message ignored"; "error" => %error),
         }
+        None
     }
 
     /// Sends the result of a poll, made in this epoch of the store, to the peers that had asked for
@@ -165,7 +168,11 @@
         let mut buf = [0; 4 * MAX_REPORT_BYTES];
         loop {
             match socket.recv_from(&mut buf).await {
-                Ok((length, _from)) => shared.handle_message(&buf[..length]),
+                Ok((length, _from)) => {
+                    if let Some(peer) = shared.handle_message(&buf[..length]) {
+                        shared.send_evidence(&[peer], since_boot()).await;
+                    }
+                }
                 // The error concerns an earlier datagram, sent to a closed port; others may still
                 // arrive.
                 Err(_refused) => task::sleep(Duration::from_millis(10)).await,
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -55,7 +55,9 @@
     pub(crate) crashes: Counter,
     /// Quarantined parts of prompts.
     pub(crate) quarantined_parts: Gauge,
-    /// Requests refused because of a quarantined part.
+    /// Quarantined requests.
+    pub(crate) quarantined_requests: Gauge,
+    /// Requests refused because they or a part of them are quarantined.
     pub(crate) quarantine_refusals: Counter,
     /// Age of the configuration, in milliseconds.
     pub(crate) configuration_age: Gauge,
@@ -81,6 +83,7 @@
             replica_pauses: Counter::default(),
             crashes: Counter::default(),
             quarantined_parts: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             quarantine_refusals: Counter::default(),
             configuration_age: Gauge::default(),
             replicas: Gauge::default(),
@@ -111,8 +114,10 @@
         registry.register("replica_crashes", "Crashes that a request may have caused", crashes);
         let parts = metrics.quarantined_parts.clone();
         registry.register("quarantined_parts", "Quarantined parts of prompts", parts);
+        let requests = metrics.quarantined_requests.clone();
+        registry.register("quarantined_requests", "Quarantined requests", requests);
         let refusals = metrics.quarantine_refusals.clone();
-        registry.register("quarantine_refusals", "Requests refused for such a part", refusals);
+        registry.register("quarantine_refusals", "Requests refused by a quarantine", refusals);
         let age = metrics.configuration_age.clone();
         registry.register("configuration_age_ms", "Age of the configuration", age);
         registry.register("replicas", "Replicas listed", metrics.replicas.clone());
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -50,7 +50,7 @@
             configuration: state.table.as_ref().map_or(0, |table| table.version),
             leaving,
             paused,
-            prompts: None,
+            crashes: None,
         })
     }
 
@@ -63,8 +63,8 @@
             // The next read shows the restore to this entry itself.
             state.is_configuration_outdated = true;
         }
-        if let Some(prompts) = &notice.prompts {
-            state.prompts.merge(prompts, now);
+        if let Some(crashes) = &notice.crashes {
+            state.quarantine.merge(crashes, now);
         }
         if notice.leaving.is_empty() && notice.paused.is_empty() {
             return;
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -81,9 +81,9 @@
     pub(super) leaving: Vec<LeavingReplica>,
     #[serde(default)]
     pub(super) paused: Vec<PausedReplica>,
-    /// Parts of prompts that crash replicas.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(super) prompts: Option<CrashEvidence>,
+    /// Requests and parts of prompts that crash replicas.
+    #[serde(default, rename = "prompts", skip_serializing_if = "Option::is_none")]
+    pub(super) crashes: Option<CrashEvidence>,
 }
 
 /// Another entry.
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -208,6 +208,10 @@
         if let Some(reply) = self.quarantine_reply(request, progress) {
             return Err(reply);
         }
+        if progress.may_have_run && !self.state().quarantine.may_retry(request.content) {
+            let detail = "the request may have crashed replicas";
+            return Err(request.error_reply(ErrorKind::OutcomeUnknown, detail));
+        }
         if let Some(reply) = Self::check_limits(request, progress) {
             return Err(reply);
         }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -40,8 +40,8 @@
     pub(crate) replicas: ReplicaSet,
     /// What replicas have said about themselves in responses.
     pub(super) signals: ReplicaSignals,
-    /// Parts of prompts that crash replicas.
-    pub(super) prompts: CrashQuarantine,
+    /// Requests and parts of prompts that crash replicas.
+    pub(super) quarantine: CrashQuarantine,
     /// Ids of parts that were suspects at this entry, for the log.
     pub(super) part_names: BTreeMap<PartHash, String>,
     /// Replicas that may have crashed and are being checked.
@@ -77,7 +77,7 @@
             restored_at: None,
             replicas: ReplicaSet::default(),
             signals: ReplicaSignals::default(),
-            prompts: CrashQuarantine::default(),
+            quarantine: CrashQuarantine::default(),
             part_names: BTreeMap::new(),
             pending_checks: PendingChecks::new(),
             replicas_confirmed_at: None,
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -1,12 +1,12 @@
-//! Attempts as evidence on the parts of their prompts: a replica may crash as soon as it begins to
-//! answer a request with a certain part.
+//! Attempts as evidence on their requests and on the parts of their prompts: a replica may crash as
+//! soon as it begins to run a request, or to answer one with a certain part.
 
-use super::{Shared, selection::SelectedReplica, serve::AdmittedRequest};
+use super::{Shared, retry::Target, serve::AdmittedRequest};
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
-use ibissail_direct::{BLAME_TIME, PROOF_TIME, PartHash, RequestHash, RunHash};
-use ibissail_http1::dial;
+use ibissail_direct::{BLAME_TIME, LostRun, PROOF_TIME, PartHash, RequestHash, RunHash};
+use ibissail_http1::{HttpError, dial};
 use slog::info;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,55 +24,69 @@
 const MAX_WAITING: usize = 32;
 /// Most replicas that are checked at the same time.
 const MAX_CHECKS: usize = 64;
-/// Most parts in the log line of a crash, and most bytes of the id of each.
-const MAX_LOGGED_PARTS: usize = 16;
+/// Most parts and requests in the log line of a crash, and most bytes of the id of each part.
+const MAX_LOGGED: usize = 16;
 const MAX_LOGGED_ID_BYTES: usize = 48;
 
 /// Most ids of parts that are remembered for the log.
 const MAX_NAMES: usize = 512;
 
-/// Parts of a prompt, with their ids for the log.
-pub(super) type NamedParts = Vec<(PartHash, String)>;
-/// Requests whose attempts broke at a replica that is being checked, with their parts.
-pub(super) type PendingChecks = BTreeMap<RunHash, BTreeMap<RequestHash, NamedParts>>;
+/// Requests whose attempts broke at a replica that is being checked.
+pub(super) type PendingChecks = BTreeMap<RunHash, BTreeMap<RequestHash, BrokenAttempt>>;
 
-/// One attempt whose replica may have begun to answer.
+/// An attempt that may have crashed its replica.
+#[derive(Debug, Clone)]
+pub(super) struct BrokenAttempt {
+    lost: LostRun,
+    /// The parts that may have done so, with their ids for the log.
+    parts: Vec<(PartHash, String)>,
+}
+
+/// One attempt whose replica may have begun to run the request.
 #[derive(Debug)]
 pub(crate) struct Trial {
     shared: Arc<Shared>,
-    request: RequestHash,
+    /// The attempt as it would be lost now.
+    lost: LostRun,
     parts: Vec<PartHash>,
     names: Vec<String>,
     replica: InstanceId,
-    run: RunHash,
     address: SocketAddr,
     began_at: Millis,
     is_proven: bool,
 }
 
 impl Trial {
-    /// Starts a trial when the head of the answer arrives.
-    pub(super) fn new(
-        shared: &Arc<Shared>,
-        request: &AdmittedRequest,
-        replica: &SelectedReplica,
-    ) -> Self {
+    /// Starts a trial when the head of the answer arrives, or the connection breaks before.
+    pub(super) fn new(shared: &Arc<Shared>, request: &AdmittedRequest, target: &Target) -> Self {
         let parts = PartHash::shared(&request.params.prompt);
         let ids = request.params.prompt.shared_parts().iter();
         let names = ids.zip(&parts).map(|(part, hash)| logged_part(&part.id, *hash));
+        let (replica, now) = (&target.replica, since_boot());
+        let lost = LostRun {
+            run: RunHash::new(&replica.id, replica.started_unix_ms),
+            request: RequestHash::new(&request.params.id),
+            content: request.content,
+            began_at: target.started,
+            ended_at: now,
+        };
         Self {
             shared: Arc::clone(shared),
-            request: RequestHash::new(&request.params.id),
+            lost,
             names: names.collect(),
             parts,
             replica: replica.id.clone(),
-            run: RunHash::new(&replica.id, replica.started_unix_ms),
             address: replica.address,
-            began_at: since_boot(),
+            began_at: now,
             is_proven: false,
         }
     }
 
+    /// Takes the parts of the prompt off suspicion, because none was answered yet.
+    pub(super) fn without_parts(self) -> Self {
+        Self { parts: Vec::new(), names: Vec::new(), ..self }
+    }
+
     /// Records that the answer goes on: complete events have arrived.
     pub(super) fn record_events(&mut self) {
         if since_boot().since(self.began_at) >= PROOF_TIME {
@@ -82,37 +96,45 @@
 
     /// Records that the answer has gone on for a while or is complete.
     pub(super) fn succeed(&mut self) {
-        if self.is_proven || self.parts.is_empty() {
+        if self.is_proven {
             return;
         }
         self.is_proven = true;
         let now = since_boot();
-        self.shared.state().prompts.record_sound(&self.parts, self.began_at, now);
+        let mut state = self.shared.state();
+        state.quarantine.record_sound_request(self.lost.content, self.lost.began_at, now);
+        if !self.parts.is_empty() {
+            state.quarantine.record_sound(&self.parts, self.began_at, now);
+        }
     }
 
     /// Records that the attempt broke. If its replica has ended, the request may have crashed it.
     pub(super) fn fail(&self) {
-        let is_fresh = since_boot().since(self.began_at) < BLAME_TIME;
-        if !is_fresh || self.is_proven || self.parts.is_empty() {
+        let now = since_boot();
+        let is_fresh = now.since(self.began_at) < BLAME_TIME;
+        if !is_fresh || self.is_proven {
             return;
         }
+        let run = self.lost.run;
         let mut state = self.shared.state();
-        let is_first = !state.pending_checks.contains_key(&self.run);
+        let is_first = !state.pending_checks.contains_key(&run);
         if is_first && state.pending_checks.len() >= MAX_CHECKS {
             return;
         }
-        let waiting = state.pending_checks.entry(self.run).or_default();
+        let waiting = state.pending_checks.entry(run).or_default();
         if waiting.len() < MAX_WAITING {
-            let parts = self.parts.iter().copied().zip(self.names.iter().cloned());
-            waiting.insert(self.request, parts.collect());
+            let lost = LostRun { ended_at: now, ..self.lost };
+            let parts = self.parts.iter().copied().zip(self.names.iter().cloned()).collect();
+            waiting.insert(self.lost.request, BrokenAttempt { lost, parts });
         }
         drop(state);
         if is_first {
             let check = CrashCheck {
                 shared: Arc::clone(&self.shared),
                 replica: self.replica.clone(),
-                run: self.run,
+                run,
                 address: self.address,
+                broken_at: now,
             };
             task::spawn(check.run());
         }
@@ -126,25 +148,46 @@
     replica: InstanceId,
     run: RunHash,
     address: SocketAddr,
+    broken_at: Millis,
 }
 
 impl CrashCheck {
     /// Opens a connection to the replica. One that accepts it has only broken off answers.
     async fn run(self) {
         task::sleep(CHECK_DELAY).await;
-        let has_ended = dial(self.address, CHECK_TIMEOUT).await.is_err();
+        let has_ended = match dial(self.address, CHECK_TIMEOUT).await {
+            Ok(_connection) => false,
+            Err(HttpError::Refused) => true,
+            // This entry may be cut off itself.
+            Err(_unreachable) => self.hears_another_replica(),
+        };
         let Some(waiting) = self.record(has_ended) else { return };
-        let names: BTreeSet<&str> =
-            waiting.values().flatten().map(|(_, name)| name.as_str()).collect();
-        let names: Vec<&str> = names.into_iter().take(MAX_LOGGED_PARTS).collect();
+        let names: BTreeSet<&str> = waiting
+            .values()
+            .flat_map(|broken| &broken.parts)
+            .map(|(_, name)| name.as_str())
+            .collect();
+        let names: Vec<&str> = names.into_iter().take(MAX_LOGGED).collect();
+        let contents: BTreeSet<String> =
+            waiting.values().map(|broken| broken.lost.content.to_string()).collect();
+        let contents: Vec<String> = contents.into_iter().take(MAX_LOGGED).collect();
         self.shared.metrics.crashes.inc();
         info!(self.shared.log, "replica: crashed"; "replica" => %self.replica,
-            "requests" => waiting.len(), "suspects" => names.join(" "));
+            "requests" => waiting.len(), "contents" => contents.join(" "),
+            "suspects" => names.join(" "));
+        self.shared.review_quarantines(since_boot());
         self.shared.spread_evidence().await;
     }
 
-    /// Ends the check; returns the requests that may have crashed the replica, if it has.
-    fn record(&self, has_ended: bool) -> Option<BTreeMap<RequestHash, NamedParts>> {
+    /// Whether another replica has sent bytes to this entry since the attempt broke.
+    fn hears_another_replica(&self) -> bool {
+        let state = self.shared.state();
+        let mut others = state.loads.iter().filter(|(id, _)| **id != self.replica);
+        others.any(|(_, load)| load.last_byte_at >= self.broken_at)
+    }
+
+    /// Ends the check; returns the attempts that may have crashed the replica, if it has ended.
+    fn record(&self, has_ended: bool) -> Option<BTreeMap<RequestHash, BrokenAttempt>> {
         let now = since_boot();
         let mut state = self.shared.state();
         let waiting = state.pending_checks.remove(&self.run)?;
@@ -152,9 +195,10 @@
             return None;
         }
         let mut is_new = false;
-        for (request, named) in &waiting {
+        for (request, BrokenAttempt { lost, parts: named }) in &waiting {
             let parts: Vec<PartHash> = named.iter().map(|(part, _)| *part).collect();
-            is_new |= state.prompts.record_crash(self.run, *request, &parts, now);
+            is_new |= state.quarantine.record_crash(self.run, *request, &parts, now);
+            is_new |= state.quarantine.record_lost_run(*lost, now);
             if state.part_names.len() + named.len() > MAX_NAMES {
                 state.part_names.clear();
             }
--- a/crates/direct/src/answer_outcomes.rs
+++ b/crates/direct/src/answer_outcomes.rs
@@ -8,6 +8,9 @@
 /// Most intervals that are kept.
 const MAX_INTERVALS: usize = 600;
 
+/// Answers that an assumed share weighs as much as.
+const ASSUMED_ANSWERS: f64 = 5.0;
+
 /// Numbers of answers.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
@@ -52,6 +55,13 @@
         f64::from(counts.proven + 1) / f64::from(counts.proven + counts.crashed + 2)
     }
 
+    /// The same, close to `assumed` if hardly any answers are known.
+    pub(crate) fn assumed_proven_share(&self, assumed: f64, from: Millis, to: Millis) -> f64 {
+        let counts = self.between(from, to);
+        let known = f64::from(counts.proven + counts.crashed);
+        (f64::from(counts.proven) + assumed * ASSUMED_ANSWERS) / (known + ASSUMED_ANSWERS)
+    }
+
     /// Whether nearly all answers in a time were on a part that was known to be sound, so that a
     /// part that was not stands out.
     pub(crate) fn are_mostly_known(&self, from: Millis, to: Millis) -> bool {
--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -15,13 +15,18 @@
 const PROVEN_THRESHOLD: Threshold = Threshold { crashes: 5, requests: 3 };
 /// The same for a part whose quarantine has ended.
 const PROBATION_THRESHOLD: Threshold = Threshold { crashes: 1, requests: 1 };
+/// Crashes, independent of each other, and requests from which a request that was never proven sound
+/// is blamed. Its caller repeats it, so that one attempt can meet several crashes.
+const REPEATED_REQUEST_THRESHOLD: Threshold = Threshold { crashes: 3, requests: 2 };
+/// The same for a request that was proven sound, but not since these crashes.
+const PROVEN_REQUEST_THRESHOLD: Threshold = Threshold { crashes: 5, requests: 3 };
 /// Crashes from which a part is blamed although others of the same requests explain about as many.
 const RIVALRY_CRASHES: usize = 5;
 
 /// Largest probability of a chance at which a part is blamed: that all its attempts met crashes that
 /// it did not cause.
 const MAX_CHANCE: f64 = 0.001;
-/// The same for a part that is unknown, unlike the others.
+/// The same for a part that is unknown, unlike the others, and for a request.
 const MAX_UNKNOWN_CHANCE: f64 = 0.01;
 
 #[derive(Debug, Clone, Copy)]
@@ -43,12 +48,13 @@
     Proven,
 }
 
-/// The unexplained crashes that a part may have caused.
+/// The unexplained crashes that a part or a request may have caused.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Blame {
     pub(crate) crashes: BTreeSet<RunHash>,
     pub(crate) requests: BTreeSet<RequestHash>,
-    /// Attempts of these requests that the crashes have met.
+    /// Attempts of these requests that the crashes have met; of a blamed request, those that are
+    /// independent of each other.
     pub(crate) attempts: usize,
     /// Times of the first and the last of the crashes.
     pub(crate) earliest: Millis,
@@ -86,6 +92,35 @@
         self.reaches(UNPROVEN_THRESHOLD) || self.reaches(REPEATED_THRESHOLD)
     }
 
+    /// Whether this suffices to blame a request.
+    pub(crate) fn suffices_for_request(&self, history: History) -> bool {
+        let reaches = |threshold: Threshold| {
+            self.attempts >= threshold.crashes && self.requests.len() >= threshold.requests
+        };
+        let chance = self.chance(self.attempts);
+        match history {
+            History::Probation => reaches(PROBATION_THRESHOLD),
+            History::Unknown | History::Unproven => {
+                reaches(REPEATED_REQUEST_THRESHOLD) && chance <= MAX_UNKNOWN_CHANCE
+            }
+            History::Proven => reaches(PROVEN_REQUEST_THRESHOLD) && chance <= MAX_CHANCE,
+        }
+    }
+
+    /// Whether others explain as well what this request is blamed for. Parts that only its own
+    /// repeats have do not count.
+    pub(crate) fn is_rivalled_by<'a, I>(&self, others: I, own: &BTreeSet<RequestHash>) -> bool
+    where
+        I: IntoIterator<Item = &'a Self>,
+    {
+        let is_early = self.attempts < RIVALRY_CRASHES;
+        others.into_iter().any(|other| {
+            other.explains_most_of(self)
+                && !other.requests.is_subset(own)
+                && (is_early || other.is_independent_of(self))
+        })
+    }
+
     /// Whether this part explains at least three quarters of another part's crashes.
     fn explains_most_of(&self, other: &Self) -> bool {
         let common = self.crashes.intersection(&other.crashes).count();
--- a/crates/direct/src/crash_evidence.rs
+++ b/crates/direct/src/crash_evidence.rs
@@ -1,6 +1,6 @@
-//! What entries tell each other about parts of prompts that crash replicas.
+//! What entries tell each other about requests and parts of prompts that crash replicas.
 
-use crate::{PartHash, RequestHash, RunHash};
+use crate::{ContentHash, PartHash, RequestHash, RunHash, ToldRun};
 use ibissail_core::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -10,9 +10,11 @@
 const CRASH_BYTES: usize = 24;
 const REQUEST_BYTES: usize = 9;
 const PART_BYTES: usize = 9;
-/// Most bytes of a part with a time.
-const DATED_PART_BYTES: usize = 19;
-/// Most sound and most quarantined parts in one message, which leave room for a crash.
+/// Most bytes of a part or a request with a time, of one with two times, and of a lost run.
+const DATED_BYTES: usize = 19;
+const QUARANTINED_REQUEST_BYTES: usize = 28;
+const LOST_RUN_BYTES: usize = 42;
+/// Most sound and most quarantined parts and requests in one message, which leave room for a crash.
 const MAX_TOLD_SOUND: usize = 24;
 const MAX_TOLD_QUARANTINES: usize = 16;
 
@@ -21,7 +23,7 @@
 /// A crash, as told to peers: the run, the time since then and the requests that may have caused it.
 pub type ToldCrash = (RunHash, Millis, Vec<SuspectRequest>);
 
-/// What one entry tells its peers about parts that crash replicas; all times are ages.
+/// What one entry tells its peers about what crashes replicas; all times are ages.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvidence {
     /// Recent crashes.
@@ -33,27 +35,55 @@
     /// Quarantined parts, with the time since their quarantine began.
     #[serde(default)]
     pub quarantined: Vec<(PartHash, Millis)>,
+    /// Recent attempts whose replicas have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_runs: Vec<ToldRun>,
+    /// Requests that others blame, with the time since the latest answer that proves them sound.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sound_requests: Vec<(ContentHash, Millis)>,
+    /// Quarantined requests, with the time since their quarantine began and its length.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined_requests: Vec<(ContentHash, Millis, Millis)>,
 }
 
 impl CrashEvidence {
     /// Whether there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.quarantined.is_empty()
+        self.crashes.is_empty()
+            && self.lost_runs.is_empty()
+            && self.sound_count() == 0
+            && self.quarantined_count() == 0
+    }
+
+    fn sound_count(&self) -> usize {
+        self.sound.len() + self.sound_requests.len()
+    }
+
+    fn quarantined_count(&self) -> usize {
+        self.quarantined.len() + self.quarantined_requests.len()
     }
 
     fn bytes(&self) -> usize {
-        let dated = self.sound.len() + self.quarantined.len();
         let crashes: usize = self.crashes.iter().map(crash_bytes).sum();
-        crashes + dated * DATED_PART_BYTES
+        let dated = self.sound_count() + self.quarantined.len();
+        crashes
+            + dated * DATED_BYTES
+            + self.quarantined_requests.len() * QUARANTINED_REQUEST_BYTES
+            + self.lost_runs.len() * LOST_RUN_BYTES
     }
 
-    pub(crate) fn has_room_for_part(&self) -> bool {
-        self.sound.len() < MAX_TOLD_SOUND
+    pub(crate) fn has_room_for_sound(&self) -> bool {
+        self.sound_count() < MAX_TOLD_SOUND
     }
 
     pub(crate) fn has_room_for_quarantine(&self) -> bool {
-        self.quarantined.len() < MAX_TOLD_QUARANTINES
+        self.quarantined_count() < MAX_TOLD_QUARANTINES
+    }
+
+    /// Number of lost runs that fit, so that half of the room is left for crashes.
+    pub(crate) fn room_for_lost_runs(&self) -> usize {
+        MAX_EVIDENCE_BYTES.saturating_sub(self.bytes()) / 2 / LOST_RUN_BYTES
     }
 
     /// Adds a crash if it fits; requests that do not fit even alone are left out.
--- a/crates/direct/src/crash_exchange.rs
+++ b/crates/direct/src/crash_exchange.rs
@@ -1,7 +1,7 @@
-//! How entries tell each other about parts of prompts that crash replicas.
+//! How entries tell each other about requests and parts of prompts that crash replicas.
 
 use crate::{
-    CrashEvidence, CrashQuarantine, PartHash, QUARANTINE_TIME, RequestHash,
+    CrashEvidence, CrashQuarantine, PartHash, QUARANTINE_TIME, RequestHash, Suspect,
     crash_quarantine::{MIN_BLAMED_CRASHES, Quarantine, TELL_COUNT},
 };
 use ibissail_core::Millis;
@@ -18,42 +18,68 @@
     /// nothing to tell.
     pub fn evidence(&mut self, now: Millis) -> Option<CrashEvidence> {
         let mut evidence = CrashEvidence::default();
-        let mut quarantined: Vec<(PartHash, Millis)> = self
-            .quarantines
-            .iter()
-            .filter(|(part, _)| self.rest(**part, now).is_some())
-            .map(|(part, known)| (*part, now.since(known.since)))
-            .collect();
-        quarantined.sort_by_key(|(_, age)| *age);
-        for part in quarantined {
-            if evidence.has_room_for_quarantine() {
-                evidence.quarantined.push(part);
-            }
-        }
+        self.tell_quarantines(&mut evidence, now);
         self.tell_sound(&mut evidence, now);
+        self.tell_lost_runs(&mut evidence, now);
         self.tell_crashes(&mut evidence, now);
         (!evidence.is_empty()).then_some(evidence)
     }
 
+    /// Tells the quarantines that began last.
+    fn tell_quarantines(&self, evidence: &mut CrashEvidence, now: Millis) {
+        let in_effect =
+            self.quarantines.iter().filter(|(suspect, _)| self.rest(**suspect, now).is_some());
+        let in_effect = in_effect.map(|(suspect, known)| (now.since(known.since), suspect, known));
+        let mut in_effect: Vec<_> = in_effect.collect();
+        in_effect.sort_by_key(|(age, suspect, _)| (*age, **suspect));
+        for (age, suspect, known) in in_effect {
+            if !evidence.has_room_for_quarantine() {
+                return;
+            }
+            match suspect {
+                Suspect::Request(content) => {
+                    evidence.quarantined_requests.push((*content, age, known.time));
+                }
+                Suspect::Part(part) => evidence.quarantined.push((*part, age)),
+            }
+        }
+    }
+
     fn tell_sound(&mut self, evidence: &mut CrashEvidence, now: Millis) {
-        let mut due: Vec<(PartHash, u32)> =
-            self.to_tell.iter().map(|(part, left)| (*part, *left)).collect();
+        let mut due: Vec<(Suspect, u32)> =
+            self.to_tell.iter().map(|(suspect, left)| (*suspect, *left)).collect();
         due.sort_by_key(|(_, left)| Reverse(*left));
-        for (part, left) in due {
-            if !evidence.has_room_for_part() {
+        for (suspect, left) in due {
+            if !evidence.has_room_for_sound() {
                 return;
             }
-            if let Some(proven) = self.sound.proven_at(part) {
-                evidence.sound.push((part, now.since(proven)));
+            let age = self.proven_at(suspect).map(|proven| now.since(proven));
+            match (suspect, age) {
+                (Suspect::Request(content), Some(age)) => {
+                    evidence.sound_requests.push((content, age));
+                }
+                (Suspect::Part(part), Some(age)) => evidence.sound.push((part, age)),
+                (_, None) => {}
             }
             if left > 1 {
-                self.to_tell.insert(part, left - 1);
+                self.to_tell.insert(suspect, left - 1);
             } else {
-                self.to_tell.remove(&part);
+                self.to_tell.remove(&suspect);
             }
         }
     }
 
+    /// Tells the lost runs of requests that may have caused them.
+    fn tell_lost_runs(&mut self, evidence: &mut CrashEvidence, now: Millis) {
+        let due = self.lost_runs.due(TELL_COUNT).into_iter();
+        let due = due.filter(|lost| self.is_suspect(Suspect::Request(lost.content), lost.ended_at));
+        let due: Vec<_> = due.take(evidence.room_for_lost_runs()).collect();
+        for lost in due {
+            evidence.lost_runs.push(lost.told(now));
+            self.lost_runs.record_told(&lost);
+        }
+    }
+
     fn tell_crashes(&mut self, evidence: &mut CrashEvidence, now: Millis) {
         let due = self.crashes.iter().filter(|(_, crash)| crash.told < TELL_COUNT);
         let mut due: Vec<_> = due.map(|(run, crash)| (crash.told, crash.at, run)).collect();
@@ -79,44 +105,66 @@
     /// Adds what a peer has told.
     pub fn merge(&mut self, evidence: &CrashEvidence, now: Millis) {
         let at = |age: Millis| now.since(age);
-        for (part, age) in &evidence.sound {
-            let known = self.sound.proven_at(*part);
-            let is_later = known.is_none_or(|known| at(*age) > known.saturating_add(CLOCK_SLACK));
-            if is_later {
-                let was_blamed = self.is_blamed(*part);
-                self.sound.record(*part, at(*age));
-                if was_blamed || known.is_none() {
-                    self.to_tell.insert(*part, TELL_COUNT);
-                }
-            }
+        let parts = evidence.sound.iter().map(|(part, age)| (Suspect::Part(*part), *age));
+        let requests = evidence.sound_requests.iter();
+        let requests = requests.map(|(content, age)| (Suspect::Request(*content), *age));
+        for (suspect, age) in parts.chain(requests) {
+            self.merge_proof(suspect, at(age));
+        }
+        for told in &evidence.lost_runs {
+            let lost = told.at(now);
+            self.lost_runs.add(lost, now);
+            self.tell_if_sound(Suspect::Request(lost.content));
         }
         for (run, age, requests) in &evidence.crashes {
             for (request, parts) in requests {
                 self.crashes.add(*run, at(*age), *request, parts.iter().copied(), now);
                 for part in parts {
-                    self.tell_if_sound(*part);
+                    self.tell_if_sound(Suspect::Part(*part));
                 }
             }
         }
         for (part, age) in &evidence.quarantined {
-            self.tell_if_sound(*part);
-            let is_new = self
-                .quarantines
-                .get(part)
-                .is_none_or(|known| at(*age) > known.since.saturating_add(QUARANTINE_SLACK));
-            if is_new && *age < QUARANTINE_TIME {
-                let since = at(*age);
-                self.insert(*part, Quarantine { since, is_released: false, is_reported: false });
-            }
+            self.merge_quarantine(Suspect::Part(*part), *age, QUARANTINE_TIME, now);
+        }
+        for (content, age, time) in &evidence.quarantined_requests {
+            self.merge_quarantine(Suspect::Request(*content), *age, *time, now);
+        }
+    }
+
+    fn merge_proof(&mut self, suspect: Suspect, proven: Millis) {
+        let known = self.proven_at(suspect);
+        if known.is_some_and(|known| proven <= known.saturating_add(CLOCK_SLACK)) {
+            return;
+        }
+        let was_blamed = self.is_blamed(suspect);
+        self.add_proof(suspect, proven);
+        if was_blamed || known.is_none() {
+            self.to_tell.insert(suspect, TELL_COUNT);
+        }
+    }
+
+    fn merge_quarantine(&mut self, suspect: Suspect, age: Millis, time: Millis, now: Millis) {
+        self.tell_if_sound(suspect);
+        let since = now.since(age);
+        let known = self.quarantines.get(&suspect);
+        let is_new = known.is_none_or(|known| since > known.since.saturating_add(QUARANTINE_SLACK));
+        let time = time.min(QUARANTINE_TIME);
+        if is_new && age < time {
+            let quarantine = Quarantine { since, time, is_released: false, is_reported: false };
+            self.insert(suspect, quarantine);
         }
     }
 
-    /// Has the peers told that a part they blame is known to be sound.
-    fn tell_if_sound(&mut self, part: PartHash) {
-        let crashes = self.crashes.count_with(part).map_or(0, |(count, _)| count);
-        let is_blamed = crashes >= MIN_BLAMED_CRASHES || self.quarantines.contains_key(&part);
-        if is_blamed && self.sound.proven_at(part).is_some() {
-            self.to_tell.insert(part, TELL_COUNT);
+    /// Has the peers told that what they blame is known to be sound.
+    fn tell_if_sound(&mut self, suspect: Suspect) {
+        let crashes = match suspect {
+            Suspect::Request(content) => self.lost_runs.with(content).count(),
+            Suspect::Part(part) => self.crashes.count_with(part).map_or(0, |(count, _)| count),
+        };
+        let is_blamed = crashes >= MIN_BLAMED_CRASHES || self.quarantines.contains_key(&suspect);
+        if is_blamed && self.proven_at(suspect).is_some() {
+            self.to_tell.insert(suspect, TELL_COUNT);
         }
     }
 }
--- a/crates/direct/src/crash_quarantine.rs
+++ b/crates/direct/src/crash_quarantine.rs
@@ -1,18 +1,19 @@
-//! Keeps parts of prompts that crash replicas from them.
+//! Keeps requests, and parts of prompts, that crash replicas from them.
 //!
-//! A replica may crash as soon as it begins to answer a request with a certain part, and takes all
-//! its other requests with it. A part is blamed by the crashes during whose first moments it was
-//! among the requests there, until an answer on it goes on for longer or ends. Entries tell each
-//! other the crashes, the parts that are sound and the quarantined parts; merging them is
-//! idempotent and does not depend on their order.
+//! A replica may crash as soon as it begins to answer a request with a certain part, or to run a
+//! certain request, and takes all its other requests with it. A part is blamed by the crashes during
+//! whose first moments it was among the requests there, a request by the crashes that it has met,
+//! until an answer goes on for longer or ends. Entries tell each other the crashes, and what is sound
+//! or quarantined; merging them is idempotent and does not depend on their order.
 
 use crate::{
-    PartHash, RequestHash, RunHash,
+    ContentHash, LostRun, PartHash, RequestHash, RunHash, Suspect,
     answer_outcomes::AnswerOutcomes,
     blame::{Blame, History, most_blamed},
     crash_records::{Crash, CrashRecords},
+    lost_runs::LostRuns,
     redundancy::redundant_part,
-    suspects::SoundParts,
+    suspects::SoundRecords,
 };
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,17 +23,19 @@
 pub const PROOF_TIME: Millis = Millis(400);
 /// Time from the head of an answer after which a crash is not blamed on its request.
 pub const BLAME_TIME: Millis = Millis(1_000);
-/// Time for which a part is quarantined. Each trial costs replicas.
+/// Longest quarantine. Each trial after it costs replicas.
 pub const QUARANTINE_TIME: Millis = Millis(600_000);
+/// First quarantine of a request, whose few crashes may have had another cause.
+pub const FIRST_REQUEST_QUARANTINE_TIME: Millis = Millis(60_000);
 /// Time from a crash until it counts, in which the other entries tell what they know.
-const SETTLING_TIME: Millis = Millis(1_000);
-/// The same for a part that was proven sound before, which may soon be proven again.
-const PROVEN_SETTLING_TIME: Millis = Millis(2_000);
+pub(crate) const SETTLING_TIME: Millis = Millis(1_000);
+/// The same for what was proven sound before, which may soon be proven again.
+pub(crate) const PROVEN_SETTLING_TIME: Millis = Millis(2_000);
 /// Share of proven answers that is assumed at least for parts that stand out as unknown.
 const MIN_KNOWN_SHARE: f64 = 0.6;
-/// Most parts in quarantine or on probation; the earliest are released first.
-const MAX_QUARANTINED_PARTS: usize = 64;
-/// Crashes from which a part is worth telling that it is sound.
+/// Most requests and parts in quarantine or on probation; the earliest are released first.
+const MAX_QUARANTINES: usize = 64;
+/// Crashes from which it is worth telling that a request or part is sound.
 pub(crate) const MIN_BLAMED_CRASHES: usize = 2;
 /// How often each entry tells its peers a crash, and that a blamed part is sound.
 pub(crate) const TELL_COUNT: u32 = 6;
@@ -40,6 +43,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Quarantine {
     pub(crate) since: Millis,
+    /// How long it lasts.
+    pub(crate) time: Millis,
     /// Whether it has ended early.
     pub(crate) is_released: bool,
     /// Whether it was last reported as in effect.
@@ -60,25 +65,29 @@
     Peer,
 }
 
-/// A change of the quarantined parts, for the operators.
+/// A change of the quarantines, for the operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineChange {
-    /// Requests with the part are refused from now on.
-    Quarantined(PartHash, QuarantineSource),
-    /// Requests with the part are no longer refused.
-    Released(PartHash),
+    /// The request, or all requests with the part, are refused from now on.
+    Quarantined(Suspect, QuarantineSource),
+    /// They are no longer refused.
+    Released(Suspect),
 }
 
-/// What an entry knows about parts of prompts that crash replicas.
+/// What an entry knows about requests and parts of prompts that crash replicas.
 #[derive(Debug, Clone, Default)]
 pub struct CrashQuarantine {
     pub(crate) crashes: CrashRecords,
-    pub(crate) sound: SoundParts,
-    /// Answers of this entry.
+    pub(crate) lost_runs: LostRuns,
+    sound_parts: SoundRecords<PartHash>,
+    sound_requests: SoundRecords<ContentHash>,
+    /// Answers of this entry on prompts.
     outcomes: AnswerOutcomes,
-    pub(crate) quarantines: BTreeMap<PartHash, Quarantine>,
-    /// Sound parts that peers blame, and how often they are still to be told.
-    pub(crate) to_tell: BTreeMap<PartHash, u32>,
+    /// All answers of this entry.
+    pub(crate) request_outcomes: AnswerOutcomes,
+    pub(crate) quarantines: BTreeMap<Suspect, Quarantine>,
+    /// What is sound and blamed by peers, and how often it is still to be told.
+    pub(crate) to_tell: BTreeMap<Suspect, u32>,
 }
 
 impl CrashQuarantine {
@@ -99,112 +108,188 @@
         is_new
     }
 
-    /// Records an answer that proves its parts sound, and when it began.
+    /// Records that a replica has ended while it had a request; returns whether this is new.
+    pub fn record_lost_run(&mut self, lost: LostRun, now: Millis) -> bool {
+        let is_new = self.lost_runs.add(lost, now);
+        if is_new {
+            self.request_outcomes.record(false, false, now);
+        }
+        is_new
+    }
+
+    /// Records an answer that proves the parts of its prompt sound, and when it began.
     pub fn record_sound(&mut self, parts: &[PartHash], began_at: Millis, now: Millis) {
         self.outcomes.record(true, self.is_any_known(parts), now);
         for part in parts {
-            let was_suspect = self.is_blamed(*part);
-            self.sound.record(*part, began_at);
-            if was_suspect && !self.is_blamed(*part) {
-                self.to_tell.insert(*part, TELL_COUNT);
-            }
+            self.record_proof(Suspect::Part(*part), began_at);
         }
     }
 
-    /// Whether the part is a suspect in several crashes or is quarantined.
-    pub(crate) fn is_blamed(&self, part: PartHash) -> bool {
-        let crashes = self.crashes.count_with(part);
-        let is_suspect_of_several = crashes.is_some_and(|(count, latest)| {
-            count >= MIN_BLAMED_CRASHES && self.is_suspect(part, latest)
-        });
-        let quarantine = self.quarantines.get(&part);
-        is_suspect_of_several || quarantine.is_some_and(|known| self.is_suspect(part, known.since))
+    /// Records an answer that proves its request sound, and when the request was sent.
+    pub fn record_sound_request(&mut self, content: ContentHash, began_at: Millis, now: Millis) {
+        self.request_outcomes.record(true, false, now);
+        self.record_proof(Suspect::Request(content), began_at);
+    }
+
+    fn record_proof(&mut self, suspect: Suspect, began_at: Millis) {
+        let was_blamed = self.is_blamed(suspect);
+        self.add_proof(suspect, began_at);
+        if was_blamed && !self.is_blamed(suspect) {
+            self.to_tell.insert(suspect, TELL_COUNT);
+        }
     }
 
-    /// Whether no answer that began since shortly before this time proves the part sound.
-    fn is_suspect(&self, part: PartHash, at: Millis) -> bool {
-        self.sound.proven_at(part).is_none_or(|proven| proven.saturating_add(BLAME_TIME) < at)
+    pub(crate) fn add_proof(&mut self, suspect: Suspect, began_at: Millis) {
+        match suspect {
+            Suspect::Request(content) => self.sound_requests.record(content, began_at),
+            Suspect::Part(part) => self.sound_parts.record(part, began_at),
+        }
     }
 
-    /// Time left of the longest quarantine of these parts, with the position of its part; `None` if
-    /// none is quarantined.
+    /// Start of the latest answer that proves this sound.
+    pub(crate) fn proven_at(&self, suspect: Suspect) -> Option<Millis> {
+        match suspect {
+            Suspect::Request(content) => self.sound_requests.proven_at(content),
+            Suspect::Part(part) => self.sound_parts.proven_at(part),
+        }
+    }
+
+    /// Whether this is a suspect in several crashes or is quarantined.
+    pub(crate) fn is_blamed(&self, suspect: Suspect) -> bool {
+        let is_suspect_of_several = match suspect {
+            Suspect::Request(content) => {
+                let lost = self.lost_runs.with(content);
+                let lost = lost.filter(|lost| self.is_suspect(suspect, lost.ended_at));
+                lost.count() >= MIN_BLAMED_CRASHES
+            }
+            Suspect::Part(part) => self.crashes.count_with(part).is_some_and(|(count, latest)| {
+                count >= MIN_BLAMED_CRASHES && self.is_suspect(suspect, latest)
+            }),
+        };
+        let quarantine = self.quarantines.get(&suspect);
+        is_suspect_of_several
+            || quarantine.is_some_and(|known| self.is_suspect(suspect, known.since))
+    }
+
+    /// Whether no answer that began since shortly before this time proves this sound.
+    pub(crate) fn is_suspect(&self, suspect: Suspect, at: Millis) -> bool {
+        self.proven_at(suspect).is_none_or(|proven| proven.saturating_add(BLAME_TIME) < at)
+    }
+
+    /// Time left of the longest quarantine of these, with its position; `None` if none is
+    /// quarantined.
     #[must_use]
-    pub fn quarantined(&self, parts: &[PartHash], now: Millis) -> Option<(usize, Millis)> {
-        let rests = parts.iter().enumerate().filter_map(|(position, part)| {
-            let rest = self.rest(*part, now)?;
+    pub fn quarantined<S>(&self, suspects: &[S], now: Millis) -> Option<(usize, Millis)>
+    where
+        S: Copy + Into<Suspect>,
+    {
+        let rests = suspects.iter().enumerate().filter_map(|(position, suspect)| {
+            let rest = self.rest((*suspect).into(), now)?;
             Some((position, rest))
         });
         rests.max_by_key(|(_, rest)| *rest)
     }
 
-    /// Number of quarantined parts.
+    /// Number of quarantined requests and parts.
     #[must_use]
     pub fn quarantined_count(&self, now: Millis) -> usize {
-        self.quarantines.keys().filter(|part| self.rest(**part, now).is_some()).count()
+        self.quarantines.keys().filter(|suspect| self.rest(**suspect, now).is_some()).count()
     }
 
-    pub(crate) fn rest(&self, part: PartHash, now: Millis) -> Option<Millis> {
-        let known = self.quarantines.get(&part)?;
-        let rest = known.since.saturating_add(QUARANTINE_TIME).since(now);
+    /// Number of quarantined requests.
+    #[must_use]
+    pub fn quarantined_request_count(&self, now: Millis) -> usize {
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+        let requests = self.quarantines.keys().filter(|suspect| is_request(suspect));
+        requests.filter(|suspect| self.rest(**suspect, now).is_some()).count()
+    }
+
+    pub(crate) fn rest(&self, suspect: Suspect, now: Millis) -> Option<Millis> {
+        let known = self.quarantines.get(&suspect)?;
+        let rest = known.since.saturating_add(known.time).since(now);
         let is_in_effect =
-            rest > Millis(0) && !known.is_released && self.is_suspect(part, known.since);
+            rest > Millis(0) && !known.is_released && self.is_suspect(suspect, known.since);
         is_in_effect.then_some(rest)
     }
 
-    /// Decides which parts are quarantined, and returns what has changed since the last review.
+    /// Decides what is quarantined, and returns what has changed since the last review.
     pub fn review(&mut self, now: Millis) -> Vec<QuarantineChange> {
         self.crashes.expire(now);
-        let kept = Millis(QUARANTINE_TIME.0 * 2);
+        self.lost_runs.expire(now);
         let mut changes = Vec::new();
         self.release_redundant(now);
         while let Some((part, blame)) = most_blamed(&self.blames(now)) {
-            let source = QuarantineSource::Own {
-                crashes: blame.crashes.len(),
-                requests: blame.requests.len(),
+            changes.push(self.quarantine(Suspect::Part(part), &blame, QUARANTINE_TIME, now));
+        }
+        while let Some((content, history, blame)) = self.most_blamed_request(now) {
+            let time = match history {
+                History::Probation => QUARANTINE_TIME,
+                History::Unknown | History::Unproven | History::Proven => {
+                    FIRST_REQUEST_QUARANTINE_TIME
+                }
             };
-            self.insert(part, Quarantine { since: now, is_released: false, is_reported: true });
-            changes.push(QuarantineChange::Quarantined(part, source));
+            changes.push(self.quarantine(Suspect::Request(content), &blame, time, now));
         }
         self.release_redundant(now);
-        let parts: Vec<PartHash> = self.quarantines.keys().copied().collect();
-        for part in parts {
-            let is_in_effect = self.rest(part, now).is_some();
-            let Some(known) = self.quarantines.get_mut(&part) else { continue };
+        self.report_changes(&mut changes, now);
+        let kept = Millis(QUARANTINE_TIME.0 * 2);
+        self.quarantines.retain(|_, known| now.since(known.since) < kept);
+        changes
+    }
+
+    fn quarantine(
+        &mut self,
+        suspect: Suspect,
+        blame: &Blame,
+        time: Millis,
+        now: Millis,
+    ) -> QuarantineChange {
+        let source =
+            QuarantineSource::Own { crashes: blame.crashes.len(), requests: blame.requests.len() };
+        let quarantine = Quarantine { since: now, time, is_released: false, is_reported: true };
+        self.insert(suspect, quarantine);
+        QuarantineChange::Quarantined(suspect, source)
+    }
+
+    /// Adds what has begun at a peer's word, or has ended, since the last review.
+    fn report_changes(&mut self, changes: &mut Vec<QuarantineChange>, now: Millis) {
+        let suspects: Vec<Suspect> = self.quarantines.keys().copied().collect();
+        for suspect in suspects {
+            let is_in_effect = self.rest(suspect, now).is_some();
+            let Some(known) = self.quarantines.get_mut(&suspect) else { continue };
             match (known.is_reported, is_in_effect) {
                 (false, true) => {
-                    changes.push(QuarantineChange::Quarantined(part, QuarantineSource::Peer));
+                    changes.push(QuarantineChange::Quarantined(suspect, QuarantineSource::Peer));
                 }
-                (true, false) => changes.push(QuarantineChange::Released(part)),
+                (true, false) => changes.push(QuarantineChange::Released(suspect)),
                 _ => {}
             }
             known.is_reported = is_in_effect;
-            // What has proven the part sound may be forgotten before the quarantine ends.
-            known.is_released |= !is_in_effect && now.since(known.since) < QUARANTINE_TIME;
+            // What has proven it sound may be forgotten before the quarantine ends.
+            known.is_released |= !is_in_effect && now.since(known.since) < known.time;
         }
-        self.quarantines.retain(|_, known| now.since(known.since) < kept);
-        changes
     }
 
-    pub(crate) fn insert(&mut self, part: PartHash, quarantine: Quarantine) {
-        self.quarantines.insert(part, quarantine);
-        while self.quarantines.len() > MAX_QUARANTINED_PARTS {
+    pub(crate) fn insert(&mut self, suspect: Suspect, quarantine: Quarantine) {
+        self.quarantines.insert(suspect, quarantine);
+        while self.quarantines.len() > MAX_QUARANTINES {
             let earliest =
-                self.quarantines.iter().min_by_key(|(part, known)| (known.since, **part));
-            let Some(earliest) = earliest.map(|(part, _)| *part) else { return };
+                self.quarantines.iter().min_by_key(|(suspect, known)| (known.since, **suspect));
+            let Some(earliest) = earliest.map(|(suspect, _)| *suspect) else { return };
             self.quarantines.remove(&earliest);
         }
     }
 
-    /// Blames of all parts for the settled crashes that no quarantined part explains.
-    fn blames(&self, now: Millis) -> BTreeMap<PartHash, (History, Blame)> {
+    /// Blames of all parts for the settled crashes that nothing quarantined explains.
+    pub(crate) fn blames(&self, now: Millis) -> BTreeMap<PartHash, (History, Blame)> {
         let mut blames: BTreeMap<PartHash, (History, Blame)> = BTreeMap::new();
         for (run, crash) in self.crashes.iter() {
             let age = now.since(crash.at);
-            if age < SETTLING_TIME || self.is_explained(crash, now) {
+            if age < SETTLING_TIME || self.is_explained(run, crash, now) {
                 continue;
             }
             for (request, part) in self.suspects(crash) {
-                let history = self.history(part);
+                let history = self.history(Suspect::Part(part));
                 if history == History::Proven && age < PROVEN_SETTLING_TIME {
                     continue;
                 }
@@ -217,7 +302,7 @@
                     (history, blame)
                 });
                 blame.crashes.insert(run);
-                blame.requests.insert(request);
+                blame.requests.insert(self.first_repeat(run, request));
                 blame.attempts += 1;
                 blame.earliest = blame.earliest.min(crash.at);
                 blame.latest = blame.latest.max(crash.at);
@@ -235,7 +320,7 @@
     }
 
     fn is_any_known(&self, parts: &[PartHash]) -> bool {
-        parts.iter().any(|part| self.sound.proven_at(*part).is_some())
+        parts.iter().any(|part| self.sound_parts.proven_at(*part).is_some())
     }
 
     pub(crate) fn suspects(&self, crash: &Crash) -> Vec<(RequestHash, PartHash)> {
@@ -243,21 +328,46 @@
             .requests
             .iter()
             .flat_map(|(request, parts)| parts.iter().map(move |part| (*request, *part)));
-        pairs.filter(|(_, part)| self.is_suspect(*part, crash.at)).collect()
+        pairs.filter(|(_, part)| self.is_suspect(Suspect::Part(*part), crash.at)).collect()
     }
 
-    fn is_explained(&self, crash: &Crash, now: Millis) -> bool {
-        let quarantined = |part: &PartHash| self.rest(*part, now).is_some();
-        self.quarantines.keys().filter(|part| quarantined(part)).any(|part| crash.has_part(*part))
+    /// The request, of those that ask for the same, that stands for all of them.
+    fn first_repeat(&self, run: RunHash, request: RequestHash) -> RequestHash {
+        let content = self.lost_runs.content_of(run, request);
+        let repeats = content.map(|content| self.lost_runs.with(content));
+        repeats.into_iter().flatten().map(|lost| lost.request).min().unwrap_or(request)
     }
 
-    fn history(&self, part: PartHash) -> History {
-        if self.quarantines.get(&part).is_some_and(|known| !known.is_released)
-            && self.sound.proven_at(part).is_none()
-        {
-            return History::Probation;
-        }
-        match self.sound.proven_at(part) {
+    fn is_explained(&self, run: RunHash, crash: &Crash, now: Millis) -> bool {
+        self.quarantined_parts(now).any(|part| crash.has_part(part))
+            || self.has_quarantined_request(run, now)
+    }
+
+    /// Whether a quarantined request was running when this run of a replica ended.
+    pub(crate) fn has_quarantined_request(&self, run: RunHash, now: Millis) -> bool {
+        let mut contents = self.lost_runs.at_run(run).map(|lost| lost.content);
+        contents.any(|content| self.rest(Suspect::Request(content), now).is_some())
+    }
+
+    /// Whether a quarantined part was among the requests of a run of a replica that has ended.
+    pub(crate) fn has_quarantined_part(&self, run: RunHash, now: Millis) -> bool {
+        let crash = self.crashes.get(run);
+        crash.is_some_and(|crash| self.quarantined_parts(now).any(|part| crash.has_part(part)))
+    }
+
+    fn quarantined_parts(&self, now: Millis) -> impl Iterator<Item = PartHash> {
+        self.quarantines.keys().filter_map(move |suspect| match suspect {
+            Suspect::Part(part) => self.rest(*suspect, now).map(|_rest| *part),
+            Suspect::Request(_) => None,
+        })
+    }
+
+    pub(crate) fn history(&self, suspect: Suspect) -> History {
+        let proven_at = self.proven_at(suspect);
+        let was_quarantined =
+            self.quarantines.get(&suspect).is_some_and(|known| !known.is_released);
+        match proven_at {
+            None if was_quarantined => History::Probation,
             Some(_) => History::Proven,
             None => History::Unproven,
         }
@@ -266,11 +376,9 @@
     /// Releases quarantined parts whose crashes another quarantined part explains.
     fn release_redundant(&mut self, now: Millis) {
         loop {
-            let quarantined =
-                self.quarantines.keys().filter(|part| self.rest(**part, now).is_some());
-            let quarantined: BTreeSet<PartHash> = quarantined.copied().collect();
+            let quarantined: BTreeSet<PartHash> = self.quarantined_parts(now).collect();
             let Some(part) = redundant_part(&self.crashes, &quarantined) else { return };
-            if let Some(known) = self.quarantines.get_mut(&part) {
+            if let Some(known) = self.quarantines.get_mut(&Suspect::Part(part)) {
                 known.is_released = true;
             }
         }
@@ -279,6 +387,6 @@
     /// Whether nothing needs a review.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.crashes.is_empty() && self.quarantines.is_empty()
+        self.crashes.is_empty() && self.lost_runs.is_empty() && self.quarantines.is_empty()
     }
 }
--- a/crates/direct/src/crash_records.rs
+++ b/crates/direct/src/crash_records.rs
@@ -111,6 +111,10 @@
         self.parts.get(&part).copied()
     }
 
+    pub(crate) fn get(&self, run: RunHash) -> Option<&Crash> {
+        self.crashes.get(&run)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RunHash, &Crash)> {
         self.crashes.iter().map(|(run, crash)| (*run, crash))
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -31,11 +31,13 @@
 mod freshness;
 mod hash;
 mod health;
+mod lost_runs;
 mod placement;
 mod prefix_cache;
 mod redundancy;
 mod replicas;
 mod request;
+mod request_blame;
 mod restored_rollout;
 mod retry_after;
 mod retry_budget;
@@ -60,12 +62,14 @@
 pub use controller::{RolloutController, RolloutReport};
 pub use crash_evidence::{CrashEvidence, SuspectRequest, ToldCrash};
 pub use crash_quarantine::{
-    BLAME_TIME, CrashQuarantine, PROOF_TIME, QUARANTINE_TIME, QuarantineChange, QuarantineSource,
+    BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_TIME, QUARANTINE_TIME,
+    QuarantineChange, QuarantineSource,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use freshness::Freshness;
 pub use hash::stable_hash;
 pub use health::Health;
+pub use lost_runs::{LostRun, ToldRun};
 pub use placement::{
     Candidate, Demand, PromptDemand, expected_wait, placement_cost, select_candidate,
 };
@@ -81,7 +85,7 @@
 pub use shutdown::{admits_during_shutdown, shutdown_deadline};
 pub use signals::{MAX_PAUSE, ReplicaSignals, Unavailability};
 pub use spreading::watches_replicas;
-pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash};
+pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash, Suspect};
 pub use table::RoutingTable;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, slowdown};
 pub use versions::VersionFilter;
--- /dev/null
+++ b/crates/direct/src/lost_runs.rs
@@ -0,0 +1,182 @@
+//! Attempts at whole requests whose replicas have ended.
+
+use crate::{ContentHash, RequestHash, RunHash};
+use ibissail_core::Millis;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time for which a lost run is remembered.
+const LOST_RUN_TTL: Millis = Millis(120_000);
+/// Most lost runs remembered; those that ended first are forgotten first.
+const MAX_LOST_RUNS: usize = 256;
+/// Replicas that lose power together end within this time of each other.
+const COMMON_END: Millis = Millis(50);
+
+/// An attempt that was running when its replica ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostRun {
+    /// The run of the replica that ended.
+    pub run: RunHash,
+    /// The request that was sent to it.
+    pub request: RequestHash,
+    /// What the request asked for.
+    pub content: ContentHash,
+    /// When the request was sent.
+    pub began_at: Millis,
+    /// When its connection broke.
+    pub ended_at: Millis,
+}
+
+/// A lost run, as told to peers; the times are ages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRun(
+    /// The run of the replica.
+    pub RunHash,
+    /// The request.
+    pub RequestHash,
+    /// What it asked for.
+    pub ContentHash,
+    /// Time since it was sent.
+    pub Millis,
+    /// Time since its connection broke.
+    pub Millis,
+);
+
+impl LostRun {
+    pub(crate) fn told(&self, now: Millis) -> ToldRun {
+        let (began, ended) = (now.since(self.began_at), now.since(self.ended_at));
+        ToldRun(self.run, self.request, self.content, began, ended)
+    }
+}
+
+impl ToldRun {
+    pub(crate) fn at(&self, now: Millis) -> LostRun {
+        let Self(run, request, content, began, ended) = *self;
+        let (began_at, ended_at) = (now.since(began.max(ended)), now.since(ended));
+        LostRun { run, request, content, began_at, ended_at }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    lost: LostRun,
+    /// How often it has been told to peers.
+    told: u32,
+}
+
+/// The recent lost runs, at most one for each request at each run of a replica.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LostRuns {
+    records: BTreeMap<(RunHash, RequestHash), Record>,
+    /// The keys of the records of each content.
+    contents: BTreeMap<ContentHash, BTreeSet<(RunHash, RequestHash)>>,
+}
+
+impl LostRuns {
+    /// Adds a lost run; returns whether it is new. Of two times for the same run the earlier one is
+    /// kept, because messages only add delay.
+    pub(crate) fn add(&mut self, lost: LostRun, now: Millis) -> bool {
+        if now.since(lost.ended_at) >= LOST_RUN_TTL {
+            return false;
+        }
+        let key = (lost.run, lost.request);
+        if let Some(Record { lost: known, .. }) = self.records.get_mut(&key) {
+            known.began_at = known.began_at.min(lost.began_at);
+            known.ended_at = known.ended_at.min(lost.ended_at);
+            return false;
+        }
+        self.records.insert(key, Record { lost, told: 0 });
+        self.contents.entry(lost.content).or_default().insert(key);
+        while self.records.len() > MAX_LOST_RUNS {
+            let earliest = self.records.iter().min_by_key(|(key, record)| {
+                let lost = &record.lost;
+                (lost.ended_at, **key)
+            });
+            let Some(earliest) = earliest.map(|(key, _)| *key) else { break };
+            self.remove(earliest);
+        }
+        self.records.contains_key(&key)
+    }
+
+    fn remove(&mut self, key: (RunHash, RequestHash)) {
+        let Some(Record { lost, .. }) = self.records.remove(&key) else { return };
+        if let Some(keys) = self.contents.get_mut(&lost.content) {
+            keys.remove(&key);
+            if keys.is_empty() {
+                self.contents.remove(&lost.content);
+            }
+        }
+    }
+
+    /// Forgets runs that were lost too long ago.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        let is_old = |record: &Record| now.since(record.lost.ended_at) >= LOST_RUN_TTL;
+        let old = self.records.iter().filter(|(_, record)| is_old(record));
+        let old: Vec<_> = old.map(|(key, _)| *key).collect();
+        for key in old {
+            self.remove(key);
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(crate) fn contents(&self) -> impl Iterator<Item = ContentHash> {
+        self.contents.keys().copied()
+    }
+
+    /// The lost runs of one content.
+    pub(crate) fn with(&self, content: ContentHash) -> impl Iterator<Item = &LostRun> {
+        let keys = self.contents.get(&content).into_iter().flatten();
+        keys.filter_map(|key| self.records.get(key)).map(|record| &record.lost)
+    }
+
+    /// What was lost when this run of a replica ended.
+    pub(crate) fn at_run(&self, run: RunHash) -> impl Iterator<Item = &LostRun> {
+        let keys = (run, RequestHash(0))..=(run, RequestHash(u32::MAX));
+        self.records.range(keys).map(|(_, record)| &record.lost)
+    }
+
+    /// Content of a request that was lost at this run; `None` if it is unknown.
+    pub(crate) fn content_of(&self, run: RunHash, request: RequestHash) -> Option<ContentHash> {
+        self.records.get(&(run, request)).map(|record| record.lost.content)
+    }
+
+    /// The runs to tell to peers, those that were told least often first.
+    pub(crate) fn due(&self, tell_count: u32) -> Vec<LostRun> {
+        let due = self.records.values().filter(|record| record.told < tell_count);
+        let mut due: Vec<&Record> = due.collect();
+        due.sort_by_key(|record| (record.told, record.lost.ended_at, record.lost.run));
+        due.into_iter().map(|record| record.lost).collect()
+    }
+
+    /// Counts that a lost run has been told to peers.
+    pub(crate) fn record_told(&mut self, lost: &LostRun) {
+        if let Some(record) = self.records.get_mut(&(lost.run, lost.request)) {
+            record.told += 1;
+        }
+    }
+}
+
+/// Number of runs that ended independently of each other: later ones began after an earlier one had
+/// ended, or ended clearly after it.
+pub(crate) fn independent_runs<'a, I>(runs: I) -> usize
+where
+    I: IntoIterator<Item = &'a LostRun>,
+{
+    let mut runs: Vec<&LostRun> = runs.into_iter().collect();
+    runs.sort_by_key(|lost| (lost.ended_at, lost.began_at));
+    let mut count = 0;
+    let mut last: Option<Millis> = None;
+    for lost in runs {
+        let is_independent = last.is_none_or(|ended| {
+            lost.began_at >= ended || lost.ended_at >= ended.saturating_add(COMMON_END)
+        });
+        if is_independent {
+            count += 1;
+            last = Some(lost.ended_at);
+        }
+    }
+    count
+}
--- /dev/null
+++ b/crates/direct/src/request_blame.rs
@@ -0,0 +1,98 @@
+//! Which request explains crashes of replicas best.
+
+use crate::{
+    ContentHash, CrashQuarantine, LostRun, RequestHash, Suspect,
+    blame::{Blame, History},
+    crash_quarantine::{BLAME_TIME, PROVEN_SETTLING_TIME, SETTLING_TIME},
+    lost_runs::independent_runs,
+};
+use ibissail_core::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time before the first crash whose answers show how often requests meet crashes.
+const OUTCOMES_BEFORE: Millis = Millis(10_000);
+/// Share of answers that no crash cuts off, assumed until answers are known.
+const ASSUMED_PROVEN_SHARE: f64 = 0.8;
+/// Independent crashes from which a request is not sent once more after the next one.
+const MIN_CRASHES_WITHOUT_RETRY: usize = 3;
+
+impl CrashQuarantine {
+    /// The request to blame, if one can be told from the others.
+    pub(crate) fn most_blamed_request(&self, now: Millis) -> Option<(ContentHash, History, Blame)> {
+        let requests: BTreeMap<ContentHash, (History, Blame)> = self
+            .lost_runs
+            .contents()
+            .filter_map(|content| Some((content, self.request_blame(content, now)?)))
+            .collect();
+        if !requests.values().any(|(history, blame)| blame.suffices_for_request(*history)) {
+            return None;
+        }
+        let parts = self.blames(now);
+        let is_clear = |content: &ContentHash, history: History, blame: &Blame| {
+            let is_rival = |other: History| other <= history.max(History::Unproven);
+            let others = requests.iter().filter(|(other, _)| *other != content);
+            let others = others.map(|(_, other)| other).chain(parts.values());
+            let others = others.filter(|(other, _)| is_rival(*other)).map(|(_, blame)| blame);
+            let own = self.repeats(*content);
+            history == History::Probation || !blame.is_rivalled_by(others, &own)
+        };
+        let suffices = requests.iter().filter(|(content, (history, blame))| {
+            blame.suffices_for_request(*history) && is_clear(content, *history, blame)
+        });
+        let most = suffices.max_by_key(|(content, (_, blame))| (blame.attempts, **content));
+        most.map(|(content, (history, blame))| (*content, *history, blame.clone()))
+    }
+
+    /// Whether another attempt at this request may be made after one whose replica has ended.
+    #[must_use]
+    pub fn may_retry(&self, content: ContentHash) -> bool {
+        let suspect = Suspect::Request(content);
+        let is_probation = self.history(suspect) == History::Probation;
+        let lost = self.lost_runs.with(content);
+        let unproven = lost.filter(|lost| self.is_suspect(suspect, lost.ended_at));
+        !is_probation && independent_runs(unproven) < MIN_CRASHES_WITHOUT_RETRY
+    }
+
+    fn repeats(&self, content: ContentHash) -> BTreeSet<RequestHash> {
+        self.lost_runs.with(content).map(|lost| lost.request).collect()
+    }
+
+    /// Blame of a request for the settled crashes that nothing quarantined explains; `None` if there
+    /// are none.
+    fn request_blame(&self, content: ContentHash, now: Millis) -> Option<(History, Blame)> {
+        let suspect = Suspect::Request(content);
+        let history = self.history(suspect);
+        let settling_time = match history {
+            History::Probation => Millis(0),
+            History::Unknown | History::Unproven => SETTLING_TIME,
+            History::Proven => PROVEN_SETTLING_TIME,
+        };
+        let quarantine = self.quarantines.get(&suspect);
+        let earlier = quarantine.map(|known| known.since.saturating_add(known.time));
+        let counts = |lost: &&LostRun| {
+            now.since(lost.ended_at) >= settling_time
+                && earlier.is_none_or(|end| lost.ended_at >= end)
+                && self.is_suspect(suspect, lost.ended_at)
+                && !self.has_quarantined_request(lost.run, now)
+                && !self.has_quarantined_part(lost.run, now)
+        };
+        let lost: Vec<&LostRun> = self.lost_runs.with(content).filter(counts).collect();
+        let earliest = lost.iter().map(|lost| lost.ended_at).min()?;
+        let latest = lost.iter().map(|lost| lost.ended_at).max()?;
+        let from = earliest.since(OUTCOMES_BEFORE);
+        let to = latest.saturating_add(BLAME_TIME);
+        let blame = Blame {
+            crashes: lost.iter().map(|lost| lost.run).collect(),
+            requests: lost.iter().map(|lost| lost.request).collect(),
+            attempts: independent_runs(lost),
+            earliest,
+            latest,
+            proven_share: self.request_outcomes.assumed_proven_share(
+                ASSUMED_PROVEN_SHARE,
+                from,
+                to,
+            ),
+        };
+        Some((history, blame))
+    }
+}
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -1,15 +1,16 @@
-//! Identities of what may crash a replica, and the parts that are known not to.
+//! Identities of what may crash a replica, and what is known not to.
 
 use crate::{Prompt, hash::stable_hash_with_bytes, stable_hash};
-use derive_more::Display;
+use derive_more::{Display, From};
 use ibissail_core::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Most parts of one prompt that are tracked.
 pub const MAX_TRACKED_PARTS: usize = 16;
-/// Most sound parts that are remembered; those proven least recently are forgotten first.
-const MAX_SOUND_PARTS: usize = 4_096;
+/// Most sound parts, and most sound requests, that are remembered; those proven least recently are
+/// forgotten first.
+const MAX_SOUND_RECORDS: usize = 4_096;
 
 /// Identifies the content of a part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
@@ -92,31 +93,49 @@
     }
 }
 
-/// Parts that a replica has answered on without crashing, each with the start of the latest such
-/// answer.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct SoundParts {
-    began_at: BTreeMap<PartHash, Millis>,
+/// What may crash replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, From)]
+pub enum Suspect {
+    /// A whole request.
+    Request(ContentHash),
+    /// A part of prompts.
+    Part(PartHash),
 }
 
-impl SoundParts {
-    /// Start of the latest answer that proves the part sound; `None` if it was never proven.
-    pub(crate) fn proven_at(&self, part: PartHash) -> Option<Millis> {
-        self.began_at.get(&part).copied()
+/// Requests or parts that a replica has answered without crashing, each with the start of the latest
+/// such answer.
+#[derive(Debug, Clone)]
+pub(crate) struct SoundRecords<K> {
+    began_at: BTreeMap<K, Millis>,
+}
+
+impl<K> Default for SoundRecords<K> {
+    fn default() -> Self {
+        Self { began_at: BTreeMap::new() }
+    }
+}
+
+impl<K> SoundRecords<K>
+where
+    K: Copy + Ord,
+{
+    /// Start of the latest answer that proves this sound; `None` if it was never proven.
+    pub(crate) fn proven_at(&self, key: K) -> Option<Millis> {
+        self.began_at.get(&key).copied()
     }
 
     /// Records an answer that began at this time; an earlier one than known changes nothing.
-    pub(crate) fn record(&mut self, part: PartHash, began_at: Millis) {
-        if let Some(known) = self.began_at.get_mut(&part) {
+    pub(crate) fn record(&mut self, key: K, began_at: Millis) {
+        if let Some(known) = self.began_at.get_mut(&key) {
             *known = began_at.max(*known);
             return;
         }
-        if self.began_at.len() >= MAX_SOUND_PARTS {
+        if self.began_at.len() >= MAX_SOUND_RECORDS {
             let mut times: Vec<Millis> = self.began_at.values().copied().collect();
             times.sort_unstable();
-            let limit = times[MAX_SOUND_PARTS / 8];
+            let limit = times[MAX_SOUND_RECORDS / 8];
             self.began_at.retain(|_, began| *began > limit);
         }
-        self.began_at.insert(part, began_at);
+        self.began_at.insert(key, began_at);
     }
 }
--- a/crates/direct/tests/prompt_evidence.rs
+++ b/crates/direct/tests/prompt_evidence.rs
@@ -29,7 +29,9 @@
         quarantine.record_sound(&[common], at(500 + number * 100), at(900 + number * 100));
     }
     let changes = quarantine.review(at(5_000));
-    assert!(matches!(changes[..], [QuarantineChange::Quarantined(found, _)] if found == part));
+    assert!(
+        matches!(changes[..], [QuarantineChange::Quarantined(found, _)] if found == part.into())
+    );
     quarantine
 }
 
@@ -43,7 +45,7 @@
     let mut quarantine = quarantine_of(part);
     assert!(is_refused(&quarantine, part, at(5_100)));
     quarantine.record_sound(&[part], at(5_050), at(5_500));
-    assert_eq!(quarantine.review(at(5_500)), [QuarantineChange::Released(part)]);
+    assert_eq!(quarantine.review(at(5_500)), [QuarantineChange::Released(part.into())]);
     let mut peer = quarantine_of(part);
     let evidence = quarantine.evidence(at(5_600)).expect("the proof is told");
     peer.merge(&evidence, at(5_600));
@@ -57,7 +59,7 @@
     let end = at(5_000).saturating_add(QUARANTINE_TIME);
     assert!(is_refused(&quarantine, part, Millis(end.0 - 1)));
     assert!(!is_refused(&quarantine, part, end));
-    assert_eq!(quarantine.review(end), [QuarantineChange::Released(part)]);
+    assert_eq!(quarantine.review(end), [QuarantineChange::Released(part.into())]);
     quarantine.record_crash(RunHash(99), RequestHash(99), &[PartHash(1), part], end);
     quarantine.record_sound(&[PartHash(1)], end, end);
     quarantine.review(Millis(end.0 + 1_500));
@@ -91,7 +93,7 @@
             CrashEvidence {
                 crashes: vec![(RunHash(number % 7), age, vec![(request, random_parts(3))])],
                 sound: random_parts(number % 2).into_iter().map(dated).collect(),
-                quarantined: Vec::new(),
+                ..CrashEvidence::default()
             }
         };
         let mut messages: Vec<CrashEvidence> = (0..30).map(message).collect();
@@ -127,6 +129,7 @@
             crashes: vec![(RunHash(rng.random()), age, vec![(request, parts.clone()); 50])],
             sound: parts.iter().map(|part| (*part, age)).collect(),
             quarantined: parts.iter().map(|part| (*part, age)).collect(),
+            ..CrashEvidence::default()
         };
         quarantine.merge(&told, now);
         quarantine.record_crash(RunHash(number / 20), request, &parts[..16], now);
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of reading and writing messages.
 
 use quick_error::quick_error;
+use std::io::ErrorKind;
 
 quick_error! {
     /// Why a message could not be read or written.
@@ -18,6 +19,8 @@
         EventTooLarge { display("an event is longer than the limit") }
         /// The bytes are not a valid HTTP/1.1 message.
         Malformed(detail: String) { display("malformed message: {}", detail) }
+        /// Nothing accepts connections at the address.
+        Refused { display("connection failed: connection refused") }
         /// The connection failed, or could not be opened.
         Io(detail: String) { display("connection failed: {}", detail) }
         /// The peer did not accept the connection, or did not send its message, in time.
@@ -27,6 +30,9 @@
 
 impl From<std::io::Error> for HttpError {
     fn from(error: std::io::Error) -> Self {
-        Self::Io(error.kind().to_string())
+        match error.kind() {
+            ErrorKind::ConnectionRefused => Self::Refused,
+            kind => Self::Io(kind.to_string()),
+        }
     }
 }
