Decide on a request by crashes that are independent of each other

Change: one attempt may suffice, as it meets up to three crashes; the settling time runs from the first crash; only a rival that explains all crashes counts; an entry decides only on a request that it has lost itself, by its own answers; of replicas that end within 20 ms (5 ms if the same attempt goes on from one to the next) one counts; no retry after three ended replicas.

--- a/crates/direct/src/blame.rs
+++ b/crates/direct/src/blame.rs
@@ -15,9 +15,8 @@
 const PROVEN_THRESHOLD: Threshold = Threshold { crashes: 5, requests: 3 };
 /// The same for a part whose quarantine has ended.
 const PROBATION_THRESHOLD: Threshold = Threshold { crashes: 1, requests: 1 };
-/// Crashes, independent of each other, and requests from which a request that was never proven sound
-/// is blamed. Its caller repeats it, so that one attempt can meet several crashes.
-const REPEATED_REQUEST_THRESHOLD: Threshold = Threshold { crashes: 3, requests: 2 };
+/// Crashes, independent of each other, from which a request that was never proven sound is blamed.
+const REQUEST_THRESHOLD: Threshold = Threshold { crashes: 3, requests: 1 };
 /// The same for a request that was proven sound, but not since these crashes.
 const PROVEN_REQUEST_THRESHOLD: Threshold = Threshold { crashes: 5, requests: 3 };
 /// Crashes from which a part is blamed although others of the same requests explain about as many.
@@ -101,24 +100,20 @@
         match history {
             History::Probation => reaches(PROBATION_THRESHOLD),
             History::Unknown | History::Unproven => {
-                reaches(REPEATED_REQUEST_THRESHOLD) && chance <= MAX_UNKNOWN_CHANCE
+                reaches(REQUEST_THRESHOLD) && chance <= MAX_UNKNOWN_CHANCE
             }
             History::Proven => reaches(PROVEN_REQUEST_THRESHOLD) && chance <= MAX_CHANCE,
         }
     }
 
-    /// Whether others explain as well what this request is blamed for. Parts that only its own
-    /// repeats have do not count.
+    /// Whether another explains all that this request is blamed for. Parts that only its own repeats
+    /// have do not count.
     pub(crate) fn is_rivalled_by<'a, I>(&self, others: I, own: &BTreeSet<RequestHash>) -> bool
     where
         I: IntoIterator<Item = &'a Self>,
     {
-        let is_early = self.attempts < RIVALRY_CRASHES;
-        others.into_iter().any(|other| {
-            other.explains_most_of(self)
-                && !other.requests.is_subset(own)
-                && (is_early || other.is_independent_of(self))
-        })
+        let mut others = others.into_iter().filter(|other| !other.requests.is_subset(own));
+        others.any(|other| self.crashes.is_subset(&other.crashes))
     }
 
     /// Whether this part explains at least three quarters of another part's crashes.
--- a/crates/direct/src/crash_exchange.rs
+++ b/crates/direct/src/crash_exchange.rs
@@ -113,7 +113,7 @@
         }
         for told in &evidence.lost_runs {
             let lost = told.at(now);
-            self.lost_runs.add(lost, now);
+            self.lost_runs.add(lost, false, now);
             self.tell_if_sound(Suspect::Request(lost.content));
         }
         for (run, age, requests) in &evidence.crashes {
--- a/crates/direct/src/crash_quarantine.rs
+++ b/crates/direct/src/crash_quarantine.rs
@@ -110,7 +110,7 @@
 
     /// Records that a replica has ended while it had a request; returns whether this is new.
     pub fn record_lost_run(&mut self, lost: LostRun, now: Millis) -> bool {
-        let is_new = self.lost_runs.add(lost, now);
+        let is_new = self.lost_runs.add(lost, true, now);
         if is_new {
             self.request_outcomes.record(false, false, now);
         }
--- a/crates/direct/src/lost_runs.rs
+++ b/crates/direct/src/lost_runs.rs
@@ -9,8 +9,11 @@
 const LOST_RUN_TTL: Millis = Millis(120_000);
 /// Most lost runs remembered; those that ended first are forgotten first.
 const MAX_LOST_RUNS: usize = 256;
-/// Replicas that lose power together end within this time of each other.
-const COMMON_END: Millis = Millis(50);
+/// Replicas that lose power together end within this time of each other, as seen by several entries
+/// whose messages take different times.
+const COMMON_END: Millis = Millis(20);
+/// The same, as seen by one entry that sends a request on from one replica to the other.
+const COMMON_END_OF_RETRY: Millis = Millis(5);
 
 /// An attempt that was running when its replica ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +63,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Record {
     lost: LostRun,
+    /// Whether this entry has lost it itself.
+    is_own: bool,
     /// How often it has been told to peers.
     told: u32,
 }
@@ -75,17 +80,18 @@
 impl LostRuns {
     /// Adds a lost run; returns whether it is new. Of two times for the same run the earlier one is
     /// kept, because messages only add delay.
-    pub(crate) fn add(&mut self, lost: LostRun, now: Millis) -> bool {
+    pub(crate) fn add(&mut self, lost: LostRun, is_own: bool, now: Millis) -> bool {
         if now.since(lost.ended_at) >= LOST_RUN_TTL {
             return false;
         }
         let key = (lost.run, lost.request);
-        if let Some(Record { lost: known, .. }) = self.records.get_mut(&key) {
+        if let Some(record) = self.records.get_mut(&key) {
+            let known = &mut record.lost;
             known.began_at = known.began_at.min(lost.began_at);
             known.ended_at = known.ended_at.min(lost.ended_at);
             return false;
         }
-        self.records.insert(key, Record { lost, told: 0 });
+        self.records.insert(key, Record { lost, is_own, told: 0 });
         self.contents.entry(lost.content).or_default().insert(key);
         while self.records.len() > MAX_LOST_RUNS {
             let earliest = self.records.iter().min_by_key(|(key, record)| {
@@ -132,6 +138,12 @@
         keys.filter_map(|key| self.records.get(key)).map(|record| &record.lost)
     }
 
+    /// Whether this entry has lost a run of this content itself.
+    pub(crate) fn has_own(&self, content: ContentHash) -> bool {
+        let mut keys = self.contents.get(&content).into_iter().flatten();
+        keys.any(|key| self.records.get(key).is_some_and(|record| record.is_own))
+    }
+
     /// What was lost when this run of a replica ended.
     pub(crate) fn at_run(&self, run: RunHash) -> impl Iterator<Item = &LostRun> {
         let keys = (run, RequestHash(0))..=(run, RequestHash(u32::MAX));
@@ -159,8 +171,7 @@
     }
 }
 
-/// Number of runs that ended independently of each other: later ones began after an earlier one had
-/// ended, or ended clearly after it.
+/// Number of runs that ended independently of each other, each clearly after the one before.
 pub(crate) fn independent_runs<'a, I>(runs: I) -> usize
 where
     I: IntoIterator<Item = &'a LostRun>,
@@ -168,14 +179,16 @@
     let mut runs: Vec<&LostRun> = runs.into_iter().collect();
     runs.sort_by_key(|lost| (lost.ended_at, lost.began_at));
     let mut count = 0;
-    let mut last: Option<Millis> = None;
+    let mut last: Option<&LostRun> = None;
     for lost in runs {
-        let is_independent = last.is_none_or(|ended| {
-            lost.began_at >= ended || lost.ended_at >= ended.saturating_add(COMMON_END)
+        let is_independent = last.is_none_or(|last| {
+            let is_retry = lost.request == last.request && lost.began_at >= last.ended_at;
+            let common_end = if is_retry { COMMON_END_OF_RETRY } else { COMMON_END };
+            lost.ended_at >= last.ended_at.saturating_add(common_end)
         });
         if is_independent {
             count += 1;
-            last = Some(lost.ended_at);
+            last = Some(lost);
         }
     }
     count
--- a/crates/direct/src/request_blame.rs
+++ b/crates/direct/src/request_blame.rs
@@ -1,7 +1,7 @@
 //! Which request explains crashes of replicas best.
 
 use crate::{
-    ContentHash, CrashQuarantine, LostRun, RequestHash, Suspect,
+    ContentHash, CrashQuarantine, LostRun, RequestHash, RunHash, Suspect,
     blame::{Blame, History},
     crash_quarantine::{BLAME_TIME, PROVEN_SETTLING_TIME, SETTLING_TIME},
     lost_runs::independent_runs,
@@ -9,11 +9,12 @@
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Time before the first crash whose answers show how often requests meet crashes.
+/// Time before the first crash whose answers show how often requests that were never proven sound
+/// meet crashes.
 const OUTCOMES_BEFORE: Millis = Millis(10_000);
 /// Share of answers that no crash cuts off, assumed until answers are known.
 const ASSUMED_PROVEN_SHARE: f64 = 0.8;
-/// Independent crashes from which a request is not sent once more after the next one.
+/// Crashes from which a request is not sent once more after the next one.
 const MIN_CRASHES_WITHOUT_RETRY: usize = 3;
 
 impl CrashQuarantine {
@@ -37,7 +38,10 @@
             history == History::Probation || !blame.is_rivalled_by(others, &own)
         };
         let suffices = requests.iter().filter(|(content, (history, blame))| {
-            blame.suffices_for_request(*history) && is_clear(content, *history, blame)
+            // Only its own answers tell an entry how often its requests meet other crashes.
+            self.lost_runs.has_own(**content)
+                && blame.suffices_for_request(*history)
+                && is_clear(content, *history, blame)
         });
         let most = suffices.max_by_key(|(content, (_, blame))| (blame.attempts, **content));
         most.map(|(content, (history, blame))| (*content, *history, blame.clone()))
@@ -50,7 +54,8 @@
         let is_probation = self.history(suspect) == History::Probation;
         let lost = self.lost_runs.with(content);
         let unproven = lost.filter(|lost| self.is_suspect(suspect, lost.ended_at));
-        !is_probation && independent_runs(unproven) < MIN_CRASHES_WITHOUT_RETRY
+        let crashes: BTreeSet<RunHash> = unproven.map(|lost| lost.run).collect();
+        !is_probation && crashes.len() < MIN_CRASHES_WITHOUT_RETRY
     }
 
     fn repeats(&self, content: ContentHash) -> BTreeSet<RequestHash> {
@@ -70,16 +75,23 @@
         let quarantine = self.quarantines.get(&suspect);
         let earlier = quarantine.map(|known| known.since.saturating_add(known.time));
         let counts = |lost: &&LostRun| {
-            now.since(lost.ended_at) >= settling_time
-                && earlier.is_none_or(|end| lost.ended_at >= end)
+            earlier.is_none_or(|end| lost.ended_at >= end)
                 && self.is_suspect(suspect, lost.ended_at)
                 && !self.has_quarantined_request(lost.run, now)
                 && !self.has_quarantined_part(lost.run, now)
         };
         let lost: Vec<&LostRun> = self.lost_runs.with(content).filter(counts).collect();
         let earliest = lost.iter().map(|lost| lost.ended_at).min()?;
+        if now.since(earliest) < settling_time {
+            return None;
+        }
         let latest = lost.iter().map(|lost| lost.ended_at).max()?;
-        let from = earliest.since(OUTCOMES_BEFORE);
+        let from = match history {
+            History::Proven => earliest,
+            History::Probation | History::Unknown | History::Unproven => {
+                earliest.since(OUTCOMES_BEFORE)
+            }
+        };
         let to = latest.saturating_add(BLAME_TIME);
         let blame = Blame {
             crashes: lost.iter().map(|lost| lost.run).collect(),
