Find the explained crashes once in a review

Change: one set of the runs that something quarantined explains, made once for parts and once for requests.

--- a/crates/direct/src/crash_quarantine.rs
+++ b/crates/direct/src/crash_quarantine.rs
@@ -282,10 +282,11 @@
 
     /// Blames of all parts for the settled crashes that nothing quarantined explains.
     pub(crate) fn blames(&self, now: Millis) -> BTreeMap<PartHash, (History, Blame)> {
+        let explained = self.explained_runs(now);
         let mut blames: BTreeMap<PartHash, (History, Blame)> = BTreeMap::new();
         for (run, crash) in self.crashes.iter() {
             let age = now.since(crash.at);
-            if age < SETTLING_TIME || self.is_explained(run, crash, now) {
+            if age < SETTLING_TIME || explained.contains(&run) {
                 continue;
             }
             for (request, part) in self.suspects(crash) {
@@ -338,21 +339,16 @@
         repeats.into_iter().flatten().map(|lost| lost.request).min().unwrap_or(request)
     }
 
-    fn is_explained(&self, run: RunHash, crash: &Crash, now: Millis) -> bool {
-        self.quarantined_parts(now).any(|part| crash.has_part(part))
-            || self.has_quarantined_request(run, now)
-    }
-
-    /// Whether a quarantined request was running when this run of a replica ended.
-    pub(crate) fn has_quarantined_request(&self, run: RunHash, now: Millis) -> bool {
-        let mut contents = self.lost_runs.at_run(run).map(|lost| lost.content);
-        contents.any(|content| self.rest(Suspect::Request(content), now).is_some())
-    }
-
-    /// Whether a quarantined part was among the requests of a run of a replica that has ended.
-    pub(crate) fn has_quarantined_part(&self, run: RunHash, now: Millis) -> bool {
-        let crash = self.crashes.get(run);
-        crash.is_some_and(|crash| self.quarantined_parts(now).any(|part| crash.has_part(part)))
+    /// The runs of replicas whose end something quarantined explains.
+    pub(crate) fn explained_runs(&self, now: Millis) -> BTreeSet<RunHash> {
+        let parts: BTreeSet<PartHash> = self.quarantined_parts(now).collect();
+        let by_part = self.crashes.iter().filter(|(_, crash)| crash.has_any_part(&parts));
+        let by_part = by_part.map(|(run, _)| run);
+        let requests = self.lost_runs.contents();
+        let requests =
+            requests.filter(|content| self.rest(Suspect::Request(*content), now).is_some());
+        let by_request = requests.flat_map(|content| self.lost_runs.with(content));
+        by_part.chain(by_request.map(|lost| lost.run)).collect()
     }
 
     fn quarantined_parts(&self, now: Millis) -> impl Iterator<Item = PartHash> {
--- a/crates/direct/src/crash_records.rs
+++ b/crates/direct/src/crash_records.rs
@@ -23,9 +23,9 @@
 }
 
 impl Crash {
-    /// Whether one of the requests has this part.
-    pub(crate) fn has_part(&self, part: PartHash) -> bool {
-        self.requests.values().any(|parts| parts.contains(&part))
+    /// Whether one of the requests has one of these parts.
+    pub(crate) fn has_any_part(&self, parts: &BTreeSet<PartHash>) -> bool {
+        !parts.is_empty() && self.requests.values().any(|known| !known.is_disjoint(parts))
     }
 }
 
@@ -111,10 +111,6 @@
         self.parts.get(&part).copied()
     }
 
-    pub(crate) fn get(&self, run: RunHash) -> Option<&Crash> {
-        self.crashes.get(&run)
-    }
-
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RunHash, &Crash)> {
         self.crashes.iter().map(|(run, crash)| (*run, crash))
     }
--- a/crates/direct/src/lost_runs.rs
+++ b/crates/direct/src/lost_runs.rs
@@ -144,12 +144,6 @@
         keys.any(|key| self.records.get(key).is_some_and(|record| record.is_own))
     }
 
-    /// What was lost when this run of a replica ended.
-    pub(crate) fn at_run(&self, run: RunHash) -> impl Iterator<Item = &LostRun> {
-        let keys = (run, RequestHash(0))..=(run, RequestHash(u32::MAX));
-        self.records.range(keys).map(|(_, record)| &record.lost)
-    }
-
     /// Content of a request that was lost at this run; `None` if it is unknown.
     pub(crate) fn content_of(&self, run: RunHash, request: RequestHash) -> Option<ContentHash> {
         self.records.get(&(run, request)).map(|record| record.lost.content)
--- a/crates/direct/src/request_blame.rs
+++ b/crates/direct/src/request_blame.rs
@@ -20,11 +20,11 @@
 impl CrashQuarantine {
     /// The request to blame, if one can be told from the others.
     pub(crate) fn most_blamed_request(&self, now: Millis) -> Option<(ContentHash, History, Blame)> {
-        let requests: BTreeMap<ContentHash, (History, Blame)> = self
-            .lost_runs
-            .contents()
-            .filter_map(|content| Some((content, self.request_blame(content, now)?)))
-            .collect();
+        let explained = self.explained_runs(now);
+        let contents = self.lost_runs.contents();
+        let requests = contents
+            .filter_map(|content| Some((content, self.request_blame(content, &explained, now)?)));
+        let requests: BTreeMap<ContentHash, (History, Blame)> = requests.collect();
         if !requests.values().any(|(history, blame)| blame.suffices_for_request(*history)) {
             return None;
         }
@@ -62,9 +62,14 @@
         self.lost_runs.with(content).map(|lost| lost.request).collect()
     }
 
-    /// Blame of a request for the settled crashes that nothing quarantined explains; `None` if there
-    /// are none.
-    fn request_blame(&self, content: ContentHash, now: Millis) -> Option<(History, Blame)> {
+    /// Blame of a request for the settled crashes that nothing else explains; `None` if there are
+    /// none.
+    fn request_blame(
+        &self,
+        content: ContentHash,
+        explained: &BTreeSet<RunHash>,
+        now: Millis,
+    ) -> Option<(History, Blame)> {
         let suspect = Suspect::Request(content);
         let history = self.history(suspect);
         let settling_time = match history {
@@ -77,8 +82,7 @@
         let counts = |lost: &&LostRun| {
             earlier.is_none_or(|end| lost.ended_at >= end)
                 && self.is_suspect(suspect, lost.ended_at)
-                && !self.has_quarantined_request(lost.run, now)
-                && !self.has_quarantined_part(lost.run, now)
+                && !explained.contains(&lost.run)
         };
         let lost: Vec<&LostRun> = self.lost_runs.with(content).filter(counts).collect();
         let earliest = lost.iter().map(|lost| lost.ended_at).min()?;
