--- a/crates/daemon/tests/crashing_prompts.rs
+++ b/crates/daemon/tests/crashing_prompts.rs
@@ -4,7 +4,7 @@
 
 use direct::{
     EntryFixture,
-    traffic::{Traffic, assert_mostly_served, assert_quarantined, sent_after},
+    traffic::{Traffic, assert_quarantined, assert_served, sent_after},
     wait_until,
 };
 use ibissail_platform_standin::{CallerRequest, ConfigurationSpec, CrashingReplicas, RouteSpec};
@@ -52,8 +52,8 @@
     thread::sleep(STABILITY_WINDOW * 3);
     let (sound, crashing) = (sound.stop(), crashing.stop());
 
-    let late = replicas.arrivals().iter().filter(|arrived| **arrived > bound).count();
+    let late = replicas.arrivals().iter().filter(|arrived| arrived.received_at > bound).count();
     assert!(late <= 3, "{late} requests with the part, {} crashes", replicas.crashes().len());
     assert_quarantined(&sent_after(&crashing, bound), "prompt_quarantined", 10);
-    assert_mostly_served(&sent_after(&sound, bound), 50);
+    assert_served(&sent_after(&sound, bound), 90, 50);
 }
--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -4,16 +4,22 @@
 
 use direct::{
     EntryFixture,
-    traffic::{Traffic, assert_mostly_served, assert_quarantined, sent_after},
+    traffic::{Exchange, Traffic, assert_quarantined, assert_served, sent_after},
     wait_until,
 };
 use ibissail_platform_standin::{
     CallerRequest, ConfigurationSpec, CrashingReplicas, Reaction, ReceivedRequest, RouteSpec,
 };
-use std::{net::SocketAddr, thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
 
-/// Path of the request that crashes replicas.
+/// Path and body of the request that crashes replicas.
 const CRASHING_PATH: &str = "/guides/bad";
+const CRASHING_BODY: &[u8] = b"the same each time";
 /// Time from the third crash until the request must be kept from replicas.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Most copies that may reach replicas after that.
@@ -23,6 +29,8 @@
 const SOUND_INTERVAL: Duration = Duration::from_millis(60);
 /// Time after which replicas answer sound requests.
 const RESPONSE_TIME: Duration = Duration::from_millis(20);
+/// Time in which sound requests are served before the first copy is sent.
+const LEAD_TIME: Duration = Duration::from_secs(1);
 const REPLICAS: usize = 4;
 
 fn configuration(kind: &str) -> ConfigurationSpec {
@@ -30,14 +38,10 @@
     ConfigurationSpec { version: 1, routes: vec![guides], organisations: Vec::new() }
 }
 
-fn crash_on_path(request: &ReceivedRequest) -> Reaction {
-    if request.target == CRASHING_PATH { Reaction::Crash } else { Reaction::Respond(RESPONSE_TIME) }
-}
-
 /// A copy of the request that crashes replicas; all are alike but for their attempt id.
 fn copy(number: usize) -> CallerRequest {
     let mut request = CallerRequest::new("POST", CRASHING_PATH, &format!("crash-{number}"));
-    request.body = b"the same each time".to_vec();
+    request.body = CRASHING_BODY.to_vec();
     request
 }
 
@@ -45,35 +49,102 @@
     CallerRequest::new("POST", &format!("/guides/{number}"), &format!("sound-{number}"))
 }
 
-fn late_arrivals(replicas: &CrashingReplicas) -> usize {
-    let bound = replicas.crashes()[2] + STABILITY_WINDOW;
-    replicas.arrivals().iter().filter(|arrived| **arrived > bound).count()
+fn crash_on_path(request: &ReceivedRequest) -> Reaction {
+    if request.target == CRASHING_PATH { Reaction::Crash } else { Reaction::Respond(RESPONSE_TIME) }
+}
+
+/// Three entries, and replicas that crash on the copies.
+struct CrashingFleet {
+    entries: [EntryFixture; 3],
+    replicas: CrashingReplicas,
+}
+
+impl CrashingFleet {
+    fn start<F>(test: &str, configuration: &ConfigurationSpec, react: F) -> Self
+    where
+        F: Fn(&ReceivedRequest) -> Reaction + Send + Sync + 'static,
+    {
+        let entries = EntryFixture::start_fleet(test, configuration);
+        let store = &entries[0].store;
+        let replicas = CrashingReplicas::start_plain(store, "guides", REPLICAS, react);
+        EntryFixture::wait_for_fleet(&entries);
+        Self { entries, replicas }
+    }
+
+    fn addresses(&self) -> [SocketAddr; 3] {
+        self.entries.each_ref().map(|entry| entry.callers)
+    }
+
+    fn start_sound(&self) -> Traffic {
+        let traffic = Traffic::start(&self.addresses(), SOUND_INTERVAL, sound);
+        thread::sleep(LEAD_TIME);
+        traffic
+    }
+
+    /// Waits for the third crash; returns when the request must be known.
+    fn wait_for_third_crash(&self) -> Instant {
+        wait_until("three replicas have crashed", || self.replicas.crashes().len() >= 3);
+        self.replicas.crashes()[2] + STABILITY_WINDOW
+    }
+
+    fn assert_few_arrivals_after(&self, bound: Instant) {
+        let arrivals = self.replicas.arrivals();
+        let late = arrivals.iter().filter(|arrived| arrived.received_at > bound).count();
+        let crashes = self.replicas.crashes().len();
+        assert!(late <= MAX_LATE_ARRIVALS, "{late} late copies, {crashes} crashes");
+    }
+}
+
+/// Asserts that a copy that reached a replica is told that it may have run, and that one that is
+/// told that it has not run reached none.
+fn assert_truth(copies: &[Exchange], replicas: &CrashingReplicas) {
+    let arrivals = replicas.arrivals();
+    let arrived: BTreeSet<&str> = arrivals.iter().map(|request| request.id.as_str()).collect();
+    for Exchange { id, response, .. } in copies {
+        let kind = response.error_kind();
+        if arrived.contains(id.as_str()) {
+            assert_eq!((response.status, kind.as_str()), (502, "outcome_unknown"), "{response:?}");
+            assert_eq!(response.retry_after(), None, "{response:?}");
+        } else {
+            // A request is lost too if its replica ends before it has read it.
+            assert!([502, 503].contains(&response.status), "{response:?}");
+        }
+    }
 }
 
 fn assert_kept_from_replicas(test: &str, kind: &str) {
-    let fleet = EntryFixture::start_fleet(test, &configuration(kind));
-    let replicas =
-        CrashingReplicas::start_plain(&fleet[0].store, "guides", REPLICAS, crash_on_path);
-    EntryFixture::wait_for_fleet(&fleet);
-    let entries: [SocketAddr; 3] = fleet.each_ref().map(|entry| entry.callers);
-    let sound = Traffic::start(&entries, SOUND_INTERVAL, sound);
-    thread::sleep(Duration::from_secs(1));
-    let copies = Traffic::start(&entries, CRASHING_INTERVAL, copy);
-    wait_until("three replicas have crashed", || replicas.crashes().len() >= 3);
-    let bound = replicas.crashes()[2] + STABILITY_WINDOW;
+    let fleet = CrashingFleet::start(test, &configuration(kind), crash_on_path);
+    let sound = fleet.start_sound();
+    let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+    let bound = fleet.wait_for_third_crash();
     thread::sleep(STABILITY_WINDOW * 3);
     let (sound, copies) = (sound.stop(), copies.stop());
 
-    let (late, crashes) = (late_arrivals(&replicas), replicas.crashes().len());
-    let late_sound = sent_after(&sound, bound);
-    let served = late_sound.iter().filter(|exchange| exchange.is_served()).count();
-    assert!(
-        late <= MAX_LATE_ARRIVALS,
-        "{late} late copies, {crashes} crashes, {served} of {} sound requests served",
-        late_sound.len()
-    );
+    assert_truth(&copies, &fleet.replicas);
+    fleet.assert_few_arrivals_after(bound);
     assert_quarantined(&sent_after(&copies, bound), "request_quarantined", 10);
-    assert_mostly_served(&late_sound, 50);
+    assert_served(&sent_after(&sound, bound), 90, 50);
+}
+
+#[test]
+fn caller_is_told_whether_the_request_may_have_run() {
+    for (test, kind) in [("told_safe", "safe"), ("told_once", "unsafe")] {
+        let mut configuration = configuration(kind);
+        configuration.routes.push(RouteSpec::new("/closed/", kind, "closed"));
+        let fleet = CrashingFleet::start(test, &configuration, crash_on_path);
+        let [entry, ..] = &fleet.entries;
+        entry.store.register_dead_replica("dead-1", "closed");
+        wait_until("the entry knows the replica", || entry.log().contains("dead-1"));
+        let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+        thread::sleep(STABILITY_WINDOW);
+        let copies = copies.stop();
+        assert_truth(&copies, &fleet.replicas);
+        let lost = copies.iter().filter(|copy| copy.response.status == 502).count();
+        assert!(lost >= 3, "{lost} of {} copies may have run", copies.len());
+
+        let unsent = entry.send(&CallerRequest { path: "/closed/1".to_owned(), ..copy(0) });
+        assert_eq!(unsent.status, 503, "{unsent:?}");
+    }
 }
 
 #[test]
--- a/crates/daemon/tests/direct/traffic.rs
+++ b/crates/daemon/tests/direct/traffic.rs
@@ -11,9 +11,10 @@
     time::{Duration, Instant},
 };
 
-/// A response, and when its request was sent.
+/// A response, with the attempt id of its request and when that was sent.
 #[derive(Debug, Clone)]
 pub struct Exchange {
+    pub id: String,
     pub sent_at: Instant,
     pub response: CallerResponse,
 }
@@ -54,7 +55,8 @@
                 callers.push(thread::spawn(move || {
                     let sent_at = Instant::now();
                     let response = send_request(entry, &request);
-                    kept.lock().expect("no caller panics").push(Exchange { sent_at, response });
+                    let exchange = Exchange { id: request.id, sent_at, response };
+                    kept.lock().expect("no caller panics").push(exchange);
                 }));
                 thread::sleep(interval);
             }
@@ -79,11 +81,22 @@
     exchanges.iter().filter(|exchange| exchange.sent_at > time).collect()
 }
 
-/// Asserts that nine in ten of the requests, at least `min_sent`, were served.
-pub fn assert_mostly_served(sound: &[&Exchange], min_sent: usize) {
+/// Asserts that at least this percentage of the requests, of which there are `min_sent` or more,
+/// was served.
+pub fn assert_served(sound: &[&Exchange], min_percentage: usize, min_sent: usize) {
     let served = sound.iter().filter(|exchange| exchange.is_served()).count();
     let sent = sound.len();
-    assert!(sent >= min_sent && served * 10 >= sent * 9, "{served} of {sent} were served");
+    assert!(sent >= min_sent, "{sent} requests were sent");
+    assert!(served * 100 >= sent * min_percentage, "{served} of {sent} requests were served");
+}
+
+/// Asserts that none of the requests was refused because it crashes replicas.
+pub fn assert_never_quarantined(exchanges: &[Exchange]) {
+    let is_refused =
+        |exchange: &&Exchange| exchange.response.error_kind().ends_with("_quarantined");
+    let refused: Vec<&Exchange> = exchanges.iter().filter(is_refused).collect();
+    let (count, sent) = (refused.len(), exchanges.len());
+    assert!(refused.is_empty(), "{count} of {sent} were refused, the first: {:?}", refused[0]);
 }
 
 /// Asserts that the requests were refused with this error kind and a time after which to retry.
