Test that late entries refuse a request that crashes replicas

Change: four process tests. The three first crashes are seen one at each of three entries; an entry is started after the request must be known, or is frozen for the crashes and 5 s at least, and must refuse it 3 s later without having been sent a copy; requests that differ from the crashing one in the caller's key, the body, the query or the method only are sent all the while, are never refused as crashing, and nine in ten are served once it must be known.

--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -4,7 +4,9 @@
 
 use direct::{
     EntryFixture,
-    traffic::{Exchange, Traffic, assert_quarantined, assert_served, sent_after},
+    traffic::{
+        Exchange, Traffic, assert_never_quarantined, assert_quarantined, assert_served, sent_after,
+    },
     wait_until,
 };
 use ibissail_platform_standin::{
@@ -17,9 +19,10 @@
     time::{Duration, Instant},
 };
 
-/// Path and body of the request that crashes replicas.
+/// Path and body of the request that crashes replicas, and the organisation that sends it.
 const CRASHING_PATH: &str = "/guides/bad";
 const CRASHING_BODY: &[u8] = b"the same each time";
+const CRASHING_ORGANISATION: &str = "huts";
 /// Time from the third crash until the request must be kept from replicas.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Most copies that may reach replicas after that.
@@ -95,6 +98,18 @@
     }
 }
 
+fn sleep_until(time: Instant) {
+    thread::sleep(time.saturating_duration_since(Instant::now()));
+}
+
+/// Sends copies to one entry for a second, and asserts that each is refused.
+fn assert_refused_at(entry: &EntryFixture) {
+    let copies = Traffic::start(&[entry.callers], Duration::from_millis(100), copy);
+    thread::sleep(Duration::from_secs(1));
+    let copies = copies.stop();
+    assert_quarantined(&copies.iter().collect::<Vec<_>>(), "request_quarantined", 5);
+}
+
 /// Asserts that a copy that reached a replica is told that it may have run, and that one that is
 /// told that it has not run reached none.
 fn assert_truth(copies: &[Exchange], replicas: &CrashingReplicas) {
@@ -156,3 +171,97 @@
 fn once_only_request_does_not_crash_one_replica_after_another() {
     assert_kept_from_replicas("crashing_once", "unsafe");
 }
+
+#[test]
+fn crashes_seen_at_three_entries_count_together() {
+    // An entry makes one attempt for a request that may run at most once.
+    let fleet = CrashingFleet::start("crash_each", &configuration("unsafe"), crash_on_path);
+    let sound = fleet.start_sound();
+    for (number, entry) in fleet.entries.iter().enumerate() {
+        entry.send(&copy(number));
+        thread::sleep(Duration::from_millis(400));
+    }
+    let bound = fleet.wait_for_third_crash();
+    sleep_until(bound);
+    let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+    thread::sleep(STABILITY_WINDOW);
+    let (sound, copies) = (sound.stop(), copies.stop());
+    fleet.assert_few_arrivals_after(bound);
+    assert_quarantined(&sent_after(&copies, bound), "request_quarantined", 10);
+    assert_served(&sent_after(&sound, bound), 90, 40);
+}
+
+#[test]
+fn entry_that_starts_later_refuses_the_request() {
+    let fleet = CrashingFleet::start("crash_new", &configuration("safe"), crash_on_path);
+    let sound = fleet.start_sound();
+    let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+    sleep_until(fleet.wait_for_third_crash());
+    copies.stop();
+    let started = fleet.entries[0].start_peer("crash_new_d");
+    let bound = Instant::now() + STABILITY_WINDOW;
+    started.wait_ready();
+    sleep_until(bound);
+    assert_refused_at(&started);
+    sound.stop();
+}
+
+#[test]
+fn entry_that_was_cut_off_refuses_the_request() {
+    let fleet = CrashingFleet::start("crash_cut", &configuration("safe"), crash_on_path);
+    let sound = fleet.start_sound();
+    let [first, second, cut] = &fleet.entries;
+    cut.signal("-STOP");
+    let cut_at = Instant::now();
+    let copies = Traffic::start(&[first.callers, second.callers], CRASHING_INTERVAL, copy);
+    sleep_until(fleet.wait_for_third_crash());
+    copies.stop();
+    sleep_until(cut_at + Duration::from_secs(5));
+    cut.signal("-CONT");
+    thread::sleep(STABILITY_WINDOW);
+    assert_refused_at(cut);
+    sound.stop();
+}
+
+#[test]
+fn request_that_differs_is_served() {
+    let mut configuration = configuration("safe");
+    configuration.routes[0].allows_anonymous = false;
+    configuration.organisations = vec![
+        (CRASHING_ORGANISATION.to_owned(), vec!["key-1".to_owned()]),
+        ("inns".to_owned(), vec!["key-2".to_owned()]),
+    ];
+    let fleet = CrashingFleet::start("crash_differs", &configuration, |request| {
+        let is_copy = request.method == "POST"
+            && request.target == CRASHING_PATH
+            && request.body == CRASHING_BODY
+            && request.organisation.as_deref() == Some(CRASHING_ORGANISATION);
+        if is_copy { Reaction::Crash } else { Reaction::Respond(RESPONSE_TIME) }
+    });
+    let copy_with_key = |number| CallerRequest { key: Some("key-1".to_owned()), ..copy(number) };
+    let differing: [fn(CallerRequest) -> CallerRequest; 4] = [
+        |request| CallerRequest { key: Some("key-2".to_owned()), ..request },
+        |request| CallerRequest { body: b"another each time".to_vec(), ..request },
+        |request| CallerRequest { path: format!("{CRASHING_PATH}?page=2"), ..request },
+        |request| CallerRequest { method: "PUT".to_owned(), ..request },
+    ];
+    let sound = differing.map(|change| {
+        Traffic::start(&fleet.addresses(), SOUND_INTERVAL * 4, move |number| {
+            let request = change(copy_with_key(number));
+            CallerRequest { id: format!("sound-{}-{number}", request.path), ..request }
+        })
+    });
+    thread::sleep(LEAD_TIME);
+    let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy_with_key);
+    let bound = fleet.wait_for_third_crash();
+    sleep_until(bound + STABILITY_WINDOW);
+    let (sound, copies) = (sound.map(Traffic::stop), copies.stop());
+
+    for sound in &sound {
+        assert_never_quarantined(sound);
+    }
+    assert_quarantined(&sent_after(&copies, bound), "request_quarantined", 10);
+    for sound in &sound {
+        assert_served(&sent_after(sound, bound), 90, 10);
+    }
+}
