Go back to a silent replica when its successors have failed

Callers saw a stream cut, or a 502 in place of a response, although the replica was sound and went on after a second of silence.

Cause: the first request to a successor set the time at which the silent replica's connection is closed, 300 ms later, and a successor that failed within that time did not change it. Two replicas must not work on one request for longer than 400 ms; one that has failed works on nothing.

Change: the 300 ms now count the time for which successors work on the request besides the silent replica. They are used up by one that goes on working, or by several that fail, and begin anew when the replica has sent further events. While none of them works, the silent replica is waited for without limit.

Ruled out: one limit for each successor. Two that fail after 280 ms would keep the silent replica at work beside them for 560 ms, which silent_replica_is_closed_although_its_successors_fail forbids.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -111,14 +111,13 @@
         };
         progress.attempts_sent += 1;
         progress.may_have_run = true;
-        let close_at = silent.as_ref().and_then(SilentAttempt::close_at);
+        let sent_at = since_boot();
         let response = self.receive_response(connection, progress, exchange);
         let next = hand_over(silent, response).await;
         if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
-            if let Some(attempt) = silent {
-                attempt.set_close_at(close_at);
-            }
+        } else if let Some(attempt) = silent {
+            attempt.spend(since_boot().since(sent_at));
         }
         next
     }
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -6,10 +6,9 @@
     response::{ErrorReply, write_complete},
     selection::SelectedReplica,
     serve::{AdmittedRequest, RETRY_AFTER_SPREAD},
-    silence::{SilentAttempt, wait_until},
+    silence::{HANDOVER_TIME, SilentAttempt},
 };
 use crate::clock::since_boot;
-use futures_lite::FutureExt;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
 use ibissail_direct::{CascadeStep, ModelChoice, retry_after_pause};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
@@ -121,6 +120,8 @@
     pub(super) started: Millis,
     /// Whether the replica has been silent for too long in this attempt.
     pub(super) has_been_silent: bool,
+    /// Rest of the time for which successors may work on the request besides the silent replica.
+    pub(super) handover_left: Millis,
 }
 
 /// Makes attempts for a request until it has an outcome.
@@ -163,7 +164,8 @@
     }
 }
 
-/// Waits again for a replica that has been silent, until it may no longer work on the request.
+/// Waits again for a replica that has been silent. No other works on the request: successors have
+/// refused it or failed.
 async fn wait_on(
     shared: &Arc<Shared>,
     connection: &mut Connection,
@@ -174,16 +176,15 @@
 ) -> (Target, NextStep) {
     silent.restore(progress);
     progress.forget_refusals();
-    let close_at = silent.close_at();
     let SilentAttempt { target, pending, .. } = silent;
-    let target = Target { has_been_silent: true, ..target };
+    let mut target = Target { has_been_silent: true, ..target };
     shared.record_session(request, &target.replica.version);
+    let relayed_before = progress.relayed_bytes;
     let attempt = Attempt::new(shared, request, &target, steps);
-    let closing = async {
-        wait_until(close_at).await;
-        NextStep::Retry("handed_over")
-    };
-    let next = attempt.resume(connection, progress, pending).or(closing).await;
+    let next = attempt.resume(connection, progress, pending).await;
+    if progress.relayed_bytes > relayed_before {
+        target.handover_left = HANDOVER_TIME;
+    }
     (target, next)
 }
 
@@ -228,7 +229,14 @@
             return Err(request.error_reply(kind, "the retry budget is exhausted"));
         }
         self.record_session(request, &replica.version);
-        Ok(Target { replica, model, position, started: since_boot(), has_been_silent: false })
+        Ok(Target {
+            replica,
+            model,
+            position,
+            started: since_boot(),
+            has_been_silent: false,
+            handover_left: HANDOVER_TIME,
+        })
     }
 
     /// Returns the error response if the time or the attempts of a request are used up.
--- a/crates/daemon/src/direct/silence.rs
+++ b/crates/daemon/src/direct/silence.rs
@@ -4,15 +4,15 @@
     retry::{Progress, Target},
     upstream::{Exchange, UpstreamResponse},
 };
-use crate::clock::since_boot;
 use async_std::task;
 use futures_lite::{FutureExt, future};
 use ibissail_core::Millis;
 use std::future::Future;
 
-/// Time from the first request to a successor until the silent attempt is closed. Replicas refuse
-/// at once, and two of them must not work on one request for longer than 400 ms.
-const HANDOVER_TIME: Millis = Millis(300);
+/// Longest time in one silence for which successors may work on the request besides the silent
+/// replica, which is closed then. Replicas refuse at once, and two of them must not work on one
+/// request for longer than 400 ms.
+pub(super) const HANDOVER_TIME: Millis = Millis(300);
 
 /// How far an attempt got before its replica fell silent.
 #[derive(Debug)]
@@ -33,15 +33,13 @@
     partial_event: Vec<u8>,
     /// Bytes that the caller had received when the replica fell silent.
     relayed_bytes: u64,
-    /// When the attempt is closed, because a successor may be working on the request.
-    close_at: Option<Millis>,
 }
 
 impl SilentAttempt {
     pub(super) fn new(target: Target, pending: PendingResponse, progress: &mut Progress) -> Self {
         let partial_event = progress.splitter.take_partial_event();
         let relayed_bytes = progress.relayed_bytes;
-        Self { target, pending, partial_event, relayed_bytes, close_at: None }
+        Self { target, pending, partial_event, relayed_bytes }
     }
 
     /// Whether the response to the caller is still where this attempt left it.
@@ -57,38 +55,23 @@
             progress.has_response_started().then(|| self.target.replica.version.clone());
     }
 
-    /// When the attempt is to be closed; `None` while no successor can be working on the request.
-    pub(super) fn close_at(&self) -> Option<Millis> {
-        self.close_at
-    }
-
-    /// Sets the time back to what it was before a successor that has refused the request.
-    pub(super) fn set_close_at(&mut self, close_at: Option<Millis>) {
-        self.close_at = close_at;
+    /// Takes the time for which a successor has worked on the request from the handover time.
+    pub(super) fn spend(&mut self, time: Millis) {
+        self.target.handover_left = self.target.handover_left.since(time);
     }
 }
 
-/// Waits for a successor's response, and closes the silent attempt when its time has come.
+/// Waits for a successor's response, and closes the silent attempt when the handover time is spent.
 pub(super) async fn hand_over<F, T>(silent: &mut Option<SilentAttempt>, response: F) -> T
 where
     F: Future<Output = T>,
 {
     let closing = async {
         if let Some(attempt) = silent {
-            let close_at = since_boot().saturating_add(HANDOVER_TIME);
-            attempt.close_at.get_or_insert(close_at);
-            wait_until(attempt.close_at).await;
+            task::sleep(attempt.target.handover_left.as_duration()).await;
             *silent = None;
         }
         future::pending().await
     };
     response.or(closing).await
 }
-
-/// Waits until a time since boot; for ever if it is `None`.
-pub(super) async fn wait_until(time: Option<Millis>) {
-    match time {
-        Some(time) => task::sleep(time.since(since_boot()).as_duration()).await,
-        None => future::pending().await,
-    }
-}
--- a/crates/daemon/tests/silent_handover.rs
+++ b/crates/daemon/tests/silent_handover.rs
@@ -7,7 +7,10 @@
     CallerRequest, CallerResponse, ConfigurationSpec, RouteSpec, ScriptedExchange, ScriptedReplicas,
 };
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -263,3 +266,69 @@
     add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
     assert_whole_stream(&fixture.send(&request(6_000)));
 }
+
+/// Works on the request for a while and ends without a response.
+fn fail_after(time_ms: u64) {
+    thread::sleep(Duration::from_millis(time_ms));
+}
+
+#[test]
+fn failed_successor_does_not_end_a_silent_stream() {
+    let fixture = fixture("failed", "resumable");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            return fail_after(50);
+        }
+        start_stream(exchange);
+        thread::sleep(SILENCE);
+        finish_stream(exchange);
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2", "r-3"]);
+    assert_whole_stream(&fixture.send(&request(10_000)));
+    assert_eq!(replicas.received_at().len(), 3, "both successors were asked");
+}
+
+#[test]
+fn failed_successor_does_not_end_a_silent_response() {
+    let fixture = fixture("failed_safe", "safe");
+    let replicas = ScriptedReplicas::new(|exchange| {
+        if exchange.number > 0 {
+            return fail_after(50);
+        }
+        thread::sleep(SILENCE);
+        exchange.send_head(200, 2);
+        exchange.send("ok");
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let response = fixture.send(&request(6_000));
+    assert_eq!((response.status, response.body.as_str()), (200, "ok"), "{response:?}");
+    assert_eq!(replicas.received_at().len(), 2, "a successor was asked");
+}
+
+#[test]
+fn silent_stream_that_went_on_is_not_closed_for_its_earlier_successors() {
+    let fixture = fixture("went_on", "resumable");
+    let has_gone_on = Arc::new(AtomicBool::new(false));
+    let goes_on = Arc::clone(&has_gone_on);
+    let replicas = ScriptedReplicas::new(move |exchange| {
+        if exchange.number > 0 {
+            return fail_after(200);
+        }
+        start_stream(exchange);
+        thread::sleep(SILENCE);
+        exchange.send_events(4..=5);
+        goes_on.store(true, Ordering::SeqCst);
+        thread::sleep(SILENCE);
+        exchange.send_events(6..=EVENTS);
+        exchange.end_stream();
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let response = thread::scope(|scope| {
+        let sending = scope.spawn(|| fixture.send(&request(10_000)));
+        wait_until("the stream has gone on", || has_gone_on.load(Ordering::SeqCst));
+        add_replicas(&fixture, &replicas, &["r-3"]);
+        sending.join().expect("the caller gets a response")
+    });
+    assert_whole_stream(&response);
+    assert_eq!(replicas.received_at().len(), 3, "both successors were asked");
+}
