Keep a small model's answer until a larger model has accepted

Callers got a 502 although the answer of a small model was on its way: the answer was not confident, and all replicas refused the larger model, accepted no connection or failed.

Cause: the small answer's connection was closed when the entry decided to ask the larger model. The same class as for silent replicas: a decision that cannot be taken back, on a guess that a larger model is to be had.

Change: the attempt is kept open, as a silent one is. It is closed when the larger model's successful head arrives, or when larger models have worked on the request for 300 ms, and is delivered if they refuse or fail before that. A request that must not run again goes back to it at once. SilentAttempt becomes KeptAttempt, in handover.rs, with the reason why another replica is asked.

Ruled out: to keep the small answer until the larger model's head whatever that takes; both would work on the request for over 400 ms.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -3,13 +3,13 @@
 
 use super::{
     Shared,
+    handover::{HandoverReason, KeptAttempt, PendingResponse, hand_over},
     peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
     retry::{FAILURE_RESERVE, Progress, RequestOutcome, Target},
     selection::SelectedReplica,
     serve::AdmittedRequest,
-    silence::{PendingResponse, SilentAttempt, hand_over},
     trials::Trial,
     upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
 };
@@ -34,8 +34,8 @@
     Done(RequestOutcome),
     /// Try another replica; the reason is for the log and the metrics.
     Retry(&'static str),
-    /// Ask the next larger model.
-    Escalate,
+    /// Ask the next larger model, and deliver this response if it is not to be had.
+    Escalate(Box<UpstreamResponse>),
     /// Try another replica, and wait on if there is none.
     Silent(Box<PendingResponse>),
 }
@@ -91,13 +91,13 @@
         Self { shared, request, target, step, larger }
     }
 
-    /// Sends the request and forwards the response; returns the step that follows. `silent` is an
+    /// Sends the request and forwards the response; returns the step that follows. `kept` is an
     /// earlier attempt that this one takes over from.
     pub(super) async fn run(
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        silent: &mut Option<SilentAttempt>,
+        kept: &mut Option<KeptAttempt>,
     ) -> NextStep {
         let may_have_run_before = progress.may_have_run;
         let resume_after = progress.splitter.last_id();
@@ -112,17 +112,26 @@
         progress.attempts_sent += 1;
         progress.may_have_run = true;
         let sent_at = since_boot();
-        let response = self.receive_response(connection, progress, exchange);
-        let next = hand_over(silent, response).await;
+        let receiving = self.receive_head(progress, exchange);
+        let next = match hand_over(kept, sent_at, receiving).await {
+            Ok(upstream) => {
+                if upstream.response.status < 300 {
+                    kept.take_if(|attempt| attempt.reason == HandoverReason::Unconfident);
+                }
+                let delivering = self.deliver(connection, progress, upstream);
+                hand_over(kept, sent_at, delivering).await
+            }
+            Err(next) => next,
+        };
         if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
-        } else if let Some(attempt) = silent {
+        } else if let Some(attempt) = kept {
             attempt.spend(since_boot().since(sent_at));
         }
         next
     }
 
-    /// Waits again for a replica that has been silent; returns the step that follows.
+    /// Goes on with an attempt that was kept; returns the step that follows.
     pub(super) async fn resume(
         &self,
         connection: &mut Connection,
@@ -131,7 +140,10 @@
     ) -> NextStep {
         match pending {
             PendingResponse::Unanswered(exchange) => {
-                self.receive_response(connection, progress, exchange).await
+                match self.receive_head(progress, exchange).await {
+                    Ok(upstream) => self.deliver(connection, progress, upstream).await,
+                    Err(next) => next,
+                }
             }
             PendingResponse::Answering(upstream) if self.is_stream(&upstream) => {
                 self.relay(connection, progress, *upstream).await
@@ -227,38 +239,47 @@
         NextStep::Done(RequestOutcome::Failed(reply))
     }
 
-    async fn receive_response(
+    /// Receives the head of the response of a replica that runs the request; the error is the step
+    /// that follows if there is none.
+    async fn receive_head(
         &self,
-        connection: &mut Connection,
         progress: &mut Progress,
         mut exchange: Exchange,
-    ) -> NextStep {
+    ) -> Result<UpstreamResponse, NextStep> {
         let stall_limits = StallLimits::for_head(self.request);
         let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
-                return self.handle_silence(
-                    progress,
-                    PendingResponse::Unanswered(exchange),
-                    &error,
-                );
+                let pending = PendingResponse::Unanswered(exchange);
+                return Err(self.handle_silence(progress, pending, &error));
             }
             Err(error) => {
                 // A buffered response may have begun before its head arrives.
                 if !self.request.route.kind.is_stream() {
                     self.start_trial().fail();
                 }
-                return self.handle_failure(progress, "lost", &error.to_string());
+                return Err(self.handle_failure(progress, "lost", &error.to_string()));
             }
         };
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
-            return self.handle_rejection(progress, rejection, response.status);
+            return Err(self.handle_rejection(progress, rejection, response.status));
         }
-        let upstream = UpstreamResponse::new(exchange, head, response, self.start_trial());
-        if upstream.response.status < 300 && !upstream.response.is_signed {
-            self.handle_failure(progress, "unsigned", "the successful response is not signed")
-        } else if self.is_stream(&upstream) {
+        if response.status < 300 && !response.is_signed {
+            let error = "the successful response is not signed";
+            return Err(self.handle_failure(progress, "unsigned", error));
+        }
+        Ok(UpstreamResponse::new(exchange, head, response, self.start_trial()))
+    }
+
+    /// Forwards a response whose head has been received.
+    async fn deliver(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        upstream: UpstreamResponse,
+    ) -> NextStep {
+        if self.is_stream(&upstream) {
             self.receive_stream(connection, progress, upstream).await
         } else if progress.has_response_started() {
             self.handle_failure(progress, "refused", "the replica did not resume the stream")
@@ -292,7 +313,7 @@
         {
             progress.has_reserved_retry = true;
             self.record_response(ResponseOutcome::Success);
-            return NextStep::Escalate;
+            return NextStep::Escalate(Box::new(upstream));
         }
         progress.tried.insert(self.replica().id.clone());
         // The bytes of an incomplete event came from an attempt that has failed.
@@ -432,8 +453,7 @@
             latency_ms: is_buffered.then_some(now.since(self.target.started).0),
         };
         let mut state = self.shared.state();
-        // The silence has been counted as a failure of this attempt.
-        if !self.target.has_been_silent {
+        if !self.target.is_recorded {
             state.record_response(&request.service, &self.replica().version, &sample);
         }
         if !is_bad {
--- a/crates/daemon/src/direct/silence.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -1,20 +1,21 @@
-//! Keeps an attempt open while its replica is silent and another replica is asked.
+//! Keeps an attempt open while another replica is asked to take the request over.
 
 use super::{
     retry::{Progress, Target},
     upstream::{Exchange, UpstreamResponse},
 };
+use crate::clock::since_boot;
 use async_std::task;
 use futures_lite::{FutureExt, future};
 use ibissail_core::Millis;
 use std::future::Future;
 
-/// Longest time in one silence for which successors may work on the request besides the silent
-/// replica, which is closed then. Replicas refuse at once, and two of them must not work on one
-/// request for longer than 400 ms.
+/// Longest time for which successors may work on the request besides the replica of a kept attempt,
+/// which is closed then. Replicas refuse at once, and two of them must not work on one request for
+/// longer than 400 ms. The time begins anew when the kept attempt has gone on.
 pub(super) const HANDOVER_TIME: Millis = Millis(300);
 
-/// How far an attempt got before its replica fell silent.
+/// How far a kept attempt got.
 #[derive(Debug)]
 pub(super) enum PendingResponse {
     /// The head of the response has not arrived.
@@ -23,23 +24,37 @@
     Answering(Box<UpstreamResponse>),
 }
 
-/// An attempt whose replica is silent. The replica may be sound and go on, so that the attempt is
-/// given up only for one that another replica has taken over.
+/// Why another replica is to take a request over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HandoverReason {
+    /// The replica is silent. It may be sound and go on.
+    Silent,
+    /// The model is not confident in its response.
+    Unconfident,
+}
+
+/// An attempt that is given up only for one that another replica has taken over.
 #[derive(Debug)]
-pub(super) struct SilentAttempt {
+pub(super) struct KeptAttempt {
     pub(super) target: Target,
     pub(super) pending: PendingResponse,
+    pub(super) reason: HandoverReason,
     /// Bytes of an event that the replica has not completed.
     partial_event: Vec<u8>,
-    /// Bytes that the caller had received when the replica fell silent.
+    /// Bytes that the caller had received from it.
     relayed_bytes: u64,
 }
 
-impl SilentAttempt {
-    pub(super) fn new(target: Target, pending: PendingResponse, progress: &mut Progress) -> Self {
+impl KeptAttempt {
+    pub(super) fn new(
+        target: Target,
+        pending: PendingResponse,
+        reason: HandoverReason,
+        progress: &mut Progress,
+    ) -> Self {
         let partial_event = progress.splitter.take_partial_event();
         let relayed_bytes = progress.relayed_bytes;
-        Self { target, pending, partial_event, relayed_bytes }
+        Self { target, pending, reason, partial_event, relayed_bytes }
     }
 
     /// Whether the response to the caller is still where this attempt left it.
@@ -61,17 +76,19 @@
     }
 }
 
-/// Waits for a successor's response, and closes the silent attempt when the handover time is spent.
-pub(super) async fn hand_over<F, T>(silent: &mut Option<SilentAttempt>, response: F) -> T
+/// Waits for a successor that was sent the request at `sent_at`, and closes the kept attempt when
+/// the handover time is spent.
+pub(super) async fn hand_over<F, T>(kept: &mut Option<KeptAttempt>, sent_at: Millis, next: F) -> T
 where
     F: Future<Output = T>,
 {
     let closing = async {
-        if let Some(attempt) = silent {
-            task::sleep(attempt.target.handover_left.as_duration()).await;
-            *silent = None;
+        if let Some(attempt) = kept {
+            let close_at = sent_at.saturating_add(attempt.target.handover_left);
+            task::sleep(close_at.since(since_boot()).as_duration()).await;
+            *kept = None;
         }
         future::pending().await
     };
-    response.or(closing).await
+    next.or(closing).await
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod attempt;
 mod epochs;
+mod handover;
 mod messages;
 mod metrics;
 mod notices;
@@ -16,7 +17,6 @@
 mod rollouts;
 mod selection;
 mod serve;
-mod silence;
 mod spreading;
 mod state;
 mod trials;
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -3,10 +3,10 @@
 use super::{
     Shared,
     attempt::{Attempt, NextStep},
+    handover::{HANDOVER_TIME, HandoverReason, KeptAttempt, PendingResponse},
     response::{ErrorReply, write_complete},
     selection::SelectedReplica,
     serve::{AdmittedRequest, RETRY_AFTER_SPREAD},
-    silence::{HANDOVER_TIME, SilentAttempt},
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
@@ -120,7 +120,9 @@
     pub(super) started: Millis,
     /// Whether the replica has been silent for too long in this attempt.
     pub(super) has_been_silent: bool,
-    /// Rest of the time for which successors may work on the request besides the silent replica.
+    /// Whether the response, or the silence, has been counted as evidence on the version.
+    pub(super) is_recorded: bool,
+    /// Rest of the time for which successors may work on the request besides the replica.
     pub(super) handover_left: Millis,
 }
 
@@ -133,20 +135,25 @@
 ) -> RequestOutcome {
     let steps = cascade_steps(request);
     let mut position = 0;
-    let mut silent: Option<SilentAttempt> = None;
+    let mut kept: Option<KeptAttempt> = None;
+    let mut failure: Option<ErrorReply> = None;
     loop {
-        let selected = shared.next_target(request, progress, steps.get(position), position);
-        let waiting = silent.take().filter(|attempt| attempt.is_current(progress));
+        let selected = match failure.take() {
+            Some(reply) => Err(reply),
+            None => shared.next_target(request, progress, steps.get(position), position),
+        };
+        let waiting = kept.take().filter(|attempt| attempt.is_current(progress));
         let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
-                silent = earlier;
+                kept = earlier;
                 (target, next)
             }
             (Err(reply), Some(attempt)) => {
                 shared.log_wait(request, &attempt.target, &reply);
-                wait_on(shared, connection, request, progress, &steps, attempt).await
+                position = attempt.target.position;
+                go_back(shared, connection, request, progress, &steps, attempt).await
             }
             (Err(reply), None) => {
                 return finish_without_attempt(connection, request, progress, reply).await;
@@ -154,30 +161,42 @@
         };
         shared.record_attempt(progress, &target, &next);
         match next {
+            NextStep::Done(RequestOutcome::Failed(reply)) if kept.is_some() => {
+                failure = Some(reply);
+            }
             NextStep::Done(outcome) => return outcome,
-            NextStep::Escalate => position = target.position + 1,
+            NextStep::Escalate(upstream) => {
+                position = target.position + 1;
+                let pending = PendingResponse::Answering(upstream);
+                let reason = HandoverReason::Unconfident;
+                kept = Some(KeptAttempt::new(target, pending, reason, progress));
+            }
             NextStep::Retry(_) => {}
             NextStep::Silent(pending) => {
-                silent = Some(SilentAttempt::new(target, *pending, progress));
+                let reason = HandoverReason::Silent;
+                kept = Some(KeptAttempt::new(target, *pending, reason, progress));
             }
         }
     }
 }
 
-/// Waits again for a replica that has been silent. No other works on the request: successors have
-/// refused it or failed.
-async fn wait_on(
+/// Goes on with a kept attempt. No other replica works on the request: successors have refused it
+/// or failed.
+async fn go_back(
     shared: &Arc<Shared>,
     connection: &mut Connection,
     request: &AdmittedRequest,
     progress: &mut Progress,
     steps: &[CascadeStep],
-    mut silent: SilentAttempt,
+    mut kept: KeptAttempt,
 ) -> (Target, NextStep) {
-    silent.restore(progress);
+    kept.restore(progress);
     progress.forget_refusals();
-    let SilentAttempt { target, pending, .. } = silent;
-    let mut target = Target { has_been_silent: true, ..target };
+    let KeptAttempt { mut target, pending, reason, .. } = kept;
+    target.has_been_silent |= reason == HandoverReason::Silent;
+    target.is_recorded = true;
+    // A larger model may have been asked at the same replica.
+    progress.tried.insert(target.replica.id.clone());
     shared.record_session(request, &target.replica.version);
     let relayed_before = progress.relayed_bytes;
     let attempt = Attempt::new(shared, request, &target, steps);
@@ -235,6 +254,7 @@
             position,
             started: since_boot(),
             has_been_silent: false,
+            is_recorded: false,
             handover_left: HANDOVER_TIME,
         })
     }
@@ -270,7 +290,7 @@
             NextStep::Done(RequestOutcome::Answered(_)) => "answered",
             NextStep::Done(_) => "ended",
             NextStep::Retry(reason) => reason,
-            NextStep::Escalate => "unconfident",
+            NextStep::Escalate(_) => "unconfident",
             NextStep::Silent(_) if target.has_been_silent => return,
             NextStep::Silent(_) => "stalled",
         };
