Continue on the new version before its success is known

Callers saw a stream cut, or a 502, when the replicas of a replaced version stopped before the entry had learned that the rollout had succeeded: at once after another entry had written it.

Cause: a stream continues on its own version until the entry knows that the rollout is over, and a request that has failed once avoids the new version while the rollout runs. In the last step, in which all new requests go to the new version, both leave a request without a replica.

Change: if no other replica is left, a request may go to the target of a rollout whose last step has begun. A version judged to be bad has no last step.

--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -64,6 +64,11 @@
             let fallback = state.fallback_versions(&request.service);
             candidates = state.candidates(request, progress, model, &fallback, zone, now);
         }
+        if candidates.is_empty()
+            && let Some(versions) = state.versions_of_a_last_step(&request.service, now)
+        {
+            candidates = state.candidates(request, progress, model, &versions, zone, now);
+        }
         state.limit_canary_replicas(request, &mut candidates, now);
         let body = ByteSize(request.body.len() as u64);
         let token_time_ratio =
@@ -254,6 +259,15 @@
         }
     }
 
+    /// The target version of a rollout that has moved all new requests to it. It may have succeeded
+    /// without this entry knowing yet, in which case the replicas of the old version have stopped.
+    fn versions_of_a_last_step(&self, service: &ServiceId, now: Millis) -> Option<VersionFilter> {
+        let controller = &self.rollouts.get(service)?.controller;
+        let split = controller.current_split(now);
+        let is_last_step = !controller.rollout.state.is_final() && split.share >= 1.0;
+        is_last_step.then_some(VersionFilter::Only(split.target))
+    }
+
     /// Time until a replica of the service accepts requests again, if none does now because all have
     /// asked for a pause or are leaving, and at least one has asked for a pause.
     pub(super) fn pause_of_all_replicas(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
