Read a silent replica while its successor is asked

Callers got the events of a silent replica late, or another replica's in their place, when it went on while a successor was being asked; where the successor took over 300 ms and then failed, they got no further event.

Cause: the silent replica was not read until its successor had failed or refused, and was closed after 300 ms although it was at work again.

Change: it is read while the successor's connection is opened and its head awaited. With its first whole event, its successful head or the end of its response it goes on, and the successor is cancelled. What was read before that stays in front of what follows. A replica that refuses or breaks meanwhile does not cancel its successor. A successor cancelled before it was sent the request costs no attempt and no retry.

Ruled out: any byte as a sign of going on; bytes that complete no event do not end a silence.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Shared,
-    handover::{HandoverReason, KeptAttempt, PendingResponse, hand_over},
+    handover::{HandoverReason, KeptAttempt, PendingResponse, ask_successor, hand_over},
     peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
@@ -11,7 +11,7 @@
     selection::SelectedReplica,
     serve::AdmittedRequest,
     trials::Trial,
-    upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
+    upstream::{Exchange, ReceivedHead, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, ModelId};
@@ -21,10 +21,6 @@
 use slog::{info, warn};
 use std::sync::Arc;
 
-/// Largest body, in bytes, of a response that is not a stream; it is held in memory. Bodies have
-/// some 800 bytes.
-const MAX_RESPONSE_BYTES: usize = 256 << 10;
-
 /// Result of an attempt whose replica guarantees that it has not run the request.
 const NOT_RUN: &str = "not_run";
 
@@ -38,6 +34,8 @@
     Escalate(Box<UpstreamResponse>),
     /// Try another replica, and wait on if there is none.
     Silent(Box<PendingResponse>),
+    /// Go back to the kept attempt, whose replica has gone on.
+    GoBack,
 }
 
 /// The outcome of a replica's response, as evidence on its version.
@@ -99,11 +97,15 @@
         progress: &mut Progress,
         kept: &mut Option<KeptAttempt>,
     ) -> NextStep {
+        let Self { shared, request, .. } = *self;
         let may_have_run_before = progress.may_have_run;
         let resume_after = progress.splitter.last_id();
         let model = self.target.model.as_ref();
-        let opened =
-            Exchange::open(self.shared, self.request, resume_after, self.replica(), model).await;
+        let opening = Exchange::open(shared, request, resume_after, self.replica(), model);
+        let Some(opened) = ask_successor(kept, request, None, opening).await else {
+            self.return_retry(progress);
+            return NextStep::GoBack;
+        };
         progress.tried.insert(self.replica().id.clone());
         let exchange = match opened {
             Ok(exchange) => exchange,
@@ -113,15 +115,20 @@
         progress.may_have_run = true;
         let sent_at = since_boot();
         let receiving = self.receive_head(progress, exchange);
-        let next = match hand_over(kept, sent_at, receiving).await {
-            Ok(upstream) => {
+        let next = match ask_successor(kept, request, Some(sent_at), receiving).await {
+            Some(Ok(upstream)) => {
                 if upstream.response.status < 300 {
                     kept.take_if(|attempt| attempt.reason == HandoverReason::Unconfident);
                 }
                 let delivering = self.deliver(connection, progress, upstream);
                 hand_over(kept, sent_at, delivering).await
             }
-            Err(next) => next,
+            Some(Err(next)) => next,
+            None => {
+                // It has not failed, and may be asked again.
+                progress.tried.remove(&self.replica().id);
+                NextStep::GoBack
+            }
         };
         if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
@@ -139,8 +146,12 @@
         pending: PendingResponse,
     ) -> NextStep {
         match pending {
-            PendingResponse::Unanswered(exchange) => {
-                match self.receive_head(progress, exchange).await {
+            PendingResponse::Unanswered(exchange, received) => {
+                let accepted = match received {
+                    Some(received) => self.accept_head(progress, exchange, *received),
+                    None => self.receive_head(progress, exchange).await,
+                };
+                match accepted {
                     Ok(upstream) => self.deliver(connection, progress, upstream).await,
                     Err(next) => next,
                 }
@@ -163,11 +174,16 @@
         self.shared.record_signals(id, *started_unix_ms, response.is_leaving, response.pause);
     }
 
-    fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
-        progress.failed_connects += 1;
+    /// Gives the retry of an attempt that has reached no replica back to the budget.
+    fn return_retry(&self, progress: &Progress) {
         if progress.attempts_sent > 0 {
             self.shared.state().budget(&self.request.service).return_retry();
         }
+    }
+
+    fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
+        progress.failed_connects += 1;
+        self.return_retry(progress);
         progress.refused.insert(self.replica().id.clone());
         self.shared.eject(&self.replica().id, "it does not accept connections");
         info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
@@ -247,10 +263,21 @@
         mut exchange: Exchange,
     ) -> Result<UpstreamResponse, NextStep> {
         let stall_limits = StallLimits::for_head(self.request);
-        let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
+        let received = exchange.receive_head(self.request, stall_limits).await;
+        self.accept_head(progress, exchange, received)
+    }
+
+    /// Accepts the head of a response, unless it says that the replica has not run the request.
+    fn accept_head(
+        &self,
+        progress: &mut Progress,
+        exchange: Exchange,
+        received: ReceivedHead,
+    ) -> Result<UpstreamResponse, NextStep> {
+        let (head, response) = match received {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
-                let pending = PendingResponse::Unanswered(exchange);
+                let pending = PendingResponse::Unanswered(exchange, None);
                 return Err(self.handle_silence(progress, pending, &error));
             }
             Err(error) => {
@@ -293,7 +320,7 @@
     }
 
     fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
-        self.request.route.kind.is_stream() && upstream.response.status == 200
+        self.request.is_stream(upstream.response.status)
     }
 
     async fn receive_stream(
@@ -356,9 +383,11 @@
     ) -> NextStep {
         let request = self.request;
         let limit = StallLimits::for_head(request);
-        let UpstreamResponse { exchange, body, received, .. } = &mut upstream;
-        let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
-        match exchange.load_guard.wait(reading, limit).await {
+        let waited = match upstream.read_error.take() {
+            Some(error) => Ok(Err(error)),
+            None => upstream.wait_for_all(limit).await,
+        };
+        match waited {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 upstream.trial.fail();
--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -2,12 +2,14 @@
 
 use super::{
     retry::{Progress, Target},
-    upstream::{Exchange, UpstreamResponse},
+    serve::AdmittedRequest,
+    upstream::{Exchange, ReceivedHead, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
 use async_std::task;
 use futures_lite::{FutureExt, future};
 use ibissail_core::Millis;
+use ibissail_http1::{EventSplitter, HttpError};
 use std::future::Future;
 
 /// Longest time for which successors may work on the request besides the replica of a kept attempt,
@@ -18,8 +20,8 @@
 /// How far a kept attempt got.
 #[derive(Debug)]
 pub(super) enum PendingResponse {
-    /// The head of the response has not arrived.
-    Unanswered(Exchange),
+    /// The head of the response had not arrived, or arrived while another replica was asked.
+    Unanswered(Exchange, Option<Box<ReceivedHead>>),
     /// The head has arrived, the body not completely.
     Answering(Box<UpstreamResponse>),
 }
@@ -39,8 +41,12 @@
     pub(super) target: Target,
     pub(super) pending: PendingResponse,
     pub(super) reason: HandoverReason,
-    /// Bytes of an event that the replica has not completed.
+    /// Bytes of an event that the replica had not completed.
     partial_event: Vec<u8>,
+    /// Splits what the replica sends while another one is asked.
+    splitter: EventSplitter,
+    /// Events of the response when the other replica was asked.
+    event_count: u64,
     /// Bytes that the caller had received from it.
     relayed_bytes: u64,
 }
@@ -52,9 +58,16 @@
         reason: HandoverReason,
         progress: &mut Progress,
     ) -> Self {
-        let partial_event = progress.splitter.take_partial_event();
-        let relayed_bytes = progress.relayed_bytes;
-        Self { target, pending, reason, partial_event, relayed_bytes }
+        let splitter = progress.splitter.clone();
+        Self {
+            target,
+            pending,
+            reason,
+            partial_event: progress.splitter.take_partial_event(),
+            event_count: splitter.event_count(),
+            splitter,
+            relayed_bytes: progress.relayed_bytes,
+        }
     }
 
     /// Whether the response to the caller is still where this attempt left it.
@@ -74,21 +87,111 @@
     pub(super) fn spend(&mut self, time: Millis) {
         self.target.handover_left = self.target.handover_left.since(time);
     }
+
+    /// Reads from a silent replica until it has gone on: with a successful head, a whole event or
+    /// the end of its response. Does not return if the response has ended otherwise.
+    async fn listen(&mut self, request: &AdmittedRequest) {
+        let has_gone_on = match (&mut self.pending, self.reason) {
+            (_, HandoverReason::Unconfident) => false,
+            (PendingResponse::Unanswered(exchange, received), HandoverReason::Silent) => {
+                if received.is_none() {
+                    let head = exchange.receive_head(request, StallLimits::UNBOUNDED).await;
+                    *received = Some(Box::new(head));
+                }
+                matches!(received.as_deref(), Some(Ok((_, response)))
+                    if response.rejection.is_none() && response.status < 300 && response.is_signed)
+            }
+            (PendingResponse::Answering(upstream), HandoverReason::Silent) => {
+                if upstream.read_error.is_none() {
+                    let event_count = self.event_count;
+                    let reading = if request.is_stream(upstream.response.status) {
+                        read_event(upstream, &mut self.splitter, event_count).await
+                    } else {
+                        upstream.read_all().await
+                    };
+                    upstream.read_error = reading.err();
+                }
+                upstream.read_error.is_none() && upstream.response.status < 500
+            }
+        };
+        if !has_gone_on {
+            future::pending::<()>().await;
+        }
+    }
+}
+
+/// Reads a stream until it has more than `event_count` events or ends.
+async fn read_event(
+    upstream: &mut UpstreamResponse,
+    splitter: &mut EventSplitter,
+    event_count: u64,
+) -> Result<(), HttpError> {
+    let UpstreamResponse { exchange, body, received, .. } = upstream;
+    while splitter.event_count() == event_count {
+        let Some(data) = body.next(&mut exchange.connection).await? else {
+            let is_whole = !splitter.has_partial_event();
+            return if is_whole { Ok(()) } else { Err(HttpError::Truncated) };
+        };
+        exchange.load_guard.record_bytes();
+        received.extend_from_slice(&data);
+        splitter.push(&data)?;
+    }
+    Ok(())
+}
+
+/// Waits for a successor, which was sent the request at `sent_at`, while the kept attempt is read;
+/// `None` if that one has gone on. Closes it when the handover time is spent.
+pub(super) async fn ask_successor<F, T>(
+    kept: &mut Option<KeptAttempt>,
+    request: &AdmittedRequest,
+    sent_at: Option<Millis>,
+    next: F,
+) -> Option<T>
+where
+    F: Future<Output = T>,
+{
+    let listening = async {
+        if let Some(attempt) = kept {
+            let close_at = sent_at.map(|at| at.saturating_add(attempt.target.handover_left));
+            let listening = async {
+                // Rare, so that the future of every request need not have room for it.
+                Box::pin(attempt.listen(request)).await;
+                true
+            };
+            let closing = async {
+                wait_until(close_at).await;
+                false
+            };
+            if listening.or(closing).await {
+                return None;
+            }
+            *kept = None;
+        }
+        future::pending().await
+    };
+    listening.or(async { Some(next.await) }).await
 }
 
-/// Waits for a successor that was sent the request at `sent_at`, and closes the kept attempt when
-/// the handover time is spent.
+/// Waits for the rest of a successor's response, and closes the kept attempt when the handover time
+/// is spent.
 pub(super) async fn hand_over<F, T>(kept: &mut Option<KeptAttempt>, sent_at: Millis, next: F) -> T
 where
     F: Future<Output = T>,
 {
     let closing = async {
         if let Some(attempt) = kept {
-            let close_at = sent_at.saturating_add(attempt.target.handover_left);
-            task::sleep(close_at.since(since_boot()).as_duration()).await;
+            wait_until(Some(sent_at.saturating_add(attempt.target.handover_left))).await;
             *kept = None;
         }
         future::pending().await
     };
     next.or(closing).await
 }
+
+/// Waits until a time since boot; for ever if it is `None`.
+async fn wait_until(time: Option<Millis>) {
+    match time {
+        Some(time) => task::sleep(time.since(since_boot()).as_duration()).await,
+        None => future::pending().await,
+    }
+}
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -35,7 +35,15 @@
     loop {
         let event_count = progress.splitter.event_count();
         let exchange = &mut upstream.exchange;
-        let next = upstream.body.next(&mut exchange.connection);
+        let next = async {
+            if !upstream.received.is_empty() {
+                return Ok(Some(std::mem::take(&mut upstream.received)));
+            }
+            match upstream.read_error.take() {
+                Some(error) => Err(error),
+                None => upstream.body.next(&mut exchange.connection).await,
+            }
+        };
         let waited = exchange.load_guard.wait_since(last_event_at, next, stall_limits).await;
         let data = match waited {
             Ok(Ok(data)) => data,
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -136,9 +136,10 @@
     let steps = cascade_steps(request);
     let mut position = 0;
     let mut kept: Option<KeptAttempt> = None;
-    let mut failure: Option<ErrorReply> = None;
+    // Why no other attempt is made, but the kept one is gone back to.
+    let mut no_other: Option<ErrorReply> = None;
     loop {
-        let selected = match failure.take() {
+        let selected = match no_other.take() {
             Some(reply) => Err(reply),
             None => shared.next_target(request, progress, steps.get(position), position),
         };
@@ -162,7 +163,7 @@
         shared.record_attempt(progress, &target, &next);
         match next {
             NextStep::Done(RequestOutcome::Failed(reply)) if kept.is_some() => {
-                failure = Some(reply);
+                no_other = Some(reply);
             }
             NextStep::Done(outcome) => return outcome,
             NextStep::Escalate(upstream) => {
@@ -172,6 +173,10 @@
                 kept = Some(KeptAttempt::new(target, pending, reason, progress));
             }
             NextStep::Retry(_) => {}
+            NextStep::GoBack => {
+                let kind = ErrorKind::OutcomeUnknown;
+                no_other = Some(request.error_reply(kind, "the replica has gone on"));
+            }
             NextStep::Silent(pending) => {
                 let reason = HandoverReason::Silent;
                 kept = Some(KeptAttempt::new(target, *pending, reason, progress));
@@ -291,6 +296,7 @@
             NextStep::Done(_) => "ended",
             NextStep::Retry(reason) => reason,
             NextStep::Escalate(_) => "unconfident",
+            NextStep::GoBack => "abandoned",
             NextStep::Silent(_) if target.has_been_silent => return,
             NextStep::Silent(_) => "stalled",
         };
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -70,6 +70,11 @@
     pub(crate) fn time_left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
     }
+
+    /// Whether a response with this status is a stream.
+    pub(crate) fn is_stream(&self, status: u16) -> bool {
+        self.route.kind.is_stream() && status == 200
+    }
 }
 
 /// Handles one request and sends its response; returns what happens to the connection.
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -17,6 +17,9 @@
 const CONNECT_TIMEOUT: Millis = Millis(400);
 /// Interval at which a silent replica is checked against the stall limits.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Largest body, in bytes, of a response that is not a stream; it is held in memory. Bodies have
+/// some 800 bytes.
+const MAX_RESPONSE_BYTES: usize = 256 << 10;
 /// Most response heads read on one connection, counting responses to other requests.
 const MAX_RESPONSE_HEADS: usize = 3;
 /// Largest body, in bytes, of a skipped response.
@@ -175,6 +178,9 @@
     }
 }
 
+/// The head of a response, or why there is none.
+pub(crate) type ReceivedHead = Result<(ResponseHead, ReplicaResponse), SendError>;
+
 /// A request that is being sent to a replica on a connection of its own.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -197,8 +203,10 @@
     pub(crate) head: ResponseHead,
     pub(crate) response: ReplicaResponse,
     pub(crate) body: BodyReader,
-    /// The part of a buffered body that has been read.
+    /// The part of the body that has been read and not yet forwarded.
     pub(crate) received: Vec<u8>,
+    /// The error that ends the body after that part.
+    pub(crate) read_error: Option<HttpError>,
     pub(super) trial: Trial,
 }
 
@@ -210,7 +218,25 @@
         trial: Trial,
     ) -> Self {
         let body = BodyReader::new(head.framing);
-        Self { exchange, head, response, body, received: Vec::new(), trial }
+        Self { exchange, head, response, body, received: Vec::new(), read_error: None, trial }
+    }
+
+    /// Reads the rest of the body into memory; the outer error says for how long the replica has
+    /// been silent.
+    pub(super) async fn wait_for_all(
+        &mut self,
+        stall_limits: StallLimits,
+    ) -> Result<Result<(), HttpError>, String> {
+        let Self { exchange, body, received, .. } = self;
+        let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
+        exchange.load_guard.wait(reading, stall_limits).await
+    }
+
+    /// Reads the rest of the body into memory. If the read is dropped before its end, a later one
+    /// continues it.
+    pub(super) async fn read_all(&mut self) -> Result<(), HttpError> {
+        let Self { exchange, body, received, .. } = self;
+        body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES).await
     }
 }
 
@@ -248,7 +274,7 @@
         &mut self,
         request: &AdmittedRequest,
         stall_limits: StallLimits,
-    ) -> Result<(ResponseHead, ReplicaResponse), SendError> {
+    ) -> ReceivedHead {
         let Self { connection, load_guard, bytes, written, head_count, skipped_body } = self;
         let writing = write_rest(connection.stream().clone(), bytes, written);
         let method = &request.head.method;
--- a/crates/daemon/tests/silent_handover.rs
+++ b/crates/daemon/tests/silent_handover.rs
@@ -332,3 +332,117 @@
     assert_whole_stream(&response);
     assert_eq!(replicas.received_at().len(), 3, "both successors were asked");
 }
+
+/// Lets a silent replica go on with `resume`, 100 ms after a successor has been asked that takes
+/// long; asserts that the successor is cancelled, and returns the response to the caller.
+fn go_on_during_handover<S, R>(test: &str, kind: &str, start: S, resume: R) -> CallerResponse
+where
+    S: Fn(&mut ScriptedExchange) + Send + Sync + 'static,
+    R: Fn(&mut ScriptedExchange) + Send + Sync + 'static,
+{
+    let fixture = fixture(test, kind);
+    let is_asked = Arc::new(AtomicBool::new(false));
+    let closed_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let (asked, closed) = (Arc::clone(&is_asked), Arc::clone(&closed_at));
+    let replicas = ScriptedReplicas::new(move |exchange| {
+        if exchange.number > 0 {
+            asked.store(true, Ordering::SeqCst);
+            let at = exchange.wait_until_closed();
+            *closed.lock().expect("no script panics") = Some(at);
+            return;
+        }
+        start(exchange);
+        wait_until("a successor is asked", || asked.load(Ordering::SeqCst));
+        thread::sleep(Duration::from_millis(100));
+        resume(exchange);
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let response = fixture.send(&request(6_000));
+    let closed_at = closed_at.lock().expect("no script panics").expect("the successor is closed");
+    let overlap = closed_at.duration_since(replicas.received_at()[1]);
+    assert!(overlap < LONGEST_OVERLAP, "{overlap:?}");
+    response
+}
+
+/// Sends the rest of a stream over a time that is longer than a handover.
+fn finish_slowly(exchange: &mut ScriptedExchange) {
+    for number in EVENTS_BEFORE + 1..=EVENTS {
+        exchange.send_events([number]);
+        thread::sleep(Duration::from_millis(150));
+    }
+    exchange.end_stream();
+}
+
+#[test]
+fn silent_stream_that_goes_on_is_not_given_up_for_a_slow_successor() {
+    let response = go_on_during_handover("goes_on", "resumable", start_stream, finish_slowly);
+    assert_whole_stream(&response);
+}
+
+#[test]
+fn partial_event_is_not_lost_when_a_silent_stream_goes_on() {
+    let start = |exchange: &mut ScriptedExchange| {
+        start_stream(exchange);
+        exchange.send_chunk("id: 4\nda");
+    };
+    let resume = |exchange: &mut ScriptedExchange| {
+        exchange.send_chunk("ta: wo");
+        thread::sleep(Duration::from_millis(50));
+        exchange.send_chunk("rd 4\n\nid: 5");
+        thread::sleep(Duration::from_millis(350));
+        exchange.send_chunk("\ndata: word 5\n\n");
+        exchange.send_events(6..=EVENTS);
+        exchange.end_stream();
+    };
+    assert_whole_stream(&go_on_during_handover("goes_on_partly", "resumable", start, resume));
+}
+
+#[test]
+fn unanswered_stream_that_begins_is_not_given_up_for_a_slow_successor() {
+    let resume = |exchange: &mut ScriptedExchange| {
+        start_stream(exchange);
+        finish_slowly(exchange);
+    };
+    assert_whole_stream(&go_on_during_handover("begins", "resumable", |_| {}, resume));
+}
+
+#[test]
+fn silent_response_that_arrives_is_not_given_up_for_a_slow_successor() {
+    let resume = |exchange: &mut ScriptedExchange| {
+        exchange.send_head(200, 2);
+        thread::sleep(Duration::from_millis(250));
+        exchange.send("ok");
+    };
+    let response = go_on_during_handover("arrives", "safe", |_| {}, resume);
+    assert_eq!((response.status, response.body.as_str()), (200, "ok"), "{response:?}");
+}
+
+/// How a replica ends a response.
+type Ending = fn(&mut ScriptedExchange);
+
+#[test]
+fn silent_replica_that_fails_during_a_handover_does_not_cancel_its_successor() {
+    let endings: [(&str, Ending); 4] = [
+        ("refuses", ScriptedExchange::refuse),
+        ("closes", |_exchange| {}),
+        ("fails", |exchange| exchange.send_head(500, 0)),
+        ("breaks", |exchange| exchange.send("HTTP/1.1 2x0 OK\r\n\r\n")),
+    ];
+    for (test, ending) in endings {
+        let fixture = fixture(test, "resumable");
+        let is_asked = Arc::new(AtomicBool::new(false));
+        let replicas = ScriptedReplicas::new(move |exchange| {
+            if exchange.number > 0 {
+                is_asked.store(true, Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(250));
+                return continue_stream(exchange);
+            }
+            wait_until("a successor is asked", || is_asked.load(Ordering::SeqCst));
+            thread::sleep(Duration::from_millis(100));
+            ending(exchange);
+        });
+        add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+        assert_whole_stream(&fixture.send(&request(6_000)));
+        assert_eq!(replicas.received_at().len(), 2, "the successor serves the request");
+    }
+}
