Bound what is read ahead from a silent replica

Change: at most 128 KiB are read ahead without an event that has an id, one event and the comments before it; the rest waits in the socket.

--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -17,6 +17,10 @@
 /// longer than 400 ms. The time begins anew when the kept attempt has gone on.
 pub(super) const HANDOVER_TIME: Millis = Millis(300);
 
+/// Most bytes, without a whole event that has an id, that are read from a kept attempt while another
+/// replica is asked. An event and the comments before it have at most this many.
+const MAX_BYTES_AHEAD: usize = 128 << 10;
+
 /// How far a kept attempt got.
 #[derive(Debug)]
 pub(super) enum PendingResponse {
@@ -91,9 +95,9 @@
     /// Reads from a silent replica until it has gone on: with a successful head, a whole event or
     /// the end of its response. Does not return if the response has ended otherwise.
     async fn listen(&mut self, request: &AdmittedRequest) {
-        let has_gone_on = match (&mut self.pending, self.reason) {
-            (_, HandoverReason::Unconfident) => false,
-            (PendingResponse::Unanswered(exchange, received), HandoverReason::Silent) => {
+        let has_gone_on = match &mut self.pending {
+            _ if self.reason == HandoverReason::Unconfident => false,
+            PendingResponse::Unanswered(exchange, received) => {
                 if received.is_none() {
                     let head = exchange.receive_head(request, StallLimits::UNBOUNDED).await;
                     *received = Some(Box::new(head));
@@ -101,17 +105,19 @@
                 matches!(received.as_deref(), Some(Ok((_, response)))
                     if response.rejection.is_none() && response.status < 300 && response.is_signed)
             }
-            (PendingResponse::Answering(upstream), HandoverReason::Silent) => {
-                if upstream.read_error.is_none() {
-                    let event_count = self.event_count;
-                    let reading = if request.is_stream(upstream.response.status) {
-                        read_event(upstream, &mut self.splitter, event_count).await
-                    } else {
-                        upstream.read_all().await
-                    };
-                    upstream.read_error = reading.err();
-                }
-                upstream.read_error.is_none() && upstream.response.status < 500
+            PendingResponse::Answering(upstream) if upstream.read_error.is_some() => false,
+            PendingResponse::Answering(upstream) => {
+                let event_count = self.event_count;
+                let reading = if request.is_stream(upstream.response.status) {
+                    read_event(upstream, &mut self.splitter, event_count).await
+                } else {
+                    upstream.read_all().await.map(|()| upstream.response.status < 500)
+                };
+                reading.unwrap_or_else(|error| {
+                    // It is reported when the attempt goes on.
+                    upstream.read_error = Some(error);
+                    false
+                })
             }
         };
         if !has_gone_on {
@@ -120,23 +126,27 @@
     }
 }
 
-/// Reads a stream until it has more than `event_count` events or ends.
+/// Reads a stream until it has more than `event_count` events or ends; returns `false` if it sends
+/// too much without either.
 async fn read_event(
     upstream: &mut UpstreamResponse,
     splitter: &mut EventSplitter,
     event_count: u64,
-) -> Result<(), HttpError> {
+) -> Result<bool, HttpError> {
     let UpstreamResponse { exchange, body, received, .. } = upstream;
     while splitter.event_count() == event_count {
+        if received.len() > MAX_BYTES_AHEAD {
+            return Ok(false);
+        }
         let Some(data) = body.next(&mut exchange.connection).await? else {
             let is_whole = !splitter.has_partial_event();
-            return if is_whole { Ok(()) } else { Err(HttpError::Truncated) };
+            return if is_whole { Ok(true) } else { Err(HttpError::Truncated) };
         };
         exchange.load_guard.record_bytes();
         received.extend_from_slice(&data);
         splitter.push(&data)?;
     }
-    Ok(())
+    Ok(true)
 }
 
 /// Waits for a successor, which was sent the request at `sent_at`, while the kept attempt is read;
--- a/crates/daemon/tests/silent_handover.rs
+++ b/crates/daemon/tests/silent_handover.rs
@@ -19,6 +19,8 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Longest time for which two replicas may work on one request.
 const LONGEST_OVERLAP: Duration = Duration::from_millis(400);
+/// Largest growth of the memory of an entry while replicas send what it must not keep.
+const MAX_GROWTH_KB: u64 = 8 << 10;
 /// Events of the complete stream, and those before the silence.
 const EVENTS: u64 = 8;
 const EVENTS_BEFORE: u64 = 3;
@@ -446,3 +448,28 @@
         assert_eq!(replicas.received_at().len(), 2, "the successor serves the request");
     }
 }
+
+#[test]
+fn events_without_ids_during_a_handover_use_little_memory() {
+    let fixture = fixture("no_ids", "resumable");
+    let is_asked = Arc::new(AtomicBool::new(false));
+    let replicas = ScriptedReplicas::new(move |exchange| {
+        if exchange.number > 0 {
+            is_asked.store(true, Ordering::SeqCst);
+            thread::sleep(Duration::from_millis(250));
+            return continue_stream(exchange);
+        }
+        start_stream(exchange);
+        wait_until("a successor is asked", || is_asked.load(Ordering::SeqCst));
+        let events = format!("data: {}\n\n", "x".repeat(1_000)).repeat(60);
+        let until = Instant::now() + LONGEST_OVERLAP;
+        while Instant::now() < until {
+            exchange.send_chunk(&events);
+        }
+    });
+    add_replicas(&fixture, &replicas, &["r-1", "r-2"]);
+    let before = fixture.peak_memory_kb();
+    assert_whole_stream(&fixture.send(&request(6_000)));
+    let grown = fixture.peak_memory_kb() - before;
+    assert!(grown < MAX_GROWTH_KB, "{grown} kB");
+}
