--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -3,15 +3,15 @@
 
 use super::{
     Shared,
+    handover::{HandoverReason, KeptAttempt, PendingResponse, ask_successor, hand_over},
     peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
     retry::{FAILURE_RESERVE, Progress, RequestOutcome, Target},
     selection::SelectedReplica,
     serve::AdmittedRequest,
-    silence::{PendingResponse, SilentAttempt, hand_over},
     trials::Trial,
-    upstream::{Exchange, SendError, StallLimits, UpstreamResponse},
+    upstream::{Exchange, ReceivedHead, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, InstanceId, ModelId};
@@ -21,10 +21,6 @@
 use slog::{info, warn};
 use std::sync::Arc;
 
-/// Largest body, in bytes, of a response that is not a stream; it is held in memory. Bodies have
-/// some 800 bytes.
-const MAX_RESPONSE_BYTES: usize = 256 << 10;
-
 /// Result of an attempt whose replica guarantees that it has not run the request.
 const NOT_RUN: &str = "not_run";
 
@@ -34,10 +30,12 @@
     Done(RequestOutcome),
     /// Try another replica; the reason is for the log and the metrics.
     Retry(&'static str),
-    /// Ask the next larger model.
-    Escalate,
+    /// Ask the next larger model, and deliver this response if it is not to be had.
+    Escalate(Box<UpstreamResponse>),
     /// Try another replica, and wait on if there is none.
     Silent(Box<PendingResponse>),
+    /// Go back to the kept attempt, whose replica has gone on.
+    GoBack,
 }
 
 /// The outcome of a replica's response, as evidence on its version.
@@ -91,19 +89,23 @@
         Self { shared, request, target, step, larger }
     }
 
-    /// Sends the request and forwards the response; returns the step that follows. `silent` is an
+    /// Sends the request and forwards the response; returns the step that follows. `kept` is an
     /// earlier attempt that this one takes over from.
     pub(super) async fn run(
         &self,
         connection: &mut Connection,
         progress: &mut Progress,
-        silent: &mut Option<SilentAttempt>,
+        kept: &mut Option<KeptAttempt>,
     ) -> NextStep {
+        let Self { shared, request, .. } = *self;
         let may_have_run_before = progress.may_have_run;
         let resume_after = progress.splitter.last_id();
         let model = self.target.model.as_ref();
-        let opened =
-            Exchange::open(self.shared, self.request, resume_after, self.replica(), model).await;
+        let opening = Exchange::open(shared, request, resume_after, self.replica(), model);
+        let Some(opened) = ask_successor(kept, request, None, opening).await else {
+            self.return_retry(progress);
+            return NextStep::GoBack;
+        };
         progress.tried.insert(self.replica().id.clone());
         let exchange = match opened {
             Ok(exchange) => exchange,
@@ -111,19 +113,32 @@
         };
         progress.attempts_sent += 1;
         progress.may_have_run = true;
-        let close_at = silent.as_ref().and_then(SilentAttempt::close_at);
-        let response = self.receive_response(connection, progress, exchange);
-        let next = hand_over(silent, response).await;
+        let sent_at = since_boot();
+        let receiving = self.receive_head(progress, exchange);
+        let next = match ask_successor(kept, request, Some(sent_at), receiving).await {
+            Some(Ok(upstream)) => {
+                if upstream.response.status < 300 {
+                    kept.take_if(|attempt| attempt.reason == HandoverReason::Unconfident);
+                }
+                let delivering = self.deliver(connection, progress, upstream);
+                hand_over(kept, sent_at, delivering).await
+            }
+            Some(Err(next)) => next,
+            None => {
+                // It has not failed, and may be asked again.
+                progress.tried.remove(&self.replica().id);
+                NextStep::GoBack
+            }
+        };
         if matches!(next, NextStep::Retry(NOT_RUN)) {
             progress.may_have_run = may_have_run_before;
-            if let Some(attempt) = silent {
-                attempt.set_close_at(close_at);
-            }
+        } else if let Some(attempt) = kept {
+            attempt.spend(since_boot().since(sent_at));
         }
         next
     }
 
-    /// Waits again for a replica that has been silent; returns the step that follows.
+    /// Goes on with an attempt that was kept; returns the step that follows.
     pub(super) async fn resume(
         &self,
         connection: &mut Connection,
@@ -131,8 +146,15 @@
         pending: PendingResponse,
     ) -> NextStep {
         match pending {
-            PendingResponse::Unanswered(exchange) => {
-                self.receive_response(connection, progress, exchange).await
+            PendingResponse::Unanswered(exchange, received) => {
+                let accepted = match received {
+                    Some(received) => self.accept_head(progress, exchange, *received),
+                    None => self.receive_head(progress, exchange).await,
+                };
+                match accepted {
+                    Ok(upstream) => self.deliver(connection, progress, upstream).await,
+                    Err(next) => next,
+                }
             }
             PendingResponse::Answering(upstream) if self.is_stream(&upstream) => {
                 self.relay(connection, progress, *upstream).await
@@ -152,11 +174,16 @@
         self.shared.record_signals(id, *started_unix_ms, response.is_leaving, response.pause);
     }
 
-    fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
-        progress.failed_connects += 1;
+    /// Gives the retry of an attempt that has reached no replica back to the budget.
+    fn return_retry(&self, progress: &Progress) {
         if progress.attempts_sent > 0 {
             self.shared.state().budget(&self.request.service).return_retry();
         }
+    }
+
+    fn handle_refused_connection(&self, progress: &mut Progress, error: &str) -> NextStep {
+        progress.failed_connects += 1;
+        self.return_retry(progress);
         progress.refused.insert(self.replica().id.clone());
         self.shared.eject(&self.replica().id, "it does not accept connections");
         info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
@@ -229,21 +256,30 @@
         NextStep::Done(RequestOutcome::Failed(reply))
     }
 
-    async fn receive_response(
+    /// Receives the head of the response of a replica that runs the request; the error is the step
+    /// that follows if there is none.
+    async fn receive_head(
         &self,
-        connection: &mut Connection,
         progress: &mut Progress,
         mut exchange: Exchange,
-    ) -> NextStep {
+    ) -> Result<UpstreamResponse, NextStep> {
         let stall_limits = StallLimits::for_head(self.request);
-        let (head, response) = match exchange.receive_head(self.request, stall_limits).await {
+        let received = exchange.receive_head(self.request, stall_limits).await;
+        self.accept_head(progress, exchange, received)
+    }
+
+    /// Accepts the head of a response, unless it says that the replica has not run the request.
+    fn accept_head(
+        &self,
+        progress: &mut Progress,
+        exchange: Exchange,
+        received: ReceivedHead,
+    ) -> Result<UpstreamResponse, NextStep> {
+        let (head, response) = match received {
             Ok(received) => received,
             Err(SendError::Stalled(error)) => {
-                return self.handle_silence(
-                    progress,
-                    PendingResponse::Unanswered(exchange),
-                    &error,
-                );
+                let pending = PendingResponse::Unanswered(exchange, None);
+                return Err(self.handle_silence(progress, pending, &error));
             }
             Err(error) => {
                 let trial = self.start_trial();
@@ -251,17 +287,28 @@
                 let is_stream = self.request.route.kind.is_stream();
                 let trial = if is_stream { trial.without_parts() } else { trial };
                 trial.fail();
-                return self.handle_failure(progress, "lost", &error.to_string());
+                return Err(self.handle_failure(progress, "lost", &error.to_string()));
             }
         };
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
-            return self.handle_rejection(progress, rejection, response.status);
+            return Err(self.handle_rejection(progress, rejection, response.status));
         }
-        let upstream = UpstreamResponse::new(exchange, head, response, self.start_trial());
-        if upstream.response.status < 300 && !upstream.response.is_signed {
-            self.handle_failure(progress, "unsigned", "the successful response is not signed")
-        } else if self.is_stream(&upstream) {
+        if response.status < 300 && !response.is_signed {
+            let error = "the successful response is not signed";
+            return Err(self.handle_failure(progress, "unsigned", error));
+        }
+        Ok(UpstreamResponse::new(exchange, head, response, self.start_trial()))
+    }
+
+    /// Forwards a response whose head has been received.
+    async fn deliver(
+        &self,
+        connection: &mut Connection,
+        progress: &mut Progress,
+        upstream: UpstreamResponse,
+    ) -> NextStep {
+        if self.is_stream(&upstream) {
             self.receive_stream(connection, progress, upstream).await
         } else if progress.has_response_started() {
             self.handle_failure(progress, "refused", "the replica did not resume the stream")
@@ -275,7 +322,7 @@
     }
 
     fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
-        self.request.route.kind.is_stream() && upstream.response.status == 200
+        self.request.is_stream(upstream.response.status)
     }
 
     async fn receive_stream(
@@ -295,7 +342,7 @@
         {
             progress.has_reserved_retry = true;
             self.record_response(ResponseOutcome::Success);
-            return NextStep::Escalate;
+            return NextStep::Escalate(Box::new(upstream));
         }
         progress.tried.insert(self.replica().id.clone());
         // The bytes of an incomplete event came from an attempt that has failed.
@@ -338,9 +385,11 @@
     ) -> NextStep {
         let request = self.request;
         let limit = StallLimits::for_head(request);
-        let UpstreamResponse { exchange, body, received, .. } = &mut upstream;
-        let reading = body.read_into(&mut exchange.connection, received, MAX_RESPONSE_BYTES);
-        match exchange.load_guard.wait(reading, limit).await {
+        let waited = match upstream.read_error.take() {
+            Some(error) => Ok(Err(error)),
+            None => upstream.wait_for_all(limit).await,
+        };
+        match waited {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 upstream.trial.fail();
@@ -435,8 +484,7 @@
             latency_ms: is_buffered.then_some(now.since(self.target.started).0),
         };
         let mut state = self.shared.state();
-        // The silence has been counted as a failure of this attempt.
-        if !self.target.has_been_silent {
+        if !self.target.is_recorded {
             state.record_response(&request.service, &self.replica().version, &sample);
         }
         if !is_bad {
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -3,13 +3,12 @@
 use super::{
     Shared,
     attempt::{Attempt, NextStep},
+    handover::{HANDOVER_TIME, HandoverReason, KeptAttempt, PendingResponse},
     response::{ErrorReply, write_complete},
     selection::SelectedReplica,
     serve::{AdmittedRequest, RETRY_AFTER_SPREAD},
-    silence::{SilentAttempt, wait_until},
 };
 use crate::clock::since_boot;
-use futures_lite::FutureExt;
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, VersionId};
 use ibissail_direct::{CascadeStep, ModelChoice, retry_after_pause};
 use ibissail_http1::{Connection, EventSplitter, ResponseHead};
@@ -121,6 +120,10 @@
     pub(super) started: Millis,
     /// Whether the replica has been silent for too long in this attempt.
     pub(super) has_been_silent: bool,
+    /// Whether the response, or the silence, has been counted as evidence on the version.
+    pub(super) is_recorded: bool,
+    /// Rest of the time for which successors may work on the request besides the replica.
+    pub(super) handover_left: Millis,
 }
 
 /// Makes attempts for a request until it has an outcome.
@@ -132,20 +135,26 @@
 ) -> RequestOutcome {
     let steps = cascade_steps(request);
     let mut position = 0;
-    let mut silent: Option<SilentAttempt> = None;
+    let mut kept: Option<KeptAttempt> = None;
+    // Why no other attempt is made, but the kept one is gone back to.
+    let mut no_other: Option<ErrorReply> = None;
     loop {
-        let selected = shared.next_target(request, progress, steps.get(position), position);
-        let waiting = silent.take().filter(|attempt| attempt.is_current(progress));
+        let selected = match no_other.take() {
+            Some(reply) => Err(reply),
+            None => shared.next_target(request, progress, steps.get(position), position),
+        };
+        let waiting = kept.take().filter(|attempt| attempt.is_current(progress));
         let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
-                silent = earlier;
+                kept = earlier;
                 (target, next)
             }
             (Err(reply), Some(attempt)) => {
                 shared.log_wait(request, &attempt.target, &reply);
-                wait_on(shared, connection, request, progress, &steps, attempt).await
+                position = attempt.target.position;
+                go_back(shared, connection, request, progress, &steps, attempt).await
             }
             (Err(reply), None) => {
                 return finish_without_attempt(connection, request, progress, reply).await;
@@ -153,37 +162,53 @@
         };
         shared.record_attempt(progress, &target, &next);
         match next {
+            NextStep::Done(RequestOutcome::Failed(reply)) if kept.is_some() => {
+                no_other = Some(reply);
+            }
             NextStep::Done(outcome) => return outcome,
-            NextStep::Escalate => position = target.position + 1,
+            NextStep::Escalate(upstream) => {
+                position = target.position + 1;
+                let pending = PendingResponse::Answering(upstream);
+                let reason = HandoverReason::Unconfident;
+                kept = Some(KeptAttempt::new(target, pending, reason, progress));
+            }
             NextStep::Retry(_) => {}
+            NextStep::GoBack => {
+                let kind = ErrorKind::OutcomeUnknown;
+                no_other = Some(request.error_reply(kind, "the replica has gone on"));
+            }
             NextStep::Silent(pending) => {
-                silent = Some(SilentAttempt::new(target, *pending, progress));
+                let reason = HandoverReason::Silent;
+                kept = Some(KeptAttempt::new(target, *pending, reason, progress));
             }
         }
     }
 }
 
-/// Waits again for a replica that has been silent, until it may no longer work on the request.
-async fn wait_on(
+/// Goes on with a kept attempt. No other replica works on the request: successors have refused it
+/// or failed.
+async fn go_back(
     shared: &Arc<Shared>,
     connection: &mut Connection,
     request: &AdmittedRequest,
     progress: &mut Progress,
     steps: &[CascadeStep],
-    mut silent: SilentAttempt,
+    mut kept: KeptAttempt,
 ) -> (Target, NextStep) {
-    silent.restore(progress);
+    kept.restore(progress);
     progress.forget_refusals();
-    let close_at = silent.close_at();
-    let SilentAttempt { target, pending, .. } = silent;
-    let target = Target { has_been_silent: true, ..target };
+    let KeptAttempt { mut target, pending, reason, .. } = kept;
+    target.has_been_silent |= reason == HandoverReason::Silent;
+    target.is_recorded = true;
+    // A larger model may have been asked at the same replica.
+    progress.tried.insert(target.replica.id.clone());
     shared.record_session(request, &target.replica.version);
+    let relayed_before = progress.relayed_bytes;
     let attempt = Attempt::new(shared, request, &target, steps);
-    let closing = async {
-        wait_until(close_at).await;
-        NextStep::Retry("handed_over")
-    };
-    let next = attempt.resume(connection, progress, pending).or(closing).await;
+    let next = attempt.resume(connection, progress, pending).await;
+    if progress.relayed_bytes > relayed_before {
+        target.handover_left = HANDOVER_TIME;
+    }
     (target, next)
 }
 
@@ -232,7 +257,15 @@
             return Err(request.error_reply(kind, "the retry budget is exhausted"));
         }
         self.record_session(request, &replica.version);
-        Ok(Target { replica, model, position, started: since_boot(), has_been_silent: false })
+        Ok(Target {
+            replica,
+            model,
+            position,
+            started: since_boot(),
+            has_been_silent: false,
+            is_recorded: false,
+            handover_left: HANDOVER_TIME,
+        })
     }
 
     /// Returns the error response if the time or the attempts of a request are used up.
@@ -266,7 +299,8 @@
             NextStep::Done(RequestOutcome::Answered(_)) => "answered",
             NextStep::Done(_) => "ended",
             NextStep::Retry(reason) => reason,
-            NextStep::Escalate => "unconfident",
+            NextStep::Escalate(_) => "unconfident",
+            NextStep::GoBack => "abandoned",
             NextStep::Silent(_) if target.has_been_silent => return,
             NextStep::Silent(_) => "stalled",
         };
