Apply changed limits to connections kept since before the change

A caller that keeps its connection and sends a request after a change of the configuration got 431 for a head that the new limits allow, or found the connection closed after the old idle timeout; a shorter idle timeout was not applied to it either.

Cause: the limits were read before the wait for a request, which lasts as long as the connection is idle. Change: the idle timeout is read at each check, the other limits when the first byte of the request has arrived.

Ruled out: that the entry did not have the configuration; its log line is awaited.

--- a/crates/daemon/src/direct/accept.rs
+++ b/crates/daemon/src/direct/accept.rs
@@ -77,11 +77,10 @@
 async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
     let mut connection = Connection::new(stream);
     loop {
-        let limits = shared.limits();
-        if !wait_for_request(shared, &mut connection, limits).await {
+        if !wait_for_request(shared, &mut connection).await {
             return;
         }
-        let read = read_request(&mut connection, limits).await;
+        let read = read_request(&mut connection, shared.limits()).await;
         let is_refused = read.is_err();
         let after_response = match read {
             Ok((head, body)) => handle_request(shared, &mut connection, head, body).await,
@@ -102,14 +101,15 @@
 
 /// Waits for the first byte of a request; returns `false` if the connection is to be closed,
 /// because it has failed, has been idle for too long or is idle during a shutdown.
-async fn wait_for_request(shared: &Shared, connection: &mut Connection, limits: Limits) -> bool {
+async fn wait_for_request(shared: &Shared, connection: &mut Connection) -> bool {
     let mut waited = Duration::ZERO;
-    let idle_limit = limits.idle_timeout.as_duration();
     loop {
         match timeout(IDLE_CHECK_INTERVAL, connection.fill_if_empty()).await {
             Ok(result) => return result.is_ok(),
             Err(_elapsed) => waited += IDLE_CHECK_INTERVAL,
         }
+        // The limit may change while a connection is idle.
+        let idle_limit = shared.limits().idle_timeout.as_duration();
         if waited >= idle_limit || shared.may_close_idle() {
             return false;
         }
