Answer requests in progress when the grace time of a stop ends

A caller whose replica was still silent when the grace time of the entry's stop ended found its connection closed with neither a response nor a refusal, though the entry had read the request (12 of 12 requests of all four kinds).

Cause: the shutdown waited for open requests and then ended the process whatever they had got. Change: at the end of the grace time the requests in progress end like those whose deadline passes: with 502 if they may have run, with 503 and a retry time if not, or cut if a part of the response has been sent. Error responses during a shutdown say that the connection is closed.

Ruled out: that silences, retries or ejections beside a stop cut a request whose replica goes on in time.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -47,6 +47,8 @@
 /// Time until the load balancer stops opening connections to an entry that is not ready: two health
 /// checks one second apart, and the network delay.
 const BALANCER_DETECTION_TIME: Millis = Millis(2_500);
+/// Time for the responses to requests that are still in progress at the end of the grace time.
+const LAST_RESPONSES_TIME: Millis = Millis(250);
 /// Interval at which a shutdown checks whether the entry is idle.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -71,6 +73,8 @@
     open_connections: AtomicUsize,
     /// Closed to stop accepting connections.
     stop_accepting: (Sender<()>, Receiver<()>),
+    /// Closed at the end of the grace time to end the requests in progress.
+    grace_ended: (Sender<()>, Receiver<()>),
 }
 
 impl Shared {
@@ -129,6 +133,7 @@
             stopping_since: Mutex::new(None),
             open_connections: AtomicUsize::new(0),
             stop_accepting: async_channel::bounded(1),
+            grace_ended: async_channel::bounded(1),
             settings,
             log,
         });
@@ -207,7 +212,7 @@
 }
 
 /// Shuts the entry down: it is no longer ready, but accepts connections until none is open, or
-/// until the end of the grace time.
+/// until the end of the grace time, when requests in progress get error responses.
 async fn drain(shared: &Shared) {
     let started = since_boot();
     *shared.stopping_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
@@ -218,6 +223,8 @@
     shared.stop_accepting.0.close();
     task::sleep(STOP_CHECK_INTERVAL).await;
     wait_until_idle(shared, deadline).await;
+    shared.grace_ended.0.close();
+    wait_until_idle(shared, deadline.saturating_add(LAST_RESPONSES_TIME)).await;
     let open = shared.open_connections.load(Ordering::Relaxed);
     info!(shared.log, "entry: stopped"; "open_connections" => open,
         "after_ms" => since_boot().since(started).0);
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -104,6 +104,9 @@
     let after_response = match &outcome {
         RequestOutcome::Answered(_) => after_response,
         RequestOutcome::Failed(reply) => {
+            // A shutdown may have started since the request arrived.
+            let after_response =
+                if shared.is_stopping() { AfterResponse::Close } else { after_response };
             let is_written = reply.write(connection, after_response).await.is_ok();
             after_write(is_written, after_response)
         }
@@ -122,7 +125,18 @@
     if is_written { after_response } else { AfterResponse::Close }
 }
 
-/// Executes a request until it ends, its deadline passes or its caller disconnects.
+/// Why the execution of a request ended.
+#[derive(Debug)]
+enum ExecutionEnd {
+    Outcome(RequestOutcome),
+    /// The deadline of the caller has passed.
+    DeadlinePassed,
+    /// The grace time of a shutdown has passed.
+    GraceEnded,
+}
+
+/// Executes a request until it ends, its deadline passes, its caller disconnects or the grace time
+/// of a shutdown ends.
 async fn execute(
     shared: &Arc<Shared>,
     connection: &mut Connection,
@@ -131,10 +145,11 @@
 ) -> RequestOutcome {
     let caller = connection.stream().clone();
     let time_left = request.time_left(since_boot()).as_duration();
-    let attempts = async { Some(make_attempts(shared, connection, request, progress).await) };
+    let attempts =
+        async { ExecutionEnd::Outcome(make_attempts(shared, connection, request, progress).await) };
     let timed_out = async {
         task::sleep(time_left).await;
-        None
+        ExecutionEnd::DeadlinePassed
     };
     let disconnected = async {
         // A once-at-most request without a stream is finished even if its caller has disconnected:
@@ -143,21 +158,40 @@
             future::pending::<()>().await;
         }
         wait_for_disconnect(&caller).await;
-        Some(RequestOutcome::CallerGone)
+        ExecutionEnd::Outcome(RequestOutcome::CallerGone)
+    };
+    let grace_ended = async {
+        let _closed = shared.grace_ended.1.recv().await;
+        ExecutionEnd::GraceEnded
     };
-    match attempts.or(disconnected).or(timed_out).await {
-        Some(outcome) => outcome,
-        None if progress.has_response_started() => {
-            RequestOutcome::Truncated("the deadline passed".to_owned())
+    match attempts.or(disconnected).or(timed_out).or(grace_ended).await {
+        ExecutionEnd::Outcome(outcome) => outcome,
+        ExecutionEnd::DeadlinePassed => {
+            let kind =
+                if progress.may_have_run { ErrorKind::Timeout } else { ErrorKind::DeadlineUnmet };
+            break_off(request, progress, kind, "the deadline passed")
+        }
+        ExecutionEnd::GraceEnded => {
+            let kind =
+                if progress.may_have_run { ErrorKind::OutcomeUnknown } else { ErrorKind::Draining };
+            break_off(request, progress, kind, "the entry stops")
         }
-        None => RequestOutcome::Failed(
-            request.error_reply(timeout_kind(progress), "the deadline passed"),
-        ),
     }
 }
 
-fn timeout_kind(progress: &Progress) -> ErrorKind {
-    if progress.may_have_run { ErrorKind::Timeout } else { ErrorKind::DeadlineUnmet }
+/// The outcome of a request whose attempts are broken off: an error response unless the caller has
+/// received a part of another one.
+fn break_off(
+    request: &AdmittedRequest,
+    progress: &Progress,
+    kind: ErrorKind,
+    detail: &str,
+) -> RequestOutcome {
+    if progress.has_response_started() {
+        RequestOutcome::Truncated(detail.to_owned())
+    } else {
+        RequestOutcome::Failed(request.error_reply(kind, detail))
+    }
 }
 
 async fn wait_for_disconnect(stream: &TcpStream) {
