Ask a silent replica again when its successor has refused late

Callers saw a stream cut, or a 502 in place of a response, although every replica was sound: all were silent at once, and the successor, asked in its own silence, refused the request (or ended its connection) after it.

Cause: 300 ms after a successor has been asked the silent attempt is given up, and its replica counted as tried like one that has failed. When the successor did not take the request over after all, nothing was left. The class: what the entry itself has given up was taken for what has failed.

Change: a replica whose silent attempt was given up for a successor that has then refused or failed may be asked again, within the attempt limit and the retry budget; a stream resumes after its last event.

Ruled out: to wait longer for the successor beside the silent replica, because two must not work on one request for over 400 ms.

--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -138,9 +138,15 @@
         let waiting = silent.take().filter(|attempt| attempt.is_current(progress));
         let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
+                let predecessor = earlier.as_ref().map(|silent| silent.target.replica.id.clone());
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
                 silent = earlier;
+                // A sound replica that was given up for one that has not taken the request over
+                // may be asked again.
+                if let (NextStep::Retry(_), None, Some(id)) = (&next, &silent, predecessor) {
+                    progress.tried.remove(&id);
+                }
                 (target, next)
             }
             (Err(reply), Some(attempt)) => {
