--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -146,9 +146,15 @@
         let waiting = kept.take().filter(|attempt| attempt.is_current(progress));
         let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
+                let predecessor = earlier.as_ref().map(|kept| kept.target.replica.id.clone());
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
                 kept = earlier;
+                // A sound replica that was given up for one that has not taken the request over
+                // may be asked again.
+                if let (NextStep::Retry(_), None, Some(id)) = (&next, &kept, predecessor) {
+                    progress.tried.remove(&id);
+                }
                 (target, next)
             }
             (Err(reply), Some(attempt)) => {
