Send no request once more for the former owner of its key

A replica ran a request under the organisation `huts` after a configuration had given its key to `guides`: the first replica was silent for 600 ms, the key moved in that time, and the second attempt named the owner of the admission. Cause: the check before each attempt asked whether the key is known, not whose it is. Change: a key that belongs to another organisation ends the attempts as a key that is gone does. Not run: 503 with a time, so that the caller's next attempt goes out for the new owner; may have run: 504 or 502. Ruled out: sending the request again under the new owner, as its first run belongs to the other one.

--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -295,18 +295,26 @@
         })
     }
 
-    /// The error response to a request whose key has been taken away, or can no longer be checked,
-    /// since the request was admitted; `None` if a further attempt is permitted.
+    /// The error response to a request whose key has been taken away or given to another
+    /// organisation, or can no longer be checked, since the request was admitted; `None` if a further
+    /// attempt is permitted.
     pub(super) fn check_permission(
         &self,
         request: &AdmittedRequest,
         may_have_run: bool,
     ) -> Option<ErrorReply> {
-        request.organisation.as_ref()?;
+        let organisation = request.organisation.as_ref()?;
         let state = self.state();
         let table = state.table.as_ref()?;
         let key = request.params.key.as_ref();
-        let (kind, detail) = state.check_key(table, &request.route, key, since_boot()).err()?;
+        let (kind, detail) = match state.check_key(table, &request.route, key, since_boot()) {
+            Err(refusal) => refusal,
+            Ok(Some(owner)) if owner.id != *organisation => {
+                // The caller may send the request again, for the new owner.
+                (ErrorKind::SettingsStale, "the key belongs to another organisation now".to_owned())
+            }
+            Ok(_) => return None,
+        };
         let kind = if may_have_run { ErrorKind::OutcomeUnknown } else { kind };
         Some(request.error_reply(kind, &detail))
     }
