Give a broken link to a sidecar time to come back

A caller's stream ended with an error event 0.3 s after the connection between entry and sidecar had broken, and a request under an idempotency key got 502, while the sidecar went on with the run and its new connections worked again 0.7 s later. A sidecar that was silent for 3 s was waited for all the same. Cause: four failed attach requests end a response, and requests that are refused at once fail within 0.3 s. The limit was chosen for responses that another replica can give. Responses that another replica can give move on as before. The price: when the sidecar has died, the error event comes 1.7 s later.

--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -256,6 +256,7 @@
     /// Forwards chunks to the caller; a failure after the first bytes is sent as an event.
     async fn forward_events(&self, started: StartedResponse, sender: &BodySender) {
         let StartedResponse { mut relay, target, first } = started;
+        relay.hold_on();
         let mut item = first;
         let mut last_chunk_at = Instant::now();
         loop {
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -237,6 +237,7 @@
         revision: Revision,
         mut relay: Relay,
     ) -> Result<StepOutcome, Fault> {
+        relay.hold_on();
         let collected = match relay.next(self.ctx).await {
             Ok(first) => relay.collect(self.ctx, first).await,
             Err(fault) => Err(fault),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -10,7 +10,11 @@
 use ibissail_routing::RequestOutcome;
 use ibissail_transport::{CallError, StreamResponse, open_stream};
 use slog::{debug, info};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Time without a frame after which the entry reconnects. Sidecars send keep-alive frames more
 /// often, so an idle connection is treated as broken.
@@ -20,6 +24,9 @@
 const ATTACH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Consecutive failures to attach after which the sidecar is treated as unreachable.
 const MAX_ATTACH_FAILURES: u32 = 4;
+/// Time for which a response that no other replica can continue is not given up, however many attach
+/// requests fail. The sidecar cancels a run without a reader later than that.
+const RECONNECT_TIME: Duration = Duration::from_secs(2);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The replica that executes a run.
@@ -60,6 +67,8 @@
     ended: bool,
     end: RelayEnd,
     outcome: RequestOutcome,
+    /// Whether another replica could serve the request instead.
+    is_replaceable: bool,
 }
 
 /// What the sidecar has said about the end of a run.
@@ -98,9 +107,16 @@
             ended: false,
             end: RelayEnd::Open,
             outcome: RequestOutcome::Inconclusive,
+            is_replaceable: true,
         }
     }
 
+    /// Records that no other replica can serve the request from now on, so that the sidecar is given
+    /// time to be reachable again.
+    pub(crate) fn hold_on(&mut self) {
+        self.is_replaceable = false;
+    }
+
     /// What the sidecar has said about the end of the run.
     pub(crate) fn end(&self) -> RelayEnd {
         self.end
@@ -224,6 +240,7 @@
     ) -> Result<(), Fault> {
         self.shared.node.metrics.reattachments.inc();
         let mut failures = 0;
+        let since = Instant::now();
         loop {
             let message = AttachRequest {
                 key: self.key.clone(),
@@ -257,7 +274,9 @@
                     failures += 1;
                 }
             }
-            if failures >= MAX_ATTACH_FAILURES || ctx.time_left(&self.shared).0 == 0 {
+            let has_failed = failures >= MAX_ATTACH_FAILURES
+                && (self.is_replaceable || since.elapsed() >= RECONNECT_TIME);
+            if has_failed || ctx.time_left(&self.shared).0 == 0 {
                 self.outcome = RequestOutcome::Failed;
                 return Err(self.unreachable_fault());
             }
--- a/crates/daemon/src/entry/router.rs
+++ b/crates/daemon/src/entry/router.rs
@@ -48,7 +48,7 @@
     req: &mut Request,
 ) -> Result<Response, Fault> {
     match (req.method(), path) {
-        (Method::Post, "/v1/chat/completions") => chat::complete(shared, ctx, req).await,
+        (Method::Post, "/v1/chat/completions") => Box::pin(chat::complete(shared, ctx, req)).await,
         (Method::Get, "/v1/models") => Ok(sessions::list_models(shared, ctx)),
         (Method::Post, "/v1/sessions") => sessions::create(shared, ctx, req).await,
         (_, path) => match path.strip_prefix(SERVICES_PREFIX) {
