Let a stopping sidecar wait for a reader that comes back

A caller's stream ended with an error event when its sidecar was stopped as planned: the link to the entry broke, the run ended 0.3 s later, and the sidecar exited 9 ms after that with the end of the response unread. The entry's next attach request found nobody. Cause: the exit cannot be taken back, and was decided on `no run in progress and no reader`, which is also true for a moment while a reader is reconnecting. The price: a stop takes up to 2 s longer when a caller has left in its last 2 s.

--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -34,6 +34,8 @@
 /// How long an ended attempt is kept if the entry does not confirm it.
 const ATTEMPT_RETENTION: Millis = Millis(30_000);
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a sidecar that stops waits for a reader that has lost its connection.
+const RECONNECT_TIME: Millis = Millis(2_000);
 
 /// Connections to the upstream kept for further requests. None is: an upstream may send a second
 /// copy of a response late, and nothing in a plain HTTP response tells which request it answers.
@@ -48,6 +50,8 @@
     table: Mutex<RunTable>,
     active: Mutex<BTreeMap<RunKey, ActiveRun>>,
     outbox: Mutex<Outbox>,
+    /// When the last reader left before the end of a response that no other has read since.
+    unread: Mutex<BTreeMap<RunKey, Millis>>,
 }
 
 impl Shared {
@@ -69,6 +73,24 @@
         self.active.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a reader has left, after the end of the response or before it.
+    fn record_reading(&self, key: &RunKey, is_complete: bool, now: Millis) {
+        let mut unread = self.unread.lock().unwrap_or_else(PoisonError::into_inner);
+        unread.retain(|_, left_at| now.since(*left_at) < RECONNECT_TIME);
+        if is_complete {
+            unread.remove(key);
+        } else {
+            unread.insert(key.clone(), now);
+        }
+    }
+
+    /// Whether a reader may come back for the rest of a response.
+    fn expects_reader(&self) -> bool {
+        let now = self.node.now();
+        let unread = self.unread.lock().unwrap_or_else(PoisonError::into_inner);
+        unread.values().any(|left_at| now.since(*left_at) < RECONNECT_TIME)
+    }
+
     fn outbox(&self) -> MutexGuard<'_, Outbox> {
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -112,6 +134,7 @@
             }),
             active: Mutex::default(),
             outbox: Mutex::default(),
+            unread: Mutex::default(),
         });
         task::spawn(housekeeping::run(Arc::clone(&shared)));
         let options = ServerOptions::default();
@@ -163,5 +186,6 @@
             && !table.has_readers()
             && !table.has_unsettled()
             && self.shared.outbox().is_empty()
+            && !self.shared.expects_reader()
     }
 }
--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -111,21 +111,24 @@
     let shared = Arc::clone(shared);
     shared.table().add_reader(&key);
     task::spawn(async move {
-        send_frames(&shared, &key, offset, &sender).await;
+        let is_complete = send_frames(&shared, &key, offset, &sender).await;
         let now = shared.node.now();
+        shared.record_reading(&key, is_complete, now);
         shared.table().remove_reader(&key, now);
     });
     body
 }
 
-/// Sends frames to a reader until the run has ended or the reader disconnects.
-async fn send_frames(shared: &Shared, key: &RunKey, mut offset: u64, sender: &BodySender) {
+/// Sends frames to a reader until the run has ended or the reader disconnects; returns whether the
+/// end was sent.
+async fn send_frames(shared: &Shared, key: &RunKey, mut offset: u64, sender: &BodySender) -> bool {
     loop {
         let progress = shared.active().get(key).map(|active| Arc::clone(&active.progress));
         // Registered before the run is read, so that no notification is missed.
         let listener = progress.map(|progress| progress.listen());
         let Some(RunSnapshot { bytes, outcome }) = shared.table().snapshot(key, offset) else {
-            return;
+            // The run has been removed, so that there is nothing left to read.
+            return true;
         };
         let is_last = outcome.is_some();
         // Frames that are ready together are sent in one write.
@@ -137,13 +140,16 @@
         buf.extend(
             outcome.map(|outcome| run_frame(key, FrameKind::End(outcome))).unwrap_or_default(),
         );
-        if !sender.send(buf).await || is_last {
-            return;
+        if !sender.send(buf).await {
+            return false;
+        }
+        if is_last {
+            return true;
         }
         let Some(listener) = listener else { continue };
         let is_idle = timeout(KEEP_ALIVE_INTERVAL, listener).await.is_err();
         if is_idle && !sender.send(run_frame(key, FrameKind::KeepAlive)).await {
-            return;
+            return false;
         }
     }
 }
--- a/crates/daemon/tests/broken_links.rs
+++ b/crates/daemon/tests/broken_links.rs
@@ -63,3 +63,27 @@
     });
     assert_eq!(response.status, 200, "{}", response.text());
 }
+
+#[test]
+fn sidecar_that_stops_waits_for_a_reader_that_comes_back() {
+    let (cluster, proxy) = cluster("link_stop", "swift-1", "swift@1");
+    let slow = EngineFaults { slower_ms: 30, ..EngineFaults::default() };
+    cluster.set_engine_faults("swift-1", &slow);
+    let listen = cluster.members["entry-1"].listen;
+    let path = "/v1/chat/completions";
+    let mut stream = http::start_request(listen, "POST", path, &HEADERS, STREAM).expect("sent");
+    let mut bytes = vec![0; 600];
+    stream.read_exact(&mut bytes).expect("the stream has started");
+    cluster.processes.get("swift-1").expect("it runs").signal("-TERM");
+    let mut buf = [0; 512];
+    while String::from_utf8_lossy(&bytes).matches("delta").count() < 50 {
+        let count = stream.read(&mut buf).expect("the stream goes on");
+        bytes.extend_from_slice(&buf[..count]);
+    }
+    // The run ends while its link is broken.
+    break_link(&proxy);
+    stream.read_to_end(&mut bytes).expect("the stream ends");
+    let response = http::parse_response(&bytes).unwrap_or_else(Response::missing);
+    let text = response.text();
+    assert!(response.status == 200 && text.ends_with("data: [DONE]\n\n"), "{text}");
+}
