Do not give up the only sidecar after two seconds of silence

A caller got 502 `outcome_unknown` after 2 s, of a deadline of 60 s, when the only sidecar of its model was suspended as the request came in and went on 1 s later. Cause: a run request without a response within 2 s was given up for another replica before it was known whether there is one. Change: if there is none, the entry sends the request for the same run again, up to twice for 2 s each. A sidecar starts a run once and attaches later requests for it.

--- a/crates/daemon/src/entry/attempts.rs
+++ b/crates/daemon/src/entry/attempts.rs
@@ -3,7 +3,7 @@
 use crate::entry::{
     Shared,
     context::RequestContext,
-    dispatch::{OpenError, PendingRun, RunSpec, open, pick_replica},
+    dispatch::{OpenError, PendingRun, PickedReplica, RunSpec, open, pick_replica},
     relay::{Item, Relay, RelayEnd, ResponseSummary},
 };
 use ibissail_core::{ErrorKind, Fault, Ran, Target, VmId};
@@ -13,6 +13,9 @@
 
 /// Maximum number of attempts for one request.
 const MAX_ATTEMPTS: u32 = 4;
+/// Maximum number of further run requests to a sidecar that has not responded to the first, when no
+/// other is left.
+const MAX_REPEATED_OPENS: u32 = 2;
 
 /// Retry state of a request that is safe to run more than once.
 #[derive(Debug)]
@@ -27,6 +30,8 @@
     /// never says that it has not run, whatever the last attempt reported.
     may_have_run: bool,
     last_fault: Option<Fault>,
+    /// The last run whose sidecar has not responded, and which may still take place.
+    silent: Option<(RunKey, PickedReplica, Target)>,
 }
 
 /// A response whose first bytes have arrived.
@@ -67,6 +72,7 @@
             count: 0,
             may_have_run: false,
             last_fault: None,
+            silent: None,
         }
     }
 
@@ -125,9 +131,7 @@
             }
             let key = RunKey::Attempt { request: self.ctx.id, attempt: self.count };
             self.count += 1;
-            let (spec, picked) = (self.spec, &picked);
-            let pending_run = PendingRun { spec, key, target: &target, picked, claim: None };
-            match open(self.shared, self.ctx, pending_run).await {
+            match self.open_run(key.clone(), &picked, &target).await {
                 Ok(relay) => return Ok((relay, target)),
                 // The replica is not marked as tried: it may offer another version that is allowed.
                 Err(OpenError::NotRun(fault)) if fault.kind == ErrorKind::VersionWithdrawn => {
@@ -141,13 +145,42 @@
                     self.may_have_run = true;
                     self.tried.insert(picked.endpoint.vm.clone());
                     self.last_fault = Some(fault);
+                    self.silent = Some((key, picked, target));
                 }
                 Err(OpenError::Refused(fault)) => return Err(fault),
             }
         }
+        if let Some(reopened) = self.reopen_silent().await {
+            return Ok(reopened);
+        }
         Err(self.last_fault.take().unwrap_or_else(|| ErrorKind::NoReplica.into()))
     }
 
+    async fn open_run(
+        &self,
+        key: RunKey,
+        picked: &PickedReplica,
+        target: &Target,
+    ) -> Result<Relay, OpenError> {
+        let pending_run = PendingRun { spec: self.spec, key, target, picked, claim: None };
+        open(self.shared, self.ctx, pending_run).await
+    }
+
+    /// Asks a silent sidecar for the same run again, which it starts only once; `None` if it stays
+    /// silent or refuses.
+    async fn reopen_silent(&mut self) -> Option<(Relay, Target)> {
+        let (key, picked, target) = self.silent.take()?;
+        for _ in 0..MAX_REPEATED_OPENS {
+            info!(self.ctx.log, "request: waiting for a silent sidecar"; "run" => %key);
+            match self.open_run(key.clone(), &picked, &target).await {
+                Ok(relay) => return Some((relay, target)),
+                Err(OpenError::OutcomeUnknown(_)) => {}
+                Err(OpenError::NotRun(_) | OpenError::Refused(_)) => return None,
+            }
+        }
+        None
+    }
+
     /// The fault for the caller: the last one, unless it says that the request has not run although
     /// an earlier attempt may have.
     fn final_fault(&self, fault: Fault) -> Fault {
