--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -146,7 +146,8 @@
         let waiting = kept.take().filter(|attempt| attempt.is_current(progress));
         let (target, next) = match (selected, waiting) {
             (Ok(target), mut earlier) => {
-                let predecessor = earlier.as_ref().map(|kept| kept.target.replica.id.clone());
+                let silent = earlier.as_ref().filter(|kept| kept.reason == HandoverReason::Silent);
+                let predecessor = silent.map(|kept| kept.target.replica.id.clone());
                 let attempt = Attempt::new(shared, request, &target, &steps);
                 let next = attempt.run(connection, progress, &mut earlier).await;
                 kept = earlier;
