Count requests that were in progress when a rollout was ordered

What callers see: requests on the old version are cut when a rollout succeeds early, as the platform then stops the old replicas without draining. Cause: an entry takes each request that ends on the old version off its count, also those that began before it knew the rollout and were never added. Under steady load the count stays near zero and success does not wait for them. Change: the count of a new rollout starts with the requests in progress on replicas of other versions.

--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -81,7 +81,9 @@
                 known.records = records;
             }
             (RolloutChange::Status | RolloutChange::Restored | RolloutChange::Other, _) => {
-                let progress = RolloutProgress::new(rollout, self.exposure, now);
+                let mut progress = RolloutProgress::new(rollout, self.exposure, now);
+                let rollout = &progress.controller.rollout;
+                progress.controller.old_running = self.running_on_others(&service, &rollout.target);
                 self.rollouts.insert(service.clone(), RolloutProgress { records, ..progress });
             }
         }
@@ -92,6 +94,14 @@
         }
     }
 
+    /// Requests in progress on replicas of other versions of a service.
+    fn running_on_others(&self, service: &ServiceId, target: &VersionId) -> u32 {
+        let replicas = self.replicas.iter();
+        let others =
+            replicas.filter(|replica| replica.service == *service && replica.version != *target);
+        others.filter_map(|replica| self.loads.get(&replica.id)).map(|load| load.running).sum()
+    }
+
     /// Applies a status that this entry has written. The watch may have delivered it already, with
     /// its new revision.
     fn apply_written_rollout(&mut self, rollout: Rollout, now: Millis) {
