Do not let SIGHUP end an entry or a sidecar

What callers see: streams cut within 4 ms when a terminal closes. Cause: SIGHUP kept its default action. Change: entries and sidecars log and ignore it; development mode and stand-ins still end with their terminal.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -6,6 +6,7 @@
 use async_global_executor::{GlobalExecutorConfig, init_with_config};
 use async_signal::{Signal, Signals};
 use async_std::{net::TcpListener, stream::StreamExt, task};
+use slog::{Logger, info};
 use std::net::SocketAddr;
 
 /// Runs the daemon until SIGTERM or SIGINT.
@@ -21,14 +22,14 @@
     task::block_on(async move {
         match options.role {
             Role::Entry(settings) => {
-                let entry = Entry::start(*settings, log).await?;
-                wait_for_stop_signal().await?;
+                let entry = Entry::start(*settings, log.clone()).await?;
+                wait_for_stop_ignoring_hangup(&log).await?;
                 entry.stop().await;
                 Ok(())
             }
             Role::Sidecar(settings, upstream) => {
-                let sidecar = Sidecar::start(*settings, upstream, log).await?;
-                wait_for_stop_signal().await?;
+                let sidecar = Sidecar::start(*settings, upstream, log.clone()).await?;
+                wait_for_stop_ignoring_hangup(&log).await?;
                 sidecar.stop().await;
                 Ok(())
             }
@@ -55,3 +56,13 @@
     let _signal = signals.next().await;
     Ok(())
 }
+
+/// Resolves at SIGTERM or SIGINT. SIGHUP, which a closed terminal sends, interrupts no request.
+async fn wait_for_stop_ignoring_hangup(log: &Logger) -> Result<(), StartError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|error| StartError::Signals(error.to_string()))?;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        info!(log, "process: SIGHUP ignored"; "reason" => "the settings are read at the start");
+    }
+    Ok(())
+}
