Send the rest of a request behind an early head of its response

What callers see: 504 at the deadline, for a body that is longer than the sockets' buffers, from a sound replica that sends the head of its response before it has read the request. Cause: the writing of the request ended with the head. Change: a task writes the rest, and ends with the exchange.

--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -3,6 +3,7 @@
 
 use super::{Shared, selection::SelectedReplica, serve::AdmittedRequest, trials::Trial};
 use crate::clock::since_boot;
+use async_global_executor::Task;
 use async_std::{net::TcpStream, task};
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use ibissail_core::{InstanceId, Millis, ModelId, ServiceId, Tokens};
@@ -194,6 +195,8 @@
     head_count: usize,
     /// Unread body of a response to another request.
     skipped_body: Option<BodyReader>,
+    /// Writes the rest of the request behind a head that has arrived early; ends when it is dropped.
+    rest_writer: Option<Task<()>>,
 }
 
 /// A response whose body has not been read to its end.
@@ -265,7 +268,15 @@
         let head = encode_upstream_head(&request.head, request.body.len(), &headers);
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&request.body);
-        Ok(Self { connection, load_guard, bytes, written: 0, head_count: 0, skipped_body: None })
+        Ok(Self {
+            connection,
+            load_guard,
+            bytes,
+            written: 0,
+            head_count: 0,
+            skipped_body: None,
+            rest_writer: None,
+        })
     }
 
     /// Writes the request while waiting for the head of its response, which may arrive before all
@@ -275,7 +286,7 @@
         request: &AdmittedRequest,
         stall_limits: StallLimits,
     ) -> ReceivedHead {
-        let Self { connection, load_guard, bytes, written, head_count, skipped_body } = self;
+        let Self { connection, load_guard, bytes, written, head_count, skipped_body, .. } = self;
         let writing = write_rest(connection.stream().clone(), bytes, written);
         let method = &request.head.method;
         let id = &request.params.id;
@@ -291,8 +302,22 @@
             Err(error) => return Err(SendError::Stalled(error)),
         };
         load_guard.record_bytes();
+        self.write_behind_head();
         Ok(head)
     }
+
+    /// Goes on writing a request whose response has begun before all was sent.
+    fn write_behind_head(&mut self) {
+        if self.written == self.bytes.len() {
+            return;
+        }
+        let rest = self.bytes.split_off(self.written);
+        let mut stream = self.connection.stream().clone();
+        self.rest_writer = Some(async_global_executor::spawn(async move {
+            // After a failed write there may still be a response to read.
+            let _written = stream.write_all(&rest).await;
+        }));
+    }
 }
 
 /// Writes the bytes after the first `written` and counts them.
