Compare the pace of streams after their first event in rollouts

Cause: streams were evidence on their version by the time to their first event only. Change: the time per event after the first is evidence too, known after eight events, at the end, or when the caller leaves. It is the lower quartile of a stream's gaps: sound replicas pause, and prefill other prompts between events. Compared among streams of the same route and model beside about as much pending prefill, apart from the latencies, so that other routes do not outweigh it; suspect from a ratio of 1.35. Reports carry it as latency classes with a mark in the existing fields: their form is unchanged for entries of the earlier build, which compare it together with the latencies.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -4,6 +4,7 @@
 use super::{
     Shared,
     handover::{HandoverReason, KeptAttempt, PendingResponse, ask_successor, hand_over},
+    pace::PaceRecorder,
     peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
@@ -358,7 +359,10 @@
     ) -> NextStep {
         progress.pinned_version = Some(self.replica().version.clone());
         let limits = StallLimits::for_event(self.request);
-        match relay_stream(connection, self.request, progress, &mut upstream, limits).await {
+        let mut pace = PaceRecorder::new(self.shared, self.request, self.target);
+        let relaying =
+            relay_stream(connection, self.request, progress, &mut upstream, limits, &mut pace);
+        match relaying.await {
             StreamOutcome::Complete => {
                 upstream.trial.succeed();
                 self.record_response(ResponseOutcome::Success);
@@ -461,7 +465,7 @@
     fn record_stream_start(&self) {
         let took = since_boot().since(self.target.started);
         let service = &self.request.service;
-        self.shared.state().record_stream_start(
+        self.shared.state().record_stream_time(
             service,
             &self.replica().version,
             self.latency_class(),
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -225,6 +225,16 @@
         loads
     }
 
+    /// Pending prefill at a replica: the sum over all peers whose last report is younger than
+    /// `LOAD_TTL`.
+    pub(super) fn pending_prefill(&self, replica: &InstanceId, now: Millis) -> Tokens {
+        let hash = replica_hash(replica);
+        let recent = self.peers.values().filter(|peer| now.since(peer.last_seen) < LOAD_TTL);
+        let loads = recent.flat_map(|peer| &peer.report.loads);
+        let here = loads.filter(|load| load.replica == hash);
+        Tokens(here.map(|load| load.pending_prefill.0).sum())
+    }
+
     /// Stores the configuration version that a peer has told.
     pub(super) fn store_configuration(&mut self, peer: Incarnation, version: u64, now: Millis) {
         self.configurations.retain(|_, (_, told)| now.since(*told) < CONTACT_TTL);
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream to its caller, in whole events.
 
 use super::{
+    pace::PaceRecorder,
     response::{LAST_CHUNK, encode_chunk, forwarded_head},
     retry::Progress,
     serve::AdmittedRequest,
@@ -30,6 +31,7 @@
     progress: &mut Progress,
     upstream: &mut UpstreamResponse,
     stall_limits: StallLimits,
+    pace: &mut PaceRecorder<'_>,
 ) -> StreamOutcome {
     let mut last_event_at = since_boot();
     loop {
@@ -62,6 +64,7 @@
                 continue;
             }
             upstream.trial.record_events();
+            pace.record_events(progress.splitter.event_count() - event_count);
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -152,16 +152,17 @@
         }
     }
 
-    /// Records the time until a stream started, if the service has an active rollout.
-    pub(super) fn record_stream_start(
+    /// Records the time until a stream started, or its pace after that, if the service has an active
+    /// rollout.
+    pub(super) fn record_stream_time(
         &mut self,
         service: &ServiceId,
         version: &VersionId,
-        kind: u32,
+        class: u32,
         time: Millis,
     ) {
         if let Some((evidence, is_new)) = self.active_evidence(service, version) {
-            evidence.record_latency(is_new, kind, time.0);
+            evidence.record_latency(is_new, class, time.0);
         }
     }
 
@@ -219,6 +220,7 @@
                     "elapsed_ms" => controller.elapsed(now).0,
                     "is_suspect" => controller.canary().is_suspect,
                     "slowdown" => format!("{:?}", controller.slowdown()),
+                    "pace_slowdown" => format!("{:?}", controller.pace_slowdown()),
                     "evidence" => format!("{:?}", controller.evidence.own()));
                 progress.desired_state = Some((desired_state, now));
                 now
--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     CanaryProgress, Evidence, Phase, Rollout, RolloutState, Schedule, SharedEvidence, Slowdown,
-    TrafficSplit, Verdict, compare_versions, is_suspect, restored_state, slowdown,
+    TrafficSplit, Verdict, compare_versions, is_suspect, pace_slowdown, restored_state, slowdown,
 };
 use ibissail_core::{Count, Incarnation, Millis, ServiceId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -50,6 +50,7 @@
     /// responses can only reject the version, so that sessions do not move back and forth.
     suspect_after_canary: Option<bool>,
     slowdown: Slowdown,
+    pace_slowdown: Slowdown,
     /// Share of requests that a bad version may receive.
     exposure: f64,
 }
@@ -68,6 +69,7 @@
             canary: CanaryProgress::default(),
             suspect_after_canary: None,
             slowdown: Slowdown::default(),
+            pace_slowdown: Slowdown::default(),
             exposure,
         }
     }
@@ -115,6 +117,12 @@
         self.slowdown
     }
 
+    /// How much slower the streams of the new version are after their first events.
+    #[must_use]
+    pub fn pace_slowdown(&self) -> Slowdown {
+        self.pace_slowdown
+    }
+
     /// Elapsed and total time of the rollout, and the exposure that it allows.
     #[must_use]
     pub fn schedule(&self, now: Millis) -> Schedule {
@@ -186,6 +194,7 @@
             self.verdict = compare_versions(&evidence, replicas);
         }
         self.slowdown = slowdown(&evidence);
+        self.pace_slowdown = pace_slowdown(&evidence);
         let is_suspect =
             self.suspect_after_canary.unwrap_or_else(|| is_suspect(&evidence, replicas));
         if self.schedule(now).phase() != Phase::Canary {
--- a/crates/direct/src/shared_evidence.rs
+++ b/crates/direct/src/shared_evidence.rs
@@ -33,7 +33,7 @@
         self.counts(is_new).record(sample);
     }
 
-    /// Records the latency at the beginning of a stream that this entry received.
+    /// Records the latency at the beginning of a stream that this entry received, or its pace.
     pub fn record_latency(&mut self, is_new: bool, latency_class: u32, latency_ms: u64) {
         self.counts(is_new).record_latency(latency_class, latency_ms);
     }
--- a/crates/direct/src/verdict.rs
+++ b/crates/direct/src/verdict.rs
@@ -3,7 +3,7 @@
 //! The new version has given only a few dozen responses by the end of its canary phase, and
 //! replicas of both versions may fail or be slow for reasons other than their version.
 
-use crate::{Evidence, RouteCounts};
+use crate::{Evidence, RouteCounts, is_pace_class};
 use derive_more::Display;
 use ibissail_core::Count;
 
@@ -33,6 +33,9 @@
 /// Standard errors above which a version is suspect; lower than for a rejection, because this
 /// comparison is made only once, at the end of the canary phase.
 const SUSPECT_STANDARD_ERRORS: f64 = 1.6;
+/// Ratio of geometric mean paces above which a version is suspect; higher than for latencies,
+/// because all streams at a replica share its engine.
+const SUSPECT_PACE_RATIO: f64 = 1.35;
 /// LLR of the failures, on all routes or on one, above which a version is suspect: one good version
 /// in seven is.
 const SUSPECT_LLR: f64 = 2.0;
@@ -85,7 +88,9 @@
     if exceeds_llr(evidence, replicas, REJECTION_LLR, ROUTE_REJECTION_LLR) {
         return Verdict::Failing;
     }
-    let is_slow = slowdown(evidence).exceeds(REJECTION_LATENCY_RATIO, REJECTION_STANDARD_ERRORS);
+    let is_slow = [slowdown(evidence), pace_slowdown(evidence)]
+        .iter()
+        .any(|slowdown| slowdown.exceeds(REJECTION_LATENCY_RATIO, REJECTION_STANDARD_ERRORS));
     if is_slow { Verdict::Slow } else { Verdict::NoDifference }
 }
 
@@ -96,6 +101,7 @@
 pub fn is_suspect(evidence: &Evidence, replicas: Count) -> bool {
     exceeds_llr(evidence, replicas, SUSPECT_LLR, SUSPECT_LLR)
         || slowdown(evidence).exceeds(SUSPECT_LATENCY_RATIO, SUSPECT_STANDARD_ERRORS)
+        || pace_slowdown(evidence).exceeds(SUSPECT_PACE_RATIO, SUSPECT_STANDARD_ERRORS)
 }
 
 /// Whether the log-likelihood ratio of the failures exceeds a bound: `max_llr` on all routes
@@ -146,11 +152,26 @@
     }
 }
 
-/// Compares the latencies of both versions over all classes of responses that both have given.
+/// Compares the latencies of both versions over all classes of responses that both have given;
+/// those of streams are the times until they began.
 #[must_use]
 pub fn slowdown(evidence: &Evidence) -> Slowdown {
+    compare_times(evidence, |class| !is_pace_class(class))
+}
+
+/// Compares the paces of the streams of both versions after their first events.
+#[must_use]
+pub fn pace_slowdown(evidence: &Evidence) -> Slowdown {
+    compare_times(evidence, is_pace_class)
+}
+
+/// Compares the times of both versions over those classes that are `included` and that both have.
+fn compare_times<F>(evidence: &Evidence, included: F) -> Slowdown
+where
+    F: Fn(u32) -> bool,
+{
     let (mut answers, mut excess, mut variance, mut old_sum) = (0, 0.0, 0.0, 0.0);
-    for (class, new) in &evidence.new.times {
+    for (class, new) in evidence.new.times.iter().filter(|(class, _)| included(**class)) {
         let Some(old) =
             evidence.old.times.get(class).filter(|old| old.answers >= MIN_TIMED_RESPONSES)
         else {
