Compare the paces of a new version's streams from five on

What callers see: a slow version of a quiet service succeeds, as too few of its canary streams are long enough for a pace. Cause: the comparison of paces needed ten of them, like that of latencies. Change: five paces suffice, for 4.5 instead of 3.5 standard errors for a rejection and 3 instead of 1.6 for suspicion.

--- a/crates/direct/src/verdict.rs
+++ b/crates/direct/src/verdict.rs
@@ -33,9 +33,30 @@
 /// Standard errors above which a version is suspect; lower than for a rejection, because this
 /// comparison is made only once, at the end of the canary phase.
 const SUSPECT_STANDARD_ERRORS: f64 = 1.6;
+/// Minimum number of paces of the new version for a comparison.
+const MIN_PACES: u32 = 5;
 /// Ratio of geometric mean paces above which a version is suspect; higher than for latencies,
 /// because all streams at a replica share its engine.
 const SUSPECT_PACE_RATIO: f64 = 1.35;
+/// Limits for rejecting a version by its latencies.
+const LATENCY_REJECTION: SlowdownLimits = SlowdownLimits {
+    answers: MIN_TIMED_RESPONSES,
+    ratio: REJECTION_LATENCY_RATIO,
+    errors: REJECTION_STANDARD_ERRORS,
+};
+/// Limits above which a version's latencies make it suspect.
+const LATENCY_SUSPICION: SlowdownLimits = SlowdownLimits {
+    answers: MIN_TIMED_RESPONSES,
+    ratio: SUSPECT_LATENCY_RATIO,
+    errors: SUSPECT_STANDARD_ERRORS,
+};
+/// Limits for rejecting a version by the paces of its streams. Few streams of a canary are long
+/// enough to have one, but paces vary less than latencies.
+const PACE_REJECTION: SlowdownLimits =
+    SlowdownLimits { answers: MIN_PACES, ratio: REJECTION_LATENCY_RATIO, errors: 4.5 };
+/// Limits above which the paces of a version's streams make it suspect.
+const PACE_SUSPICION: SlowdownLimits =
+    SlowdownLimits { answers: MIN_PACES, ratio: SUSPECT_PACE_RATIO, errors: 3.0 };
 /// LLR of the failures, on all routes or on one, above which a version is suspect: one good version
 /// in seven is.
 const SUSPECT_LLR: f64 = 2.0;
@@ -46,6 +67,17 @@
 /// one; a single replica may fail for reasons other than its version.
 const MIN_FAILING_REPLICAS: u32 = 2;
 
+/// What the slowdown of a version must exceed to count against it.
+#[derive(Debug, Clone, Copy)]
+struct SlowdownLimits {
+    /// Minimum number of compared responses.
+    answers: u32,
+    /// Ratio of the geometric means.
+    ratio: f64,
+    /// Difference of the mean logarithms, in standard errors.
+    errors: f64,
+}
+
 /// Result of comparing the new version with the old one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Verdict {
@@ -88,9 +120,8 @@
     if exceeds_llr(evidence, replicas, REJECTION_LLR, ROUTE_REJECTION_LLR) {
         return Verdict::Failing;
     }
-    let is_slow = [slowdown(evidence), pace_slowdown(evidence)]
-        .iter()
-        .any(|slowdown| slowdown.exceeds(REJECTION_LATENCY_RATIO, REJECTION_STANDARD_ERRORS));
+    let is_slow = slowdown(evidence).exceeds(LATENCY_REJECTION)
+        || pace_slowdown(evidence).exceeds(PACE_REJECTION);
     if is_slow { Verdict::Slow } else { Verdict::NoDifference }
 }
 
@@ -100,8 +131,8 @@
 #[must_use]
 pub fn is_suspect(evidence: &Evidence, replicas: Count) -> bool {
     exceeds_llr(evidence, replicas, SUSPECT_LLR, SUSPECT_LLR)
-        || slowdown(evidence).exceeds(SUSPECT_LATENCY_RATIO, SUSPECT_STANDARD_ERRORS)
-        || pace_slowdown(evidence).exceeds(SUSPECT_PACE_RATIO, SUSPECT_STANDARD_ERRORS)
+        || slowdown(evidence).exceeds(LATENCY_SUSPICION)
+        || pace_slowdown(evidence).exceeds(PACE_SUSPICION)
 }
 
 /// Whether the log-likelihood ratio of the failures exceeds a bound: `max_llr` on all routes
@@ -144,11 +175,11 @@
 }
 
 impl Slowdown {
-    fn exceeds(&self, ratio: f64, errors: f64) -> bool {
-        self.answers >= MIN_TIMED_RESPONSES
-            && self.ratio > ratio
+    fn exceeds(&self, limits: SlowdownLimits) -> bool {
+        self.answers >= limits.answers
+            && self.ratio > limits.ratio
             && self.delay_ms > MIN_DELAY_MS
-            && self.errors > errors
+            && self.errors > limits.errors
     }
 }
 
--- a/crates/direct/tests/stream_pace.rs
+++ b/crates/direct/tests/stream_pace.rs
@@ -15,8 +15,11 @@
 /// Replicas of each version.
 const REPLICAS: u64 = 6;
 const ENTRIES: u64 = 4;
-/// Time between two streams: 40 a second.
+/// Time between two streams: 40 a second, of which some 30 reach the new version.
 const STREAM_INTERVAL_MS: u64 = 25;
+/// Time between two streams of a quiet service, of which some 18 reach the new version and 12 are
+/// long enough for a pace.
+const QUIET_INTERVAL_MS: u64 = 40;
 /// Events of the longest stream on each route.
 const MAX_EVENTS: [u64; 3] = [6, 30, 200];
 const MODELS: [&str; 2] = ["small", "large"];
@@ -81,7 +84,7 @@
 
 /// Plays a rollout at several entries; returns its state at the end and whether the version was
 /// rejected, rather than merely suspect at the end.
-fn roll_out(seed: u64, new: Version) -> (RolloutState, bool) {
+fn roll_out(seed: u64, interval_ms: u64, new: Version) -> (RolloutState, bool) {
     let mut rng = StdRng::seed_from_u64(seed);
     let rollout = Rollout {
         service: "writers".parse().expect("a valid name"),
@@ -97,8 +100,8 @@
     let loads: Vec<f64> = (0..2 * REPLICAS).map(|_| rng.random_range(0.8..1.3)).collect();
     let mut streams: Vec<Stream> = Vec::new();
     let mut events: Vec<(u64, usize, Event)> = Vec::new();
-    for at in (0..DURATION.0).step_by(STREAM_INTERVAL_MS as usize) {
-        // 30 streams reach the new version, one replica at a time.
+    for at in (0..DURATION.0).step_by(interval_ms as usize) {
+        // Canaries reach one replica at a time.
         let is_new = at > 1_200 && rng.random_bool(0.06);
         let rotation = at / 1_000 % REPLICAS;
         let replica = if is_new { REPLICAS + rotation } else { rng.random_range(0..REPLICAS) };
@@ -170,11 +173,12 @@
 }
 
 /// Counts the versions, out of `seeds`, that are rolled back, and those that are rejected early.
-fn count_rolled_back<F>(seeds: u64, version: F) -> (usize, usize)
+fn count_rolled_back<F>(seeds: u64, interval_ms: u64, version: F) -> (usize, usize)
 where
     F: Fn(u64) -> Version,
 {
-    let outcomes: Vec<_> = (0..seeds).map(|seed| roll_out(seed, version(seed))).collect();
+    let outcomes: Vec<_> =
+        (0..seeds).map(|seed| roll_out(seed, interval_ms, version(seed))).collect();
     let rolled_back = outcomes.iter().filter(|(state, _)| *state == RolloutState::RolledBack);
     (rolled_back.count(), outcomes.iter().filter(|(_, is_rejected)| *is_rejected).count())
 }
@@ -187,7 +191,7 @@
 /// The first events come in the same time as those of the old version.
 #[test]
 fn version_that_is_slow_after_the_first_event_does_not_take_over() {
-    let (rolled_back, rejected) = count_rolled_back(300, |seed| Version {
+    let (rolled_back, rejected) = count_rolled_back(300, STREAM_INTERVAL_MS, |seed| Version {
         slow_share: 1.0,
         slow_factor: factor(seed, 2.0, 5.0),
         ..GOOD
@@ -198,7 +202,7 @@
 
 #[test]
 fn version_with_half_of_its_streams_slow_does_not_take_over() {
-    let (rolled_back, _rejected) = count_rolled_back(300, |seed| Version {
+    let (rolled_back, _rejected) = count_rolled_back(300, STREAM_INTERVAL_MS, |seed| Version {
         slow_share: 0.5,
         slow_factor: factor(seed, 3.0, 8.0),
         ..GOOD
@@ -206,9 +210,20 @@
     assert!(rolled_back >= 285, "{rolled_back} of 300 half slow versions were rolled back");
 }
 
+/// Guards against a version of which too few streams are long enough for a pace.
+#[test]
+fn slow_version_of_a_quiet_service_does_not_take_over() {
+    let (rolled_back, _rejected) = count_rolled_back(300, QUIET_INTERVAL_MS, |seed| Version {
+        slow_share: 1.0,
+        slow_factor: factor(seed, 2.0, 5.0),
+        ..GOOD
+    });
+    assert!(rolled_back >= 285, "{rolled_back} of 300 slow versions were rolled back");
+}
+
 #[test]
 fn good_version_beside_uneven_load_and_prefill_takes_over() {
-    let (rolled_back, rejected) = count_rolled_back(300, |_seed| GOOD);
+    let (rolled_back, rejected) = count_rolled_back(300, STREAM_INTERVAL_MS, |_seed| GOOD);
     assert!(rolled_back <= 9, "{rolled_back} of 300 good versions were rolled back");
     assert!(rejected <= 1, "{rejected} of 300 good versions were rejected");
 }
