Test crashing requests on a quiet route and beside popular ones

Change: three process tests. Only copies of the crashing request are sent, on a safe and on an at-most-once route; they are sent beside one popular request that is in progress at each replica that they crash; two requests that crash replicas are sent in turn. They were not run on the code before.

--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -32,6 +32,9 @@
 const SOUND_INTERVAL: Duration = Duration::from_millis(60);
 /// Time after which replicas answer sound requests.
 const RESPONSE_TIME: Duration = Duration::from_millis(20);
+/// Interval between two popular requests, of which some eleven are in progress at any time.
+const POPULAR_INTERVAL: Duration = Duration::from_millis(13);
+const POPULAR_RESPONSE_TIME: Duration = Duration::from_millis(150);
 /// Time in which sound requests are served before the first copy is sent.
 const LEAD_TIME: Duration = Duration::from_secs(1);
 const REPLICAS: usize = 4;
@@ -265,3 +268,63 @@
         assert_served(&sent_after(sound, bound), 90, 10);
     }
 }
+
+#[test]
+fn request_is_refused_where_there_are_no_others() {
+    for (test, kind) in [("quiet_safe", "safe"), ("quiet_once", "unsafe")] {
+        let fleet = CrashingFleet::start(test, &configuration(kind), crash_on_path);
+        let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+        let bound = fleet.wait_for_third_crash();
+        sleep_until(bound + STABILITY_WINDOW);
+        let copies = copies.stop();
+        assert_truth(&copies, &fleet.replicas);
+        fleet.assert_few_arrivals_after(bound);
+        assert_quarantined(&sent_after(&copies, bound), "request_quarantined", 10);
+    }
+}
+
+#[test]
+fn request_is_refused_beside_a_popular_one() {
+    let fleet = CrashingFleet::start("beside", &configuration("safe"), |request| {
+        let is_copy = request.target == CRASHING_PATH;
+        if is_copy { Reaction::Crash } else { Reaction::Respond(POPULAR_RESPONSE_TIME) }
+    });
+    let popular = Traffic::start(&fleet.addresses(), POPULAR_INTERVAL, |number| {
+        CallerRequest::new("POST", "/guides/popular", &format!("popular-{number}"))
+    });
+    thread::sleep(LEAD_TIME);
+    let copies = Traffic::start(&fleet.addresses(), CRASHING_INTERVAL, copy);
+    let bound = fleet.wait_for_third_crash();
+    sleep_until(bound + STABILITY_WINDOW);
+    let (popular, copies) = (popular.stop(), copies.stop());
+    assert_never_quarantined(&popular);
+    fleet.assert_few_arrivals_after(bound);
+    assert_quarantined(&sent_after(&copies, bound), "request_quarantined", 10);
+    assert_served(&sent_after(&popular, bound), 90, 100);
+}
+
+#[test]
+fn two_requests_that_crash_replicas_are_refused() {
+    let fleet = CrashingFleet::start("two_bad", &configuration("safe"), |request| {
+        let is_copy = request.target.starts_with(CRASHING_PATH);
+        if is_copy { Reaction::Crash } else { Reaction::Respond(RESPONSE_TIME) }
+    });
+    let sound = fleet.start_sound();
+    let second = |number| CallerRequest { path: format!("{CRASHING_PATH}-too"), ..copy(number) };
+    let copies = [
+        Traffic::start(&fleet.addresses(), CRASHING_INTERVAL * 2, copy),
+        Traffic::start(&fleet.addresses(), CRASHING_INTERVAL * 2, second),
+    ];
+    wait_until("each has crashed three replicas or more", || {
+        let arrivals = fleet.replicas.arrivals();
+        let count = |path: &str| arrivals.iter().filter(|arrived| arrived.target == path).count();
+        count(CRASHING_PATH) >= 5 && count(&format!("{CRASHING_PATH}-too")) >= 5
+    });
+    let bound = Instant::now() + STABILITY_WINDOW;
+    sleep_until(bound + STABILITY_WINDOW);
+    let (sound, copies) = (sound.stop(), copies.map(Traffic::stop));
+    for copies in &copies {
+        assert_quarantined(&sent_after(copies, bound), "request_quarantined", 5);
+    }
+    assert_served(&sent_after(&sound, bound), 90, 40);
+}
