Do not take a dead watch for an outage of the store

What callers see: requests reach a replica over two seconds after the store has removed it (DRAIN). Cause: a replica that is missing after an outage stays in use for 2 s after the outage's last sign. A watch whose connection had died in the outage timed out over a second after the store was back, and counted as such a sign. Change: a call that got no response is no sign if another call has got one since it began.

--- a/crates/daemon/src/direct/epochs.rs
+++ b/crates/daemon/src/direct/epochs.rs
@@ -88,13 +88,18 @@
             && !error.is_response()
         {
             self.metrics.store_failures.inc();
-            self.state().replicas.record_outage(now);
+            let replicas = &mut self.state().replicas;
+            match error {
+                StoreError::Silent(limit) => replicas.record_silence(now.since(*limit), now),
+                _ => replicas.record_outage(now),
+            }
             if *was_reachable {
                 warn!(self.log, "store: unreachable"; "call" => call, "error" => %error);
             }
             *was_reachable = false;
             return result;
         }
+        self.state().replicas.record_response(now);
         if !*was_reachable {
             info!(self.log, "store: reachable again"; "call" => call);
             *was_reachable = true;
--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -272,7 +272,10 @@
                 "state" => %rollout.state, "revision" => %rollout.revision, "error" => %error);
             if matches!(
                 error,
-                StoreError::Conflict | StoreError::OutcomeUnknown(_) | StoreError::Restored
+                StoreError::Conflict
+                    | StoreError::OutcomeUnknown(_)
+                    | StoreError::Silent(_)
+                    | StoreError::Restored
             ) {
                 reread_rollouts(shared, store).await;
             }
--- a/crates/direct/src/replicas.rs
+++ b/crates/direct/src/replicas.rs
@@ -81,6 +81,8 @@
     applied: Option<StoreRevision>,
     /// When the platform last did not respond; `None` if it always has.
     last_outage: Option<Millis>,
+    /// When it last responded.
+    last_response: Option<Millis>,
     /// Replicas that have restarted since the last call of [`ReplicaSet::take_restarted`].
     restarted: Vec<InstanceId>,
     departures: Departures,
@@ -249,6 +251,19 @@
         self.last_outage = Some(now);
     }
 
+    /// Records that the platform has responded.
+    pub fn record_response(&mut self, now: Millis) {
+        self.last_response = Some(now);
+    }
+
+    /// Records that a call that began at `began_at` got no response. If another call got one since,
+    /// only its connection is dead.
+    pub fn record_silence(&mut self, began_at: Millis, now: Millis) {
+        if self.last_response.is_none_or(|responded| responded <= began_at) {
+            self.record_outage(now);
+        }
+    }
+
     /// Replicas of a service that accept requests.
     pub fn ready<'s>(
         &'s self,
--- a/crates/direct/tests/replica_set.rs
+++ b/crates/direct/tests/replica_set.rs
@@ -172,3 +172,18 @@
     set.apply_listing(listing, at(8), Millis(40));
     assert_eq!(ready(&set, Millis(40)), ["a", "b", "c"]);
 }
+
+#[test]
+fn silence_of_a_dead_watch_brings_no_departed_replica_back() {
+    let mut set = ReplicaSet::default();
+    let listed = vec![(replica("a", ReplicaState::Ready), StoreRevision::new(0, 2))];
+    set.apply_listing(listed, StoreRevision::new(0, 2), Millis(0));
+    set.record_silence(Millis(3_000), Millis(4_000));
+    set.record_response(Millis(4_500));
+    set.apply_listing(Vec::new(), StoreRevision::new(0, 3), Millis(4_500));
+    assert_eq!(ready(&set, Millis(5_900)), ["a"]);
+    set.record_silence(Millis(1_000), Millis(5_950));
+    assert!(ready(&set, Millis(6_100)).is_empty());
+    set.record_silence(Millis(5_200), Millis(6_200));
+    assert_eq!(ready(&set, Millis(6_300)), ["a"], "the platform is away again");
+}
