Refuse a request that crashes upstreams at entries with sidecars

What callers see: in the deployment of entries with sidecars, one request that a caller repeats ends each upstream that begins to run it, and sound requests are lost beside it. Cause: each copy begins anew, with up to four attempts at once; nothing that an entry has seen keeps it, or another one, from sending the request again. An entry cannot tell a crash from a failing engine or a cut link. Change: a sidecar whose upstream breaks off a response checks whether it refuses connections, by the check of the direct entry (moved to crash_check), and tells the entry in a frame after the run's end. Builds before this close the stream after the end, or do not read on. The entry records the run as lost in the direct entry's CrashQuarantine, and a response below 500 as proof. It refuses a quarantined request before each attempt and before a key's claim is written. Entries exchange the evidence in a message of their own, encoded with named fields; earlier builds refuse its path. Why not the sidecar: it sees one upstream only, and would have to know of the others' crashes before it could refuse; the entry saves the hop and the claim. The sidecar tells what only it sees, the entry decides. Ruled out: a field in a message that exists, as they are encoded without names and earlier builds refuse longer ones. Not covered: a VM that ends together with its sidecar; a caller that leaves before the crash; Retry-After is 60 s also in a quarantine of ten minutes.

--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -2,24 +2,20 @@
 //! soon as it begins to run a request, or to answer one with a certain part.
 
 use super::{Shared, retry::Target, serve::AdmittedRequest};
-use crate::clock::since_boot;
+use crate::{
+    clock::since_boot,
+    crash_check::{CrashCheckResult, check_for_crash},
+};
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{BLAME_TIME, LostRun, PROOF_TIME, PartHash, RequestHash, RunHash};
-use ibissail_http1::{HttpError, dial};
 use slog::info;
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
-    time::Duration,
 };
 
-/// Time from a broken attempt until its replica is checked, in which a replica that crashes closes
-/// its listener.
-const CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Longest time for opening a connection to a replica that may have crashed.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most requests that wait for the check of one replica.
 const MAX_WAITING: usize = 32;
 /// Most replicas that are checked at the same time.
@@ -154,12 +150,11 @@
 impl CrashCheck {
     /// Opens a connection to the replica. One that accepts it has only broken off answers.
     async fn run(self) {
-        task::sleep(CHECK_DELAY).await;
-        let has_ended = match dial(self.address, CHECK_TIMEOUT).await {
-            Ok(_connection) => false,
-            Err(HttpError::Refused) => true,
+        let has_ended = match check_for_crash(self.address).await {
+            CrashCheckResult::Running => false,
+            CrashCheckResult::Ended => true,
             // This entry may be cut off itself.
-            Err(_unreachable) => self.hears_another_replica(),
+            CrashCheckResult::Unreachable => self.hears_another_replica(),
         };
         let Some(waiting) = self.record(has_ended) else { return };
         let names: BTreeSet<&str> = waiting
--- a/crates/daemon/src/entry/attempts.rs
+++ b/crates/daemon/src/entry/attempts.rs
@@ -119,6 +119,10 @@
 
     async fn open(&mut self) -> Result<(Relay, Target), Fault> {
         while self.count < MAX_ATTEMPTS {
+            self.shared.check_quarantine(self.spec.content)?;
+            if self.may_have_run && !self.shared.may_retry(self.spec.content) {
+                break;
+            }
             // Recomputed for each attempt, since a refusal may have delivered newer settings.
             let targets = (self.candidates)()?;
             let choice = targets.into_iter().find_map(|target| {
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -19,6 +19,7 @@
 use ibissail_cascade::{candidates, order_models, pick_version};
 use ibissail_catalogue::{Catalogue, Purpose, ResolvedOrganisation};
 use ibissail_core::{ErrorKind, Fault, ModelId, ModelVersion, Ran, Target};
+use ibissail_direct::ContentHash;
 use ibissail_routing::Permit;
 use ibissail_transport::{BodySender, body_channel};
 use serde_json::Value;
@@ -55,7 +56,9 @@
         Some(token) => Some(sessions::pinned_version(shared, ctx, token)?),
         None => None,
     };
+    let organisation = ctx.organisation.id.as_str();
     let spec = RunSpec {
+        content: ContentHash::new(organisation, "POST", "", ENGINE_PATH, &body),
         session: pinned.is_some(),
         fingerprint: 0,
         method: "POST".to_owned(),
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -3,10 +3,12 @@
 use crate::entry::{
     Shared,
     context::RequestContext,
+    crashes::Trial,
     relay::{Relay, ReplicaEndpoint},
 };
 use ibissail_catalogue::Document;
 use ibissail_core::{ErrorKind, Fault, Millis, Target, VmId};
+use ibissail_direct::ContentHash;
 use ibissail_execution::{Refusal, RunKey, RunRequest, VersionedClaim, paths};
 use ibissail_routing::choose_replica;
 use ibissail_transport::{CallError, SendError, StreamResponse, open_stream};
@@ -23,6 +25,8 @@
     pub(crate) session: bool,
     /// Hash that repeated requests with an idempotency key must match; 0 for models.
     pub(crate) fingerprint: u64,
+    /// Hash that all copies of the request have in common.
+    pub(crate) content: ContentHash,
     pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) content_type: String,
@@ -130,12 +134,9 @@
         let may_send_settings = req.documents.is_empty();
         match send(shared, picked, &req).await? {
             Ok(stream) => {
-                return Ok(Relay::new(
-                    shared,
-                    pending_run.key,
-                    picked.endpoint.clone(),
-                    Some(stream),
-                ));
+                let (key, endpoint) = (pending_run.key, picked.endpoint.clone());
+                let trial = Trial::new(shared, pending_run.spec.content);
+                return Ok(Relay::new(shared, key, endpoint, Some((stream, trial))));
             }
             Err(refusal)
                 if refusal.fault.kind == ErrorKind::SettingsBehind && may_send_settings =>
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -99,8 +99,11 @@
         &mut self,
         fenced: Option<(Claim, Revision)>,
     ) -> Result<StepOutcome, Fault> {
+        let replaced = fenced.as_ref().map(|(claim, _)| claim);
+        let quarantined = self.shared.check_quarantine(self.spec.content);
+        quarantined.map_err(|fault| self.unclaimed_fault(fault, replaced))?;
         let Some(picked) = pick_replica(self.shared, self.target, &self.tried) else {
-            return Err(self.no_replica_fault(fenced.as_ref().map(|(claim, _)| claim)));
+            return Err(self.unclaimed_fault(ErrorKind::NoReplica.into(), replaced));
         };
         self.tried.insert(picked.endpoint.vm.clone());
         let claim = self.new_claim(&picked, fenced.as_ref().map(|(claim, _)| claim));
@@ -111,12 +114,11 @@
         }
     }
 
-    /// Fault for a key that no sidecar can run now.
+    /// Fault for a key that no sidecar can or may run now.
     ///
     /// A claim of another request is no longer valid at its sidecar, but the entry that wrote it
     /// may still replace it and run the key.
-    fn no_replica_fault(&self, fenced: Option<&Claim>) -> Fault {
-        let fault = Fault::from(ErrorKind::NoReplica);
+    fn unclaimed_fault(&self, fault: Fault, fenced: Option<&Claim>) -> Fault {
         match fenced {
             Some(claim) if claim.request != self.ctx.id => fault.with_ran_unknown(),
             _ => fault,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod billing;
 mod chat;
 mod context;
+mod crashes;
 mod dispatch;
 mod keyed;
 mod probing;
@@ -17,6 +18,7 @@
 use async_std::task::{self, JoinHandle};
 use billing::UnsettledRecords;
 use ibissail_core::Millis;
+use ibissail_direct::CrashQuarantine;
 use ibissail_routing::{ConcurrencyLimiter, Health, Membership};
 use ibissail_settings::LocalSettings;
 use ibissail_transport::{ServerOptions, ShutdownHandle, serve, shutdown_channel};
@@ -42,6 +44,7 @@
     membership: Mutex<Membership>,
     concurrency_limiter: ConcurrencyLimiter,
     records: UnsettledRecords,
+    quarantine: Mutex<CrashQuarantine>,
     draining: AtomicBool,
 }
 
@@ -90,10 +93,12 @@
             node,
             concurrency_limiter: ConcurrencyLimiter::default(),
             records: UnsettledRecords::default(),
+            quarantine: Mutex::default(),
             draining: AtomicBool::new(false),
         });
         task::spawn(probing::run(Arc::clone(&shared)));
         task::spawn(billing::run(Arc::clone(&shared)));
+        task::spawn(crashes::run(Arc::clone(&shared)));
         let options = ServerOptions::default();
         let head_timeout = shared.node.local.head_timeout.as_duration();
         let public_options = ServerOptions { head_timeout, ..options };
--- a/crates/daemon/src/entry/protocol.rs
+++ b/crates/daemon/src/entry/protocol.rs
@@ -3,7 +3,7 @@
 use crate::entry::Shared;
 use http_types::{Request, Response};
 use ibissail_core::{ErrorKind, Fault};
-use ibissail_execution::{ConfirmRequest, Refusal, SettleRequest, paths};
+use ibissail_execution::{ConfirmRequest, CrashNotice, Refusal, SettleRequest, paths};
 use ibissail_transport::Envelope;
 use std::sync::Arc;
 
@@ -12,6 +12,7 @@
     let handler = |path: &str, envelope: &Envelope| match path {
         paths::CONFIRM => confirm(&shared, envelope),
         paths::SETTLE => settle(&shared, envelope),
+        paths::CRASHES => merge_crashes(&shared, envelope),
         _ => Err(Refusal::from(Fault::from(ErrorKind::NotFound))),
     };
     shared.node.handle_message(req, handler).await
@@ -30,3 +31,10 @@
     shared.records.forget(req.requests);
     Ok(envelope.respond(&()))
 }
+
+/// Adds what another entry has seen to crash upstreams.
+fn merge_crashes(shared: &Shared, envelope: &Envelope) -> Result<Response, Refusal> {
+    let notice: CrashNotice = envelope.message()?;
+    shared.merge_crashes(&notice)?;
+    Ok(envelope.respond(&()))
+}
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -1,6 +1,6 @@
 //! Reads a run's response from a sidecar, reconnecting when the connection breaks or stays idle.
 
-use crate::entry::{Shared, context::RequestContext};
+use crate::entry::{Shared, context::RequestContext, crashes::Trial};
 use async_std::{future::timeout, task};
 use ibissail_core::{ErrorKind, Fault, Incarnation, Ran, VmId};
 use ibissail_execution::{
@@ -27,6 +27,8 @@
 /// Time for which a response that no other replica can continue is not given up, however many attach
 /// requests fail. The sidecar cancels a run without a reader later than that.
 const RECONNECT_TIME: Duration = Duration::from_secs(2);
+/// Lowest status of responses that do not show that the request is sound.
+const FIRST_SERVER_ERROR: u16 = 500;
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The replica that executes a run.
@@ -64,6 +66,8 @@
     pub(crate) endpoint: ReplicaEndpoint,
     reassembler: Reassembler,
     stream: Option<StreamResponse>,
+    /// `None` for a run that was opened for another request.
+    trial: Option<Trial>,
     ended: bool,
     end: RelayEnd,
     outcome: RequestOutcome,
@@ -89,13 +93,15 @@
 }
 
 impl Relay {
-    /// Creates a relay; without a stream, the first read attaches to the run.
+    /// Creates a relay of a run that was just opened; without a stream, the first read attaches to
+    /// the run.
     pub(crate) fn new(
         shared: &Arc<Shared>,
         key: RunKey,
         endpoint: ReplicaEndpoint,
-        stream: Option<StreamResponse>,
+        opened: Option<(StreamResponse, Trial)>,
     ) -> Self {
+        let (stream, trial) = opened.unzip();
         shared.membership().on_start(&endpoint.vm);
         let shared = Arc::clone(shared);
         Self {
@@ -104,6 +110,7 @@
             endpoint,
             reassembler: Reassembler::default(),
             stream,
+            trial,
             ended: false,
             end: RelayEnd::Open,
             outcome: RequestOutcome::Inconclusive,
@@ -154,10 +161,16 @@
 
     fn handle_frame(&mut self, kind: FrameKind) -> Result<Option<Item>, Fault> {
         match kind {
-            FrameKind::KeepAlive => Ok(None),
+            // The second follows the end, after which nothing is read here.
+            FrameKind::KeepAlive | FrameKind::UpstreamEnded(_) => Ok(None),
             FrameKind::Chunk { offset, bytes } => match self.reassembler.accept(offset, &bytes) {
                 Ok([]) => Ok(None),
-                Ok(new_bytes) => Ok(Some(Item::Chunk(new_bytes.to_vec()))),
+                Ok(new_bytes) => {
+                    if let Some(trial) = &mut self.trial {
+                        trial.record_bytes();
+                    }
+                    Ok(Some(Item::Chunk(new_bytes.to_vec())))
+                }
                 Err(gap) => {
                     debug!(self.shared.node.log, "relay: chunk missing"; "gap" => %gap);
                     self.disconnect();
@@ -170,6 +183,9 @@
                     self.end = RelayEnd::NotRun;
                 } else {
                     self.outcome = RequestOutcome::Failed;
+                    if let (Some(trial), Some(stream)) = (&self.trial, self.stream.take()) {
+                        trial.fail(&self.key, &self.endpoint, stream);
+                    }
                 }
                 Err(fault)
             }
@@ -188,6 +204,9 @@
                 }
                 self.ended = true;
                 self.outcome = RequestOutcome::Answered;
+                if let Some(trial) = self.trial.as_mut().filter(|_| status < FIRST_SERVER_ERROR) {
+                    trial.succeed();
+                }
                 Ok(Some(Item::End(ResponseSummary { status, content_type, tokens })))
             }
         }
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -13,6 +13,7 @@
 use ibissail_billing::UsageRecord;
 use ibissail_catalogue::Purpose;
 use ibissail_core::{ErrorKind, Fault, RequestId, ServiceId, Target, Tokens};
+use ibissail_direct::ContentHash;
 use ibissail_execution::fingerprint;
 use std::sync::Arc;
 
@@ -80,7 +81,9 @@
     };
     let body = ctx.body(req).await?;
     let fingerprint = fingerprint(&[method.as_bytes(), path.as_bytes(), &body]);
-    let spec = RunSpec { session: false, fingerprint, method, path, content_type, body };
+    let host = target.to_string();
+    let content = ContentHash::new(ctx.organisation.id.as_str(), &method, &host, &path, &body);
+    let spec = RunSpec { session: false, fingerprint, content, method, path, content_type, body };
     Ok((target, spec))
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 mod clock;
+mod crash_check;
 mod dev;
 mod dev_direct;
 mod direct;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,6 +61,12 @@
     pub(crate) documents_learned: Counter,
     /// Watches started at the platform.
     pub(crate) watches: Counter,
+    /// Runs under which an upstream has ended.
+    pub(crate) upstream_crashes: Counter,
+    /// Requests that are quarantined because they crash upstreams.
+    pub(crate) quarantined_requests: Gauge,
+    /// Requests refused because they are quarantined.
+    pub(crate) quarantine_refusals: Counter,
     /// Usage records that are not durable yet.
     pub(crate) unsettled_records: Gauge,
 }
@@ -80,6 +86,9 @@
             crossed_frames: Counter::default(),
             documents_learned: Counter::default(),
             watches: Counter::default(),
+            upstream_crashes: Counter::default(),
+            quarantined_requests: Gauge::default(),
+            quarantine_refusals: Counter::default(),
             unsettled_records: Gauge::default(),
         };
         let seconds = [
@@ -98,6 +107,12 @@
         let learned = metrics.documents_learned.clone();
         registry.register("documents_learned", "Settings documents learned", learned);
         registry.register("watches", "Watches begun at the platform", metrics.watches.clone());
+        let crashes = metrics.upstream_crashes.clone();
+        registry.register("upstream_crashes", "Runs under which an upstream has ended", crashes);
+        let requests = metrics.quarantined_requests.clone();
+        registry.register("quarantined_requests", "Quarantined requests", requests);
+        let refusals = metrics.quarantine_refusals.clone();
+        registry.register("quarantine_refusals", "Requests refused by a quarantine", refusals);
         let unsettled = metrics.unsettled_records.clone();
         registry.register("unsettled_records", "Usage records not yet durable", unsettled);
         Self { registry: Arc::new(registry), ..metrics }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -60,6 +60,15 @@
         self.addresses().len()
     }
 
+    /// Addresses of the other entries in the VM list.
+    pub(crate) fn entry_addresses(&self) -> BTreeSet<SocketAddr> {
+        let state = self.lock();
+        let entries = state.vm_list.iter().filter(|record| record.role == VmRole::Entry);
+        let mut addresses: BTreeSet<SocketAddr> = entries.map(|record| record.address).collect();
+        addresses.remove(&self.own_address);
+        addresses
+    }
+
     /// Number of entries in the VM list.
     pub(crate) fn entry_count(&self) -> usize {
         self.lock().vm_list.iter().filter(|record| record.role == VmRole::Entry).count()
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod runs;
 mod sse;
 mod upstream;
+mod upstream_ends;
 
 use crate::{StartError, node::Node, process::listen, response};
 use async_std::task::{self, JoinHandle};
@@ -27,6 +28,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
+use upstream_ends::UpstreamEnds;
 
 /// Maximum age of the ticket in a run request, which is the time since the probe that the request
 /// is based on.
@@ -47,6 +49,7 @@
     node: Arc<Node>,
     upstream: UpstreamSettings,
     upstream_pool: Pool,
+    upstream_ends: UpstreamEnds,
     table: Mutex<RunTable>,
     active: Mutex<BTreeMap<RunKey, ActiveRun>>,
     outbox: Mutex<Outbox>,
@@ -132,6 +135,7 @@
                 max_idle_per_peer: UPSTREAM_IDLE_CONNECTIONS,
                 ..PoolOptions::default()
             }),
+            upstream_ends: UpstreamEnds::default(),
             active: Mutex::default(),
             outbox: Mutex::default(),
             unread: Mutex::default(),
--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -3,17 +3,24 @@
 use crate::sidecar::{
     Shared, claims,
     upstream::{self, Outcome},
+    upstream_ends,
 };
 use async_channel::{Receiver, Sender};
 use async_std::{future::timeout, task};
 use event_listener::Event;
 use futures_lite::future::or;
 use http_types::Body;
-use ibissail_core::{ErrorKind, Fault};
+use ibissail_core::{ErrorKind, Fault, Millis};
 use ibissail_execution::{Frame, FrameKind, RunKey, RunOutcome, RunRequest, RunSnapshot};
 use ibissail_transport::{BodySender, body_channel, encode_frame};
 use slog::{debug, info};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 /// Interval of keep-alive frames to a reader while the run produces no bytes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,14 +36,22 @@
     pub(crate) cancel: Sender<Fault>,
     /// The request that started the run.
     pub(crate) request: Arc<RunRequest>,
+    pub(crate) began_at: Millis,
+    /// Whether the upstream's response broke off.
+    pub(crate) is_broken: Arc<AtomicBool>,
 }
 
 /// Spawns the task of an admitted run.
 pub(crate) fn start(shared: &Arc<Shared>, req: RunRequest) {
     let (cancel, cancelled) = async_channel::bounded(1);
     let request = Arc::new(req);
-    let active =
-        ActiveRun { progress: Arc::new(Event::new()), cancel, request: Arc::clone(&request) };
+    let active = ActiveRun {
+        progress: Arc::new(Event::new()),
+        cancel,
+        request: Arc::clone(&request),
+        began_at: shared.node.now(),
+        is_broken: Arc::default(),
+    };
     shared.active().insert(request.key.clone(), active.clone());
     task::spawn(execute(Arc::clone(shared), active, cancelled));
 }
@@ -62,8 +77,12 @@
         or(completion, or(cancel, timed_out)).await
     };
     let now = shared.node.now();
-    let was_sent = matches!(outcome, Outcome::Ended(_));
+    let was_sent = !matches!(outcome, Outcome::NotSent(_));
     match outcome {
+        Outcome::Broken(fault) => {
+            active.is_broken.store(true, Ordering::Relaxed);
+            shared.table().end(&req.key, RunOutcome::Failed(fault), now);
+        }
         Outcome::Ended(outcome) => shared.table().end(&req.key, outcome, now),
         Outcome::NotSent(fault) => shared.table().fence(&req.key, req.fencing_token(), fault, now),
     }
@@ -110,8 +129,12 @@
     let (sender, body) = body_channel();
     let shared = Arc::clone(shared);
     shared.table().add_reader(&key);
+    let active = shared.active().get(&key).cloned();
     task::spawn(async move {
         let is_complete = send_frames(&shared, &key, offset, &sender).await;
+        if let Some(active) = active.filter(|_| is_complete) {
+            send_upstream_end(&shared, &active, &sender).await;
+        }
         let now = shared.node.now();
         shared.record_reading(&key, is_complete, now);
         shared.table().remove_reader(&key, now);
@@ -119,6 +142,17 @@
     body
 }
 
+/// Tells a reader that the upstream has ended under a run, if so.
+async fn send_upstream_end(shared: &Shared, active: &ActiveRun, sender: &BodySender) {
+    if !active.is_broken.load(Ordering::Relaxed) {
+        return;
+    }
+    if let Some(upstream_run) = upstream_ends::find_end(shared, active).await {
+        let frame = run_frame(&active.request.key, FrameKind::UpstreamEnded(upstream_run));
+        let _reader_is_connected = sender.send(frame).await;
+    }
+}
+
 /// Sends frames to a reader until the run has ended or the reader disconnects; returns whether the
 /// end was sent.
 async fn send_frames(shared: &Shared, key: &RunKey, mut offset: u64, sender: &BodySender) -> bool {
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -22,6 +22,8 @@
 pub(crate) enum Outcome {
     /// The request was sent; the upstream may have processed it.
     Ended(RunOutcome),
+    /// The request was sent, and the upstream's response broke off.
+    Broken(Fault),
     /// No byte of the request reached the upstream, so it may be sent elsewhere.
     NotSent(Fault),
 }
@@ -39,7 +41,7 @@
         Err(SendError::NotSent(_, detail)) => {
             return Outcome::NotSent(Fault::new(ErrorKind::NoReplica, detail));
         }
-        Err(error) => return Outcome::Ended(RunOutcome::Failed(transport_fault(req, &error))),
+        Err(error) => return failed_outcome(transport_fault(req, &error)),
     };
     let status = u16::from(reply.response.status());
     if status >= 500 && matches!(req.target, Target::Model(_)) {
@@ -54,10 +56,20 @@
             forward_body(req, reply, sink).await
         }
     };
-    Outcome::Ended(match forwarded {
-        Ok((content_type, tokens)) => complete_outcome(shared, req, status, content_type, tokens),
-        Err(fault) => RunOutcome::Failed(fault),
-    })
+    match forwarded {
+        Ok((content_type, tokens)) => {
+            Outcome::Ended(complete_outcome(shared, req, status, content_type, tokens))
+        }
+        Err(fault) => failed_outcome(fault),
+    }
+}
+
+/// Outcome of a request whose response could not be read, unless time was short.
+fn failed_outcome(fault: Fault) -> Outcome {
+    match fault.kind {
+        ErrorKind::Timeout => Outcome::Ended(RunOutcome::Failed(fault)),
+        _ => Outcome::Broken(fault),
+    }
 }
 
 /// Fault for a request that was sent but whose response could not be read.
--- a/crates/daemon/tests/common/http.rs
+++ b/crates/daemon/tests/common/http.rs
@@ -114,6 +114,28 @@
     Some(response)
 }
 
+/// Splits received bytes into a complete request as text, and what follows it; `None` until the
+/// request is complete. Names of headers are in lower case.
+pub fn parse_head_and_body(bytes: &[u8]) -> Option<(String, Vec<u8>)> {
+    let start = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let mut lines = Vec::new();
+    let mut length = 0;
+    for line in String::from_utf8_lossy(&bytes[..start]).lines() {
+        let Some((name, value)) = line.split_once(':') else {
+            lines.push(line.to_owned());
+            continue;
+        };
+        let name = name.to_ascii_lowercase();
+        if name == "content-length" {
+            length = value.trim().parse().expect("a length");
+        }
+        lines.push(format!("{name}: {}", value.trim()));
+    }
+    let body = bytes.get(start..start + length)?;
+    lines.push(String::from_utf8_lossy(body).into_owned());
+    Some((lines.join("\n"), bytes[start + length..].to_vec()))
+}
+
 /// Decodes a chunked body; `None` if it is malformed or truncated.
 fn decode_chunked(mut bytes: &[u8]) -> Option<Vec<u8>> {
     let mut body = Vec::new();
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a cluster of daemon processes on loopback addresses.
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of this module")]
 
+pub mod crashing_upstream;
 pub mod fault_proxy;
 pub mod http;
 mod process;
--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -11,8 +11,9 @@
     Claim, ClaimStep, ClaimView, FencingToken, StoredOutcome, claim_key, fingerprint, next_step,
 };
 pub use message::{
-    AttachRequest, CancelRequest, ConfirmRequest, Confirmation, Frame, FrameKind, Load, Probe,
-    ProbeReply, Refusal, RunRequest, SettleRequest, SidecarState, VersionedClaim, paths,
+    AttachRequest, CancelRequest, ConfirmRequest, Confirmation, CrashNotice, Frame, FrameKind,
+    Load, Probe, ProbeReply, Refusal, RunRequest, SettleRequest, SidecarState, UpstreamRun,
+    VersionedClaim, paths,
 };
 pub use reassembly::{Digest, Reassembler, ReassemblyError};
 pub use run::{RunKey, RunOutcome, TokenCounts};
--- a/crates/execution/src/message.rs
+++ b/crates/execution/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages of the protocol between entries and sidecars.
 
 use crate::{Claim, FencingToken, RunKey, RunOutcome};
+use derive_more::Display;
 use ibissail_catalogue::{Document, DocumentRevision};
 use ibissail_core::{
     Fault, Incarnation, Millis, OrganisationId, RequestId, Revision, Target, VmId,
@@ -23,6 +24,8 @@
     pub const PROBE: &str = "/v0/probe";
     /// Reads the newest list of VMs that the receiver has from the platform or another process.
     pub const VMS: &str = "/v0/vms";
+    /// Tells another entry what crashes upstreams. Earlier builds refuse it.
+    pub const CRASHES: &str = "/v0/crashes";
     /// Exchanges settings documents (anti-entropy).
     pub const EXCHANGE: &str = "/v0/exchange";
 }
@@ -169,8 +172,25 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
-    /// The run has ended; last frame.
+    /// The run has ended; the last frame that earlier builds read.
     End(RunOutcome),
+    /// The upstream has ended under the run, whose end was told before.
+    UpstreamEnded(UpstreamRun),
+}
+
+/// Number of a run of the upstream's process, counted by one incarnation of its sidecar.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UpstreamRun(pub u64);
+
+/// Tells another entry what crashes upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// The evidence, encoded by itself with the names of its fields, so that builds may add some.
+    #[serde(with = "serde_bytes")]
+    pub evidence: Vec<u8>,
 }
 
 /// Whether a sidecar accepts new runs.
