Test that losses of power at upstreams condemn no popular request

Change: stand-ins of upstreams that all end at once; four such losses beside popular requests every 8 ms at two entries.

--- a/crates/daemon/tests/common/crashing_upstream.rs
+++ b/crates/daemon/tests/common/crashing_upstream.rs
@@ -36,6 +36,8 @@
     arrivals: Vec<Instant>,
     /// Arrivals of such requests by their idempotency key.
     keys: BTreeMap<String, usize>,
+    /// One for each run of an upstream, set when it ends.
+    ended: Vec<Arc<AtomicBool>>,
 }
 
 /// Upstreams that each listen on an address of their own; they end with the test's process.
@@ -75,9 +77,18 @@
         self.history.lock().expect("not poisoned").keys.get(key).copied().unwrap_or_default()
     }
 
+    /// Ends all upstreams at once, whatever they are doing.
+    pub fn lose_power(&self) {
+        let ended = std::mem::take(&mut self.history.lock().expect("not poisoned").ended);
+        for has_ended in ended {
+            has_ended.store(true, Ordering::Relaxed);
+        }
+    }
+
     fn run_until_crash(&self, listener: TcpListener) {
         listener.set_nonblocking(true).expect("a listener");
         let has_crashed = Arc::new(AtomicBool::new(false));
+        self.history.lock().expect("not poisoned").ended.push(Arc::clone(&has_crashed));
         let mut connections = Vec::new();
         while !has_crashed.load(Ordering::Relaxed) {
             match listener.accept() {
--- a/crates/daemon/tests/crashing_upstreams.rs
+++ b/crates/daemon/tests/crashing_upstreams.rs
@@ -33,6 +33,9 @@
 /// Fewest copies and sound requests that must have been sent after the bound.
 const MIN_LATE_COPIES: usize = 10;
 const MIN_LATE_SOUND: usize = 50;
+/// Times that all upstreams end at once, and the interval between two popular requests beside that.
+const POWER_LOSSES: u64 = 4;
+const POPULAR_INTERVAL: Duration = Duration::from_millis(8);
 /// Number of sound requests that are sent again and again.
 const POPULAR: usize = 5;
 
@@ -231,6 +234,33 @@
     assert_eq!(fleet.upstreams.crashes().len(), crashes);
 }
 
+#[test]
+fn popular_requests_are_not_blamed_for_losses_of_power() {
+    let fleet = CrashingFleet::start("crashing_power", "service:routes");
+    let popular =
+        |number: usize| service_request("routes", None, &format!("popular {}", number % POPULAR));
+    let (sound, done) = (Mutex::default(), AtomicBool::new(false));
+    let entries = fleet.entries();
+    thread::scope(|scope| {
+        let _stop = StopOnDrop(&done);
+        scope.spawn(|| send_all(&entries, POPULAR_INTERVAL, popular, &sound, &done));
+        for _ in 0..POWER_LOSSES {
+            thread::sleep(LEAD_TIME * 2);
+            fleet.upstreams.lose_power();
+        }
+        thread::sleep(LEAD_TIME * 2);
+    });
+    let crashes: u64 = ["entry-1", "entry-2"]
+        .map(|name| fleet.cluster.counter(name, "ibissail_upstream_crashes_total"))
+        .iter()
+        .sum();
+    println!("{crashes} requests lost");
+    assert!(crashes >= POWER_LOSSES, "{crashes} requests were lost");
+    for Exchange { request, response, .. } in sound.into_inner().expect("no caller panics") {
+        assert_ne!(response.error_kind(), "request_quarantined", "{request:?}");
+    }
+}
+
 #[test]
 fn completion_does_not_crash_one_upstream_after_another() {
     let fleet = CrashingFleet::start("crashing_model", "swift@1");
