Test what callers of a request that crashes upstreams are told

Change: copies to the plain service are told apart by their content type, which is no part of what they ask for; one that an upstream has received is answered 502 and never `ran: no`.

--- a/crates/daemon/tests/common/crashing_upstream.rs
+++ b/crates/daemon/tests/common/crashing_upstream.rs
@@ -2,7 +2,7 @@
 
 use super::http::parse_head_and_body;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::{ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -36,6 +36,8 @@
     arrivals: Vec<Instant>,
     /// Arrivals of such requests by their idempotency key.
     keys: BTreeMap<String, usize>,
+    /// Content types of such requests.
+    content_types: BTreeSet<String>,
     /// One for each run of an upstream, set when it ends.
     ended: Vec<Arc<AtomicBool>>,
 }
@@ -77,6 +79,11 @@
         self.history.lock().expect("not poisoned").keys.get(key).copied().unwrap_or_default()
     }
 
+    /// Whether a request that ends upstreams has arrived with this content type.
+    pub fn has_received(&self, content_type: &str) -> bool {
+        self.history.lock().expect("not poisoned").content_types.contains(content_type)
+    }
+
     /// Ends all upstreams at once, whatever they are doing.
     pub fn lose_power(&self) {
         let ended = std::mem::take(&mut self.history.lock().expect("not poisoned").ended);
@@ -145,6 +152,8 @@
         if let Some(key) = key {
             *history.keys.entry(key.to_owned()).or_default() += 1;
         }
+        let content_type = request.lines().find_map(|line| line.strip_prefix("content-type: "));
+        history.content_types.extend(content_type.map(str::to_owned));
         drop(history);
         thread::sleep(CRASH_DELAY);
         if !has_crashed.swap(true, Ordering::Relaxed) {
--- a/crates/daemon/tests/crashing_upstreams.rs
+++ b/crates/daemon/tests/crashing_upstreams.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone)]
 struct CallerRequest {
     path: String,
+    /// Tells copies apart at the upstream.
+    content_type: String,
     key: Option<String>,
     body: String,
 }
@@ -51,6 +53,7 @@
     fn send(&self, entry: SocketAddr) -> Response {
         let mut headers =
             vec![("authorization", "Bearer demo-key"), ("x-ibissail-deadline-ms", "4000")];
+        headers.push(("content-type", &self.content_type));
         headers.extend(self.key.as_deref().map(|key| ("idempotency-key", key)));
         let response = http::send(entry, "POST", &self.path, &headers, self.body.as_bytes());
         response.unwrap_or_else(Response::missing)
@@ -183,7 +186,12 @@
 }
 
 fn service_request(service: &str, key: Option<String>, body: &str) -> CallerRequest {
-    CallerRequest { path: format!("/v1/services/{service}/run"), key, body: body.to_owned() }
+    CallerRequest {
+        path: format!("/v1/services/{service}/run"),
+        content_type: "text/plain".to_owned(),
+        key,
+        body: body.to_owned(),
+    }
 }
 
 /// Body of a sound request; every second one is popular.
@@ -199,23 +207,36 @@
     service_request("routes", None, &sound_body(number))
 }
 
-fn crashing_service_request(_number: usize) -> CallerRequest {
-    service_request("routes", None, CRASHING_TEXT)
+fn crashing_service_request(number: usize) -> CallerRequest {
+    let request = service_request("routes", None, CRASHING_TEXT);
+    CallerRequest { content_type: format!("text/copy-{number}"), ..request }
 }
 
 fn completion(content: &str) -> CallerRequest {
     let body = format!(
         "{{\"model\":\"swift@1\",\"messages\":[{{\"role\":\"user\",\"content\":\"{content}\"}}]}}"
     );
-    CallerRequest { path: "/v1/chat/completions".to_owned(), key: None, body }
+    CallerRequest {
+        path: "/v1/chat/completions".to_owned(),
+        content_type: "application/json".to_owned(),
+        key: None,
+        body,
+    }
 }
 
 #[test]
 fn service_request_does_not_crash_one_upstream_after_another() {
     let fleet = CrashingFleet::start("crashing_service", "service:routes");
-    fleet.assert_kept_from_upstreams(sound_service_request, crashing_service_request);
-    assert!(fleet.cluster.counter("entry-1", "ibissail_quarantine_refusals_total") > 0);
-    assert_eq!(fleet.cluster.counter("entry-1", "ibissail_quarantined_requests"), 1);
+    let copies = fleet.assert_kept_from_upstreams(sound_service_request, crashing_service_request);
+    let (upstreams, cluster) = (&fleet.upstreams, &fleet.cluster);
+    let has_run = |copy: &&Exchange| upstreams.has_received(&copy.request.content_type);
+    let run: Vec<&Exchange> = copies.iter().filter(has_run).collect();
+    assert!(!run.is_empty());
+    for Exchange { response, .. } in run {
+        assert!(response.status == 502 && response.ran() != "no", "{response:?}");
+    }
+    assert!(cluster.counter("entry-1", "ibissail_quarantine_refusals_total") > 0);
+    assert_eq!(cluster.counter("entry-1", "ibissail_quarantined_requests"), 1);
 }
 
 #[test]
