Split the effects of an attempt's outcome from the attempt

Change: what an outcome means for the health of its replica and the rollout is in outcomes.rs; the simulated attempt limit has the product's word. No behaviour changes.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -1,11 +1,10 @@
-//! One attempt at one replica, and the effects of its response on the request, the replica's health
-//! and the rollout.
+//! One attempt at one replica, and what its response means for the request.
 
 use super::{
     Shared,
     handover::{HandoverReason, KeptAttempt, PendingResponse, ask_successor, hand_over},
+    outcomes::ResponseOutcome,
     pace::PaceRecorder,
-    peers::truncate_hash,
     relay::{StreamOutcome, relay_stream},
     response::write_complete,
     retry::{FAILURE_RESERVE, Progress, RequestOutcome, Target},
@@ -15,11 +14,11 @@
     upstream::{Exchange, ReceivedHead, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_core::{ErrorKind, InstanceId, ModelId};
-use ibissail_direct::{CascadeStep, Sample, latency_class, stable_hash};
+use ibissail_core::ErrorKind;
+use ibissail_direct::CascadeStep;
 use ibissail_http1::Connection;
 use ibissail_platform::{Rejection, ReplicaResponse};
-use slog::{info, warn};
+use slog::info;
 use std::sync::Arc;
 
 /// Result of an attempt whose replica guarantees that it has not run the request.
@@ -39,34 +38,6 @@
     GoBack,
 }
 
-/// The outcome of a replica's response, as evidence on its version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ResponseOutcome {
-    /// The response was complete, or was received as far as it was needed.
-    Success,
-    /// The replica responded with a server error, or was silent for too long.
-    Failure,
-}
-
-impl Shared {
-    fn record_failure(&self, replica: &InstanceId) {
-        let now = since_boot();
-        let mut state = self.state();
-        if state.health.entry(replica.clone()).or_default().record_failure(now) {
-            warn!(self.log, "replica: ejected"; "replica" => %replica);
-        }
-    }
-
-    fn eject(&self, replica: &InstanceId, reason: &'static str) {
-        let mut state = self.state();
-        let health = state.health.entry(replica.clone()).or_default();
-        if !health.is_ejected(since_boot()) {
-            health.eject(since_boot());
-            warn!(self.log, "replica: ejected"; "replica" => %replica, "reason" => reason);
-        }
-    }
-}
-
 /// One attempt at one replica.
 pub(super) struct Attempt<'a> {
     pub(super) shared: &'a Arc<Shared>,
@@ -166,7 +137,7 @@
         }
     }
 
-    fn replica(&self) -> &SelectedReplica {
+    pub(super) fn replica(&self) -> &SelectedReplica {
         &self.target.replica
     }
 
@@ -409,11 +380,8 @@
         }
         let UpstreamResponse { exchange, head, response, received: body, mut trial, .. } = upstream;
         let is_failure = response.status >= 500;
-        self.record_response(if is_failure {
-            ResponseOutcome::Failure
-        } else {
-            ResponseOutcome::Success
-        });
+        let outcome = if is_failure { ResponseOutcome::Failure } else { ResponseOutcome::Success };
+        self.record_response(outcome);
         if is_failure {
             self.shared.record_failure(&self.replica().id);
             if request.route.kind.is_repeatable() {
@@ -422,7 +390,7 @@
                 return NextStep::Retry("failed");
             }
         }
-        if response.status < 500 {
+        if !is_failure {
             trial.succeed();
         }
         drop(exchange);
@@ -453,49 +421,4 @@
         larger
             .is_some_and(|larger| step.should_escalate(confidence, larger.expected_wait, time_left))
     }
-
-    /// Hash of the route, the model and the magnitude of the pending prefill; latencies are
-    /// compared only between attempts with the same hash.
-    fn latency_class(&self) -> u32 {
-        let model = self.target.model.as_ref().map_or("-", ModelId::as_str);
-        latency_class(&self.request.route.name, model, self.replica().pending_prefill)
-    }
-
-    /// Records the time until a stream started, as evidence on the replica's version.
-    fn record_stream_start(&self) {
-        let took = since_boot().since(self.target.started);
-        let service = &self.request.service;
-        self.shared.state().record_stream_time(
-            service,
-            &self.replica().version,
-            self.latency_class(),
-            took,
-        );
-    }
-
-    /// Records a response, or the lack of one, as evidence on the replica's version; adds the
-    /// prompt to the replica's cached prefixes, and a success to its health record.
-    fn record_response(&self, outcome: ResponseOutcome) {
-        let request = self.request;
-        let now = since_boot();
-        let is_bad = outcome == ResponseOutcome::Failure;
-        let is_buffered = !request.route.kind.is_stream();
-        let sample = Sample {
-            route: truncate_hash(stable_hash(&[&request.route.name])),
-            latency_class: self.latency_class(),
-            replica: stable_hash(&[self.replica().id.as_str()]),
-            is_failure: is_bad,
-            latency_ms: is_buffered.then_some(now.since(self.target.started).0),
-        };
-        let mut state = self.shared.state();
-        if !self.target.is_recorded {
-            state.record_response(&request.service, &self.replica().version, &sample);
-        }
-        if !is_bad {
-            state.health.entry(self.replica().id.clone()).or_default().record_success();
-        }
-        if let Some(model) = &self.target.model {
-            state.prefixes.record(&self.replica().id, model, &request.params.prompt, now);
-        }
-    }
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod metrics;
 mod notices;
+mod outcomes;
 mod pace;
 mod peers;
 mod polling;
--- a/crates/direct/tests/request_crashes.rs
+++ b/crates/direct/tests/request_crashes.rs
@@ -25,7 +25,7 @@
     /// Peers that each entry sends messages to.
     known_peers: usize,
     replicas: usize,
-    max_attempts: u32,
+    attempt_limit: u32,
     restart_delay: u64,
     /// Sound requests per second that are each sent by one caller only.
     rare_rate: f64,
@@ -56,7 +56,7 @@
             entries: 5,
             known_peers: 4,
             replicas: 4,
-            max_attempts: 3,
+            attempt_limit: 3,
             restart_delay: 2_500,
             rare_rate: 15.0,
             popular: Vec::new(),
@@ -198,8 +198,8 @@
         let up: Vec<usize> = (0..self.replicas.len())
             .filter(|replica| self.replicas[*replica].1 <= self.now)
             .collect();
-        let may_attempt =
-            request.attempts < self.conditions.max_attempts && (request.attempts == 0 || may_retry);
+        let may_attempt = request.attempts < self.conditions.attempt_limit
+            && (request.attempts == 0 || may_retry);
         if up.is_empty() || !may_attempt {
             self.repeat(request);
             return;
@@ -448,7 +448,7 @@
         60,
         |rng| Conditions {
             replicas: rng.random_range(3..9),
-            max_attempts: rng.random_range(1..4),
+            attempt_limit: rng.random_range(1..4),
             popular: popular(rng),
             crashing: vec![(8_000, rng.random_range(0.3..8.0), 1)],
             ..Conditions::default()
