--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -315,10 +315,14 @@
         Traffic::start(&fleet.addresses(), CRASHING_INTERVAL * 2, copy),
         Traffic::start(&fleet.addresses(), CRASHING_INTERVAL * 2, second),
     ];
-    wait_until("each has crashed three replicas or more", || {
+    wait_until("each has crashed three replicas or more, or is refused", || {
         let arrivals = fleet.replicas.arrivals();
         let count = |path: &str| arrivals.iter().filter(|arrived| arrived.target == path).count();
-        count(CRASHING_PATH) >= 5 && count(&format!("{CRASHING_PATH}-too")) >= 5
+        let counts = [count(CRASHING_PATH), count(&format!("{CRASHING_PATH}-too"))];
+        let is_known = |(copies, count): (&Traffic, usize)| {
+            count >= 5 || copies.has_error("request_quarantined")
+        };
+        copies.iter().zip(counts).all(is_known)
     });
     let bound = Instant::now() + STABILITY_WINDOW;
     sleep_until(bound + STABILITY_WINDOW);
--- a/crates/daemon/tests/direct/traffic.rs
+++ b/crates/daemon/tests/direct/traffic.rs
@@ -67,6 +67,12 @@
         Self { should_stop, sender, exchanges }
     }
 
+    /// Whether a request has been refused with this error kind.
+    pub fn has_error(&self, kind: &str) -> bool {
+        let exchanges = self.exchanges.lock().expect("no caller panics");
+        exchanges.iter().any(|exchange| exchange.response.error_kind() == kind)
+    }
+
     /// Waits for all responses to the requests sent so far, and returns them.
     pub fn stop(self) -> Vec<Exchange> {
         self.should_stop.store(true, Ordering::Relaxed);
