Let callers of a stopping entry end when it accepts no connection

Traced by the entry's log (stopped, no open connection) and the one process left. Change: a caller ends when it cannot connect, and the flag is set before the callers' results are looked at.

--- a/crates/daemon/tests/stop_under_load.rs
+++ b/crates/daemon/tests/stop_under_load.rs
@@ -8,12 +8,12 @@
     ScriptedReplicas,
 };
 use std::{
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    thread,
+    thread::{self, ScopedJoinHandle},
     time::{Duration, Instant},
 };
 
@@ -97,10 +97,8 @@
             }
         };
         if !is_kept {
-            if TcpStream::connect(entry).is_err() {
-                break;
-            }
-            connection = KeptConnection::open(entry);
+            let Some(next) = KeptConnection::try_open(entry) else { break };
+            connection = next;
         }
         thread::sleep(Duration::from_millis(10 + (caller * 31 + number * 17) % 200));
     }
@@ -135,10 +133,12 @@
         configuration(2).apply(&fixture.store);
         fixture.signal("-HUP");
         fixture.signal("-TERM");
-        let losses: Vec<Loss> =
-            callers.into_iter().flat_map(|caller| caller.join().expect("it ends")).collect();
+        let losses: Vec<_> = callers.into_iter().map(ScopedJoinHandle::join).collect();
         is_done.store(true, Ordering::Relaxed);
         losses
+            .into_iter()
+            .flat_map(|losses| losses.expect("the caller ends"))
+            .collect::<Vec<Loss>>()
     });
     wait_until("the entry exits", || fixture.has_exited());
     let log = fixture.log();
