Log which version a session gets during a rollout, and why

The logs could not tell why a session changed its version: no line named a session, and none said how many peers the entry knew when it decided.

Adds a line when a session starts on the new version of a rollout or leaves the version that this entry knew, with the known version, the share, the phase, the age of the rollout and the number of live peers. At most one line for each session and entry in a rollout. The code on sessions moves into a file of its own; no decision changes.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -19,6 +19,7 @@
 mod rollouts;
 mod selection;
 mod serve;
+mod sessions;
 mod spreading;
 mod state;
 mod trials;
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -8,11 +8,9 @@
 
 use super::{
     Shared, State,
-    peers::{MAX_HELD_SESSIONS, replica_hash, truncate_hash},
+    peers::{replica_hash, truncate_hash},
     retry::Progress,
-    rollouts::RolloutProgress,
     serve::AdmittedRequest,
-    state::SessionVersion,
 };
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
@@ -96,17 +94,6 @@
             expected_wait,
         })
     }
-
-    /// Records the version that a request's session runs on.
-    pub(super) fn record_session(&self, request: &AdmittedRequest, version: &VersionId) {
-        let Some(session) = &request.params.session else { return };
-        let now = since_boot();
-        let mut state = self.state();
-        let used = SessionVersion { version: version.clone(), last_used: now };
-        state.sessions.insert(session.clone(), used);
-        let idle_timeout = self.settings.session_idle_timeout;
-        state.sessions.retain(|_, session| now.since(session.last_used) < idle_timeout);
-    }
 }
 
 impl State {
@@ -174,23 +161,6 @@
         }
     }
 
-    /// Short hashes of active sessions on an old version that a canary would otherwise take.
-    pub(super) fn held_sessions(&self, idle_timeout: Millis, now: Millis) -> Vec<u32> {
-        let is_held = |(session, known): &(&String, &SessionVersion)| {
-            let is_old = |progress: &RolloutProgress| {
-                !progress.controller.rollout.state.is_final()
-                    && progress.controller.rollout.target != known.version
-            };
-            now.since(known.last_used) < idle_timeout
-                && self.rollouts.values().any(is_old)
-                && TrafficSplit::is_in_canary(stable_hash(&[session]), self.exposure)
-        };
-        let held = self.sessions.iter().filter(is_held);
-        held.map(|(session, _)| truncate_hash(stable_hash(&[session])))
-            .take(MAX_HELD_SESSIONS)
-            .collect()
-    }
-
     /// Limits a canary to a few replicas at a time, so that each gets about the load that it will
     /// have when all requests go to the version.
     fn limit_canary_replicas(
