Keep sessions on the old version until the second half of a rollout

What callers saw: with 30 entries and more, sessions ran on the new version in the first half of a rollout after a request on the old one, and went back.

Cause: an entry that had not seen a session sent it to the new version unless a live peer reported it. An entry knows a part of its peers only (9 of 29, 19 of 67), so the silence of those it does not know counted as their answer. The class: a decision that needs the knowledge of all entries, made with that of some.

Change: no decision depends on where a session has run. Sessions stay on the old version for the first half; then a part of them, given by their hash and the age of the rollout alone, joins the canary, with twice the share so that the version is tested by about as many of their requests. Nothing is exchanged, so it holds at any number of entries, with loss and with entries that start or stop. Reports still name held sessions, for entries of earlier builds.

Ruled out: reports later than the start of the canary, and overflowing ones (about 19 sessions at a time for 64 places). Entries that disagree on the last step are another fault.

--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -56,7 +56,7 @@
     pub(super) loads: Vec<LoadReport>,
     #[serde(rename = "orders")]
     pub(super) rollouts: Vec<RolloutReport>,
-    /// Short hashes of active sessions that a canary must leave on the old version.
+    /// Short hashes of active sessions on an old version; only entries of earlier builds read them.
     pub(super) held_sessions: Vec<u32>,
 }
 
@@ -206,11 +206,6 @@
         reports.map(|(incarnation, report)| (incarnation, report.clone())).collect()
     }
 
-    /// Whether a live peer holds the session, given by its short hash, on the old version.
-    pub(crate) fn holds_session(&self, session: u32, now: Millis) -> bool {
-        self.live(now).any(|(_, peer)| peer.report.held_sessions.contains(&session))
-    }
-
     /// Requests in progress and pending prefill tokens at each replica, by its short hash: the sums
     /// over all peers whose last report is younger than `LOAD_TTL`.
     pub(crate) fn loads(&self, now: Millis) -> BTreeMap<u32, (u32, Tokens)> {
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -6,12 +6,7 @@
     reason = "tokens of a prompt stay far below 2^52"
 )]
 
-use super::{
-    Shared, State,
-    peers::{replica_hash, truncate_hash},
-    retry::Progress,
-    serve::AdmittedRequest,
-};
+use super::{Shared, State, peers::replica_hash, retry::Progress, serve::AdmittedRequest};
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
 use ibissail_direct::{
@@ -150,15 +145,7 @@
             return split.routes_to_target(stable_hash(&[&request.params.id]))
                 || may_be_extra && self.try_take_extra_canary_request(&request.service, now);
         };
-        let hash = stable_hash(&[session]);
-        match self.sessions.get(session) {
-            // A session stays on its version until all requests move to the target version.
-            Some(known) if split.share > 0.0 && split.share < 1.0 => known.version == split.target,
-            None if split.share < 1.0 => {
-                split.routes_to_target(hash) && !self.peers.holds_session(truncate_hash(hash), now)
-            }
-            _ => split.routes_to_target(hash),
-        }
+        split.routes_session_to_target(stable_hash(&[session]))
     }
 
     /// Limits a canary to a few replicas at a time, so that each gets about the load that it will
@@ -180,7 +167,8 @@
         }
         let ready = self.replicas.ready(&request.service, now);
         let old = ready.filter(|replica| replica.version != split.target).count();
-        let replica_count = canary_replica_count(split.share, old).min(candidates.len());
+        let replica_count =
+            canary_replica_count(split.share.max(split.session_share), old).min(candidates.len());
         candidates.sort_by_key(|candidate| stable_hash(&[candidate.id.as_str()]));
         let rotation =
             usize::try_from(rollout.controller.elapsed(now).0 / CANARY_ROTATION_INTERVAL.0);
--- a/crates/daemon/src/direct/sessions.rs
+++ b/crates/daemon/src/direct/sessions.rs
@@ -46,14 +46,15 @@
         let split = controller.current_split(now);
         info!(self.log, "session: version selected"; "id" => &request.params.id,
             "session" => truncate_hash(stable_hash(&[session])), "version" => %version,
-            "known_version" => known.map_or("none", VersionId::as_str), "share" => split.share,
+            "known_version" => known.map_or("none", VersionId::as_str), "share" => split.session_share,
             "phase" => %controller.schedule(now).phase(), "elapsed_ms" => controller.elapsed(now).0,
             "peers" => state.peers.live_entry_count(now) - 1);
     }
 }
 
 impl State {
-    /// Short hashes of active sessions on an old version that a canary would otherwise take.
+    /// Short hashes of active sessions on an old version, for entries of earlier builds, which send
+    /// sessions to the new version at once unless a peer reports them.
     pub(super) fn held_sessions(&self, idle_timeout: Millis, now: Millis) -> Vec<u32> {
         let is_held = |(session, known): &(&String, &SessionVersion)| {
             let is_old = |progress: &RolloutProgress| {
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -10,14 +10,20 @@
 
 /// Part of the allowed exposure that the canary phase uses.
 const CANARY_PART: f64 = 0.4;
+/// Part of the allowed exposure that sessions may use in the canary phase; twice [`CANARY_PART`],
+/// because they join it halfway.
+const SESSION_CANARY_PART: f64 = 0.8;
+/// Part of the rollout's duration in which all sessions stay on the old version: the half in which
+/// operators expect it, and a margin for entries that disagree on the start.
+const SESSION_DELAY_PART: f64 = 0.52;
 /// Part of the allowed exposure that the full phase uses before success is recorded. A version may
 /// fail only under the load of all requests, so this phase comes last and is short.
 const FULL_PART: f64 = 0.5;
 /// Time before the rollout's end at which the outcome is recorded even if requests still run on the
 /// old version; operators see a status up to half a second after it was written.
 const STATUS_MARGIN: Millis = Millis(600);
-/// Time after the start of a rollout in which the new version gets no requests, while entries
-/// exchange which sessions run on the old one.
+/// Time after the start of a rollout in which the new version gets no requests. Entries of earlier
+/// builds exchange which sessions run on the old one.
 const CANARY_DELAY: Millis = Millis(1_200);
 /// Part of the rollout's duration for which some entry must have observed the new version before
 /// success. Restarts lose evidence, and a version that no entry has observed that long keeps
@@ -125,6 +131,11 @@
 }
 
 impl Schedule {
+    /// Whether sessions may run on the new version.
+    fn includes_sessions(&self) -> bool {
+        self.elapsed.0 as f64 >= self.duration.0 as f64 * SESSION_DELAY_PART
+    }
+
     /// Phase at the elapsed time.
     ///
     /// # Examples
@@ -155,8 +166,11 @@
 pub struct TrafficSplit {
     /// New version.
     pub target: VersionId,
-    /// Share of the requests that the new version receives, from 0 to 1.
+    /// Share of the requests without a session that the new version receives, from 0 to 1.
     pub share: f64,
+    /// Share of the sessions that run on the new version, from 0 to 1. It depends on the time and
+    /// the phase only, so that no entry needs to know where a session has run.
+    pub session_share: f64,
     /// Whether the rollout is in progress and not all requests go to the new version; also true
     /// while the share is 0.
     pub is_canary: bool,
@@ -174,32 +188,68 @@
         canary: CanaryProgress,
     ) -> Self {
         let canary_share = CANARY_PART * schedule.exposure;
-        let share = match rollout.state {
-            RolloutState::Succeeded => 1.0,
-            RolloutState::RolledBack => 0.0,
-            RolloutState::Pending | RolloutState::Running if is_bad => 0.0,
-            RolloutState::Pending | RolloutState::Running if schedule.elapsed < CANARY_DELAY => 0.0,
+        let session_canary_share = if schedule.includes_sessions() {
+            SESSION_CANARY_PART * schedule.exposure
+        } else {
+            0.0
+        };
+        let canary_shares = (canary_share, session_canary_share);
+        let (share, session_share) = match rollout.state {
+            RolloutState::Succeeded => (1.0, 1.0),
+            RolloutState::RolledBack => (0.0, 0.0),
+            RolloutState::Pending | RolloutState::Running
+                if is_bad || schedule.elapsed < CANARY_DELAY =>
+            {
+                (0.0, 0.0)
+            }
             RolloutState::Pending | RolloutState::Running
                 if !canary.is_sufficient(rollout.duration) =>
             {
-                canary_share
+                canary_shares
             }
             RolloutState::Pending | RolloutState::Running => match schedule.phase() {
-                Phase::Canary => canary_share,
-                Phase::Full | Phase::Due => 1.0,
+                Phase::Canary => canary_shares,
+                Phase::Full | Phase::Due => (1.0, 1.0),
             },
         };
         let is_canary = !rollout.state.is_final() && share < 1.0;
-        Self { target: rollout.target.clone(), share, is_canary }
+        Self { target: rollout.target.clone(), share, session_share, is_canary }
     }
 
-    /// Whether a session with this hash falls within the canary share.
+    /// Whether an entry of an earlier build would send a session with this hash to the new version.
     #[must_use]
     pub fn is_in_canary(hash: u64, exposure: f64) -> bool {
         unit_fraction(hash) < CANARY_PART * exposure
     }
 
-    /// Whether a request with this hash goes to the new version.
+    /// Whether the sessions with this hash run on the new version.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::{Millis, StoreRevision};
+    /// use ibissail_direct::{CanaryProgress, Rollout, RolloutState, Schedule, TrafficSplit};
+    /// let rollout = Rollout {
+    ///     service: "records".parse().unwrap(),
+    ///     target: "v2".parse().unwrap(),
+    ///     duration: Millis(24_000),
+    ///     revision: StoreRevision::new(0, 1),
+    ///     state: RolloutState::Running,
+    ///     started_unix_ms: None,
+    /// };
+    /// let split = |elapsed| {
+    ///     let schedule = Schedule { elapsed, duration: rollout.duration, exposure: 0.15 };
+    ///     TrafficSplit::new(&rollout, &schedule, false, CanaryProgress::default())
+    /// };
+    /// assert!(!split(Millis(11_900)).routes_session_to_target(0), "sessions stay at first");
+    /// assert!(split(Millis(13_000)).routes_session_to_target(0));
+    /// ```
+    #[must_use]
+    pub fn routes_session_to_target(&self, hash: u64) -> bool {
+        unit_fraction(hash) < self.session_share
+    }
+
+    /// Whether a request without a session and with this hash goes to the new version.
     ///
     /// A hash that goes to the new version keeps going there while the share grows.
     #[must_use]
