Let all entries decide alike whether a canary is followed by the last step

What callers could see: a session went to the new version at one entry in the last second of a sound rollout and back to the old one at the next.

Cause: each entry judged the canary by the responses that it knew. What one held for sound was suspect for another, so one sent all requests to the new version and the other kept them on the old one. Found while the reported moves were traced; it needs no large fleet.

Change: 1.6 s before the full phase (a tenth of the rollout at most) each entry fixes its result of the canary phase and tells it in its notices. Each adopts the greatest, that of the most responses, and passes it on, so a few rounds reach every entry whatever peers each knows, and the bytes do not grow with the fleet. Entries of earlier builds ignore the field and decide by themselves.

Measured: session_moves, 70 seeded histories of sound versions that are slower by up to 30 in 100, 5 to 200 entries with ten known peers, loss, a cut zone, late starts and planned stops. Ruled out: OR over all entries, as one suspicious entry among hundreds would stop each rollout.

--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -1,4 +1,5 @@
-//! Notices between entries: restores of the store, and what replicas say about themselves.
+//! Notices between entries: restores of the store, what replicas say about themselves, and results
+//! of canary phases.
 
 use super::{
     Shared,
@@ -41,7 +42,9 @@
         let is_restore_recent =
             state.restored_at.is_some_and(|restored| now.since(restored) < RESTORE_NOTICE_TIME);
         let (leaving, paused) = (state.leaving_replicas(), state.paused_replicas(now));
-        if !is_restore_recent && leaving.is_empty() && paused.is_empty() {
+        let canary_results = state.canary_results();
+        let is_empty = leaving.is_empty() && paused.is_empty() && canary_results.is_empty();
+        if !is_restore_recent && is_empty {
             return None;
         }
         Some(Notice {
@@ -51,6 +54,7 @@
             leaving,
             paused,
             crashes: None,
+            canary_results,
         })
     }
 
@@ -66,6 +70,14 @@
         if let Some(crashes) = &notice.crashes {
             state.quarantine.merge(crashes, now);
         }
+        for told in &notice.canary_results {
+            if state.merge_canary_result(told, now) {
+                info!(self.log, "rollout: canary result adopted"; "service" => %told.service,
+                    "target" => %told.target, "responses" => told.result.responses,
+                    "observed_ms" => told.result.observed_for.0,
+                    "is_suspect" => told.result.is_suspect, "peer" => %notice.incarnation);
+            }
+        }
         if notice.leaving.is_empty() && notice.paused.is_empty() {
             return;
         }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,7 +1,7 @@
 //! The other entries: the latest report of each, and the addresses that reports are sent to.
 
-use ibissail_core::{Epoch, Incarnation, InstanceId, Millis, ServiceId, Tokens, VmId};
-use ibissail_direct::{CrashEvidence, DirectSettings, RolloutReport, stable_hash};
+use ibissail_core::{Epoch, Incarnation, InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
+use ibissail_direct::{CanaryProgress, CrashEvidence, DirectSettings, RolloutReport, stable_hash};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -66,6 +66,15 @@
 /// rest of the pause in milliseconds.
 pub(super) type PausedReplica = (u32, u64);
 
+/// Result of the canary phase of a rollout, as told to peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct ToldCanaryResult {
+    pub(super) service: ServiceId,
+    /// New version.
+    pub(super) target: VersionId,
+    pub(super) result: CanaryProgress,
+}
+
 /// What an entry tells its peers besides its report. It is a message of its own, which entries of
 /// earlier builds ignore, and is sent only while there is something to tell.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -84,6 +93,9 @@
     /// Requests and parts of prompts that crash replicas.
     #[serde(default, rename = "prompts", skip_serializing_if = "Option::is_none")]
     pub(super) crashes: Option<CrashEvidence>,
+    /// Results of the canary phases that end now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) canary_results: Vec<ToldCanaryResult>,
 }
 
 /// Another entry.
--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -62,6 +62,7 @@
             leaving: Vec::new(),
             paused: Vec::new(),
             crashes: Some(evidence),
+            canary_results: Vec::new(),
         })
     }
 
--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -1,6 +1,6 @@
 //! Carries out rollouts, which move a service to another version.
 
-use super::{Shared, State};
+use super::{Shared, State, peers::ToldCanaryResult};
 use crate::clock::{since_boot, unix_millis};
 use async_std::task;
 use ibissail_core::{Count, InstanceId, Millis, ServiceId, VersionId};
@@ -166,6 +166,24 @@
         }
     }
 
+    /// Results of the canary phases of active rollouts.
+    pub(super) fn canary_results(&self) -> Vec<ToldCanaryResult> {
+        let told = self.rollouts.values().filter_map(|progress| {
+            let Rollout { service, target, .. } = &progress.controller.rollout;
+            let result = progress.controller.canary_result()?;
+            Some(ToldCanaryResult { service: service.clone(), target: target.clone(), result })
+        });
+        told.collect()
+    }
+
+    /// Applies a peer's result of a canary phase; returns whether it replaces the known one.
+    pub(super) fn merge_canary_result(&mut self, told: &ToldCanaryResult, now: Millis) -> bool {
+        let progress = self.rollouts.get_mut(&told.service);
+        progress.is_some_and(|progress| {
+            progress.controller.merge_canary_result(&told.target, told.result, now)
+        })
+    }
+
     /// Counts the start or the end of a request on an old version.
     pub(super) fn count_old_version(
         &mut self,
--- a/crates/daemon/tests/session_versions.rs
+++ b/crates/daemon/tests/session_versions.rs
@@ -220,4 +220,6 @@
         found.early.iter().chain(&found.back).map(|(id, _)| id.as_str()).collect();
     assert!(early + back <= MAX_MOVED, "{found:?}\n{}", log_lines(&fleet, &moved));
     assert!(late > 0, "sessions move in the second half");
+    let adopted = fleet.iter().filter(|entry| entry.log().contains("canary result adopted"));
+    assert!(adopted.count() > ENTRIES / 2, "the entries tell each other the canary's result");
 }
--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -46,9 +46,12 @@
     /// Current verdict; a rejection is final.
     verdict: Verdict,
     canary: CanaryProgress,
-    /// Whether the version was suspect when its canary phase ended; `None` until then. Later
-    /// responses can only reject the version, so that sessions do not move back and forth.
-    suspect_after_canary: Option<bool>,
+    /// Result of the canary phase, which decides whether the full phase follows; `None` until it is
+    /// fixed. Of the results of all entries, the greatest counts. Later responses can only reject
+    /// the version, so that sessions do not move back and forth.
+    canary_result: Option<CanaryProgress>,
+    /// Whether the responses that this entry knows are included in that result.
+    is_canary_concluded: bool,
     slowdown: Slowdown,
     pace_slowdown: Slowdown,
     /// Share of requests that a bad version may receive.
@@ -67,7 +70,8 @@
             first_seen: now.since(running_for),
             verdict: Verdict::NoDifference,
             canary: CanaryProgress::default(),
-            suspect_after_canary: None,
+            canary_result: None,
+            is_canary_concluded: false,
             slowdown: Slowdown::default(),
             pace_slowdown: Slowdown::default(),
             exposure,
@@ -195,16 +199,52 @@
         }
         self.slowdown = slowdown(&evidence);
         self.pace_slowdown = pace_slowdown(&evidence);
-        let is_suspect =
-            self.suspect_after_canary.unwrap_or_else(|| is_suspect(&evidence, replicas));
-        if self.schedule(now).phase() != Phase::Canary {
-            self.suspect_after_canary = Some(is_suspect);
+        if self.is_canary_concluded {
+            return;
         }
-        self.canary = CanaryProgress {
+        let mut canary = CanaryProgress {
             responses: evidence.new.response_count(),
             observed_for: self.evidence.observed_for(now),
-            is_suspect,
+            is_suspect: is_suspect(&evidence, replicas),
         };
+        let schedule = self.schedule(now);
+        if schedule.is_canary_concluded() {
+            // The version is observed until the full phase begins.
+            let left = schedule.canary_time_left();
+            canary.observed_for = canary.observed_for.saturating_add(left);
+            canary = self.canary_result.map_or(canary, |known| known.max(canary));
+            self.canary_result = Some(canary);
+            self.is_canary_concluded = true;
+        }
+        self.canary = canary;
+    }
+
+    /// Result of the canary phase, to be told to the peers; `None` before it is fixed and once the
+    /// rollout is over.
+    #[must_use]
+    pub fn canary_result(&self) -> Option<CanaryProgress> {
+        self.canary_result.filter(|_| !self.rollout.state.is_final())
+    }
+
+    /// Applies a peer's result of the canary phase; returns whether it replaces the known one.
+    ///
+    /// Each entry knows the responses of some peers only. As all adopt the greatest result, they
+    /// decide the same whatever each of them has counted.
+    pub fn merge_canary_result(
+        &mut self,
+        target: &VersionId,
+        result: CanaryProgress,
+        now: Millis,
+    ) -> bool {
+        let is_current = *target == self.rollout.target
+            && !self.rollout.state.is_final()
+            && self.schedule(now).is_canary_concluded();
+        if !is_current || self.canary_result >= Some(result) {
+            return false;
+        }
+        self.canary_result = Some(result);
+        self.canary = result;
+        true
     }
 
     fn next_state(&self, old_running: u32, now: Millis) -> Option<RolloutState> {
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -19,6 +19,11 @@
 /// Part of the allowed exposure that the full phase uses before success is recorded. A version may
 /// fail only under the load of all requests, so this phase comes last and is short.
 const FULL_PART: f64 = 0.5;
+/// Time before the full phase in which the entries agree on the result of the canary phase: four
+/// rounds of messages.
+const AGREEMENT_TIME: Millis = Millis(1_600);
+/// Longest time for that, as a part of the rollout's duration.
+const MAX_AGREEMENT_PART: f64 = 0.1;
 /// Time before the rollout's end at which the outcome is recorded even if requests still run on the
 /// old version; operators see a status up to half a second after it was written.
 const STATUS_MARGIN: Millis = Millis(600);
@@ -100,7 +105,9 @@
 }
 
 /// How thoroughly the new version has been tested.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+///
+/// In the order of values, one that counts more responses is greater.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CanaryProgress {
     /// Responses of the new version counted by all entries.
     pub responses: u32,
@@ -136,6 +143,26 @@
         self.elapsed.0 as f64 >= self.duration.0 as f64 * SESSION_DELAY_PART
     }
 
+    /// Time until the full phase begins, in milliseconds.
+    fn time_until_full(&self) -> f64 {
+        let full_time = self.duration.0 as f64 * FULL_PART * self.exposure;
+        self.duration.since(self.elapsed).0 as f64 - full_time
+    }
+
+    /// Whether the result of the canary phase is fixed, so that the entries can agree on it before
+    /// the full phase begins.
+    #[must_use]
+    pub fn is_canary_concluded(&self) -> bool {
+        let longest = self.duration.0 as f64 * MAX_AGREEMENT_PART;
+        self.time_until_full() <= longest.min(AGREEMENT_TIME.0 as f64)
+    }
+
+    /// Time until the full phase begins; zero once it has begun.
+    #[must_use]
+    pub fn canary_time_left(&self) -> Millis {
+        Millis(self.time_until_full().max(0.0) as u64)
+    }
+
     /// Phase at the elapsed time.
     ///
     /// # Examples
@@ -149,11 +176,9 @@
     /// ```
     #[must_use]
     pub fn phase(&self) -> Phase {
-        let full_time = self.duration.0 as f64 * FULL_PART * self.exposure;
-        let time_left = self.duration.since(self.elapsed);
-        if time_left.0 as f64 > full_time {
+        if self.time_until_full() > 0.0 {
             Phase::Canary
-        } else if time_left > STATUS_MARGIN {
+        } else if self.duration.since(self.elapsed) > STATUS_MARGIN {
             Phase::Full
         } else {
             Phase::Due
--- a/crates/direct/tests/session_moves.rs
+++ b/crates/direct/tests/session_moves.rs
@@ -3,7 +3,7 @@
 
 use ibissail_core::{Count, Incarnation, Millis, StoreRevision};
 use ibissail_direct::{
-    Rollout, RolloutController, RolloutReport, RolloutState, Sample, stable_hash,
+    CanaryProgress, Rollout, RolloutController, RolloutReport, RolloutState, Sample, stable_hash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use std::collections::BTreeMap;
@@ -19,6 +19,8 @@
 const REQUESTS_PER_STEP: usize = 12;
 /// Longest time for which a request runs.
 const MAX_REQUEST_MS: u64 = 1_500;
+/// Requests that may run on another version than the one before.
+const MAX_MOVED: usize = 3;
 /// Peers whose reports an entry receives, however large the fleet is.
 const KNOWN_PEERS: usize = 10;
 /// Entries that start late learn the rollout's age from clocks that differ by up to this.
@@ -160,12 +162,20 @@
         let report =
             |entry: &Entry| entry.serves(now).then(|| entry.controller.report(Millis(now)));
         let sent: Vec<Option<RolloutReport>> = entries.iter().map(report).collect();
+        let results: Vec<Option<CanaryProgress>> = entries
+            .iter()
+            .map(|entry| entry.controller.canary_result().filter(|_| entry.serves(now)))
+            .collect();
         let zones: Vec<bool> = entries.iter().map(|entry| entry.is_in_cut_zone).collect();
         for entry in &mut self.entries {
             for (peer, known) in &mut entry.reports {
                 let is_reachable = !is_cut || zones[*peer] == entry.is_in_cut_zone;
                 if is_reachable && !self.rng.random_bool(self.report_loss) {
                     known.clone_from(&sent[*peer]);
+                    if let Some(result) = results[*peer] {
+                        let target = entry.controller.rollout.target.clone();
+                        entry.controller.merge_canary_result(&target, result, Millis(now));
+                    }
                 }
             }
         }
@@ -205,6 +215,9 @@
     }
 }
 
+/// Rollouts that succeed, of 70: the others are slower by up to 30 in 100 and may look suspect.
+const MIN_SUCCEEDED: u32 = 50;
+
 /// Number of entries, and of seeds played with it.
 const FLEETS: [(usize, u64); 4] = [(5, 40), (30, 16), (68, 10), (200, 4)];
 
@@ -218,3 +231,16 @@
         }
     }
 }
+
+#[test]
+fn entries_take_the_last_step_together() {
+    let mut succeeded = 0;
+    for (size, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let (state, moves) = Fleet::new(seed, size).run();
+            assert!(moves.back <= MAX_MOVED, "{size} entries, seed {seed}, {state}: {moves:?}");
+            succeeded += u32::from(state == RolloutState::Succeeded);
+        }
+    }
+    assert!(succeeded >= MIN_SUCCEEDED, "{succeeded} of 70 sound rollouts succeeded");
+}
