Do not pass on the age of a rollout that only wall clocks gave

What callers could see: in the first half of a rollout, sessions of all entries moved to the new version, seconds too early.

Cause: an entry that starts during a rollout computes its age from the start time in the status and its own wall clock. It reported that age to its peers, and each entry takes the greatest age it hears. One VM whose clock is ahead by 2 s moved the whole fleet ahead by 2 s.

Change: an age from a wall clock is an estimate.

Measured: session_moves with clocks that differ by up to 2.5 s at entries that start late.

--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -19,7 +19,8 @@
     pub target: VersionId,
     /// State of the rollout, as known to the reporting entry.
     pub state: RolloutState,
-    /// Time since any entry first saw the rollout.
+    /// Time since any entry first saw the rollout; zero if the reporting entry only has the start
+    /// time in the status, which another VM's clock gave.
     pub elapsed: Millis,
     /// Time for which the reporting entry has observed the new version.
     #[serde(rename = "watched")]
@@ -43,6 +44,9 @@
     pub old_running: u32,
     /// Time at which any entry first saw the rollout, on this entry's clock.
     first_seen: Millis,
+    /// Whether that time comes from the status and wall clocks, which may be wrong by seconds, and
+    /// no peer has told its own yet.
+    is_start_estimated: bool,
     /// Current verdict; a rejection is final.
     verdict: Verdict,
     canary: CanaryProgress,
@@ -59,11 +63,12 @@
 }
 
 impl RolloutController {
-    /// Starts to control a rollout; `running_for` is the time since another entry started it, zero
-    /// if unknown.
+    /// Starts to control a rollout; `running_for` is the time since another entry started it by the
+    /// wall clock, zero if unknown.
     #[must_use]
     pub fn new(rollout: Rollout, exposure: f64, running_for: Millis, now: Millis) -> Self {
         Self {
+            is_start_estimated: rollout.started_unix_ms.is_some(),
             rollout,
             evidence: SharedEvidence::new(now),
             old_running: 0,
@@ -140,18 +145,24 @@
     /// How this entry splits the service's requests between the versions.
     #[must_use]
     pub fn current_split(&self, now: Millis) -> TrafficSplit {
-        TrafficSplit::new(&self.rollout, &self.schedule(now), self.verdict.is_bad(), self.canary)
+        let schedule = self.schedule(now);
+        let split = TrafficSplit::new(&self.rollout, &schedule, self.verdict.is_bad(), self.canary);
+        if split.is_canary && self.is_start_estimated {
+            return TrafficSplit { session_share: 0.0, ..split };
+        }
+        split
     }
 
     /// Report for the peers; once the rollout is over, they no longer need the evidence.
     #[must_use]
     pub fn report(&self, now: Millis) -> RolloutReport {
         let is_over = self.rollout.state.is_final();
+        let elapsed = if self.is_start_estimated { Millis(0) } else { self.elapsed(now) };
         RolloutReport {
             service: self.rollout.service.clone(),
             target: self.rollout.target.clone(),
             state: self.rollout.state,
-            elapsed: self.elapsed(now),
+            elapsed,
             observed_for: self.evidence.own_observed_for(now),
             is_bad: self.verdict.is_bad(),
             old_running: self.old_running,
@@ -177,7 +188,7 @@
             }
             old_running += report.old_running;
             self.evidence.update_peer(peer, report.evidence, report.observed_for);
-            self.first_seen = self.first_seen.min(now.since(report.elapsed));
+            self.merge_start(report.elapsed, now);
             if report.state.is_final() {
                 // The peer has read a status that this entry may be unable to read.
                 self.update(Rollout { state: report.state, ..self.rollout.clone() });
@@ -192,6 +203,16 @@
         self.next_state(old_running, now)
     }
 
+    /// Applies the time since the start of the rollout that a peer has told.
+    fn merge_start(&mut self, elapsed: Millis, now: Millis) {
+        if elapsed == Millis(0) {
+            return;
+        }
+        let told = now.since(elapsed);
+        self.first_seen = if self.is_start_estimated { told } else { self.first_seen.min(told) };
+        self.is_start_estimated = false;
+    }
+
     fn evaluate(&mut self, replicas: Count, now: Millis) {
         let evidence = self.evidence.total();
         if !self.verdict.is_bad() {
--- a/crates/direct/tests/session_moves.rs
+++ b/crates/direct/tests/session_moves.rs
@@ -23,8 +23,13 @@
 const MAX_MOVED: usize = 3;
 /// Peers whose reports an entry receives, however large the fleet is.
 const KNOWN_PEERS: usize = 10;
-/// Entries that start late learn the rollout's age from clocks that differ by up to this.
-const CLOCK_DIFFERENCE_MS: u64 = 100;
+/// Entries that start late compute the rollout's age with clocks that differ by up to this.
+const CLOCK_DIFFERENCE_MS: u64 = 2_500;
+
+/// Time since the boot of the VMs at a time since the order of the rollout.
+fn clock(now: u64) -> Millis {
+    Millis(60_000 + now)
+}
 
 struct Entry {
     controller: RolloutController,
@@ -87,14 +92,13 @@
             let starts_at = if fate == 0 { rng.random_range(1..20_000) } else { 0 };
             let stops_at = if fate == 1 { rng.random_range(1..24_000) } else { u64::MAX };
             let seen_at = starts_at + rng.random_range(0..60);
-            let running_for = if starts_at == 0 {
-                Millis(0)
-            } else {
-                let error = rng.random_range(0..2 * CLOCK_DIFFERENCE_MS);
-                Millis((seen_at + error).saturating_sub(CLOCK_DIFFERENCE_MS))
-            };
-            let controller =
-                RolloutController::new(rollout.clone(), EXPOSURE, running_for, Millis(seen_at));
+            let started_unix_ms = (starts_at > 0).then_some(0);
+            let error = rng.random_range(0..2 * CLOCK_DIFFERENCE_MS);
+            let running_for = started_unix_ms
+                .map(|_| Millis((seen_at + error).saturating_sub(CLOCK_DIFFERENCE_MS)))
+                .unwrap_or_default();
+            let known = Rollout { started_unix_ms, ..rollout.clone() };
+            let controller = RolloutController::new(known, EXPOSURE, running_for, clock(seen_at));
             let peers = indexes.choose_multiple(&mut rng, KNOWN_PEERS.min(size - 1));
             let reports = peers.filter(|peer| **peer != index).map(|peer| (*peer, None));
             let reports = reports.collect();
@@ -131,7 +135,7 @@
             let session = self.rng.random_range(0..SESSIONS);
             let controller = &mut self.entries[index].controller;
             let hash = stable_hash(&[&session.to_string()]);
-            let is_new = controller.current_split(Millis(now)).routes_session_to_target(hash);
+            let is_new = controller.current_split(clock(now)).routes_session_to_target(hash);
             match (self.versions.insert(session, is_new), is_new) {
                 (Some(false), true) if now < DURATION.0 / 2 => self.moves.early += 1,
                 (Some(false), true) => self.moves.late += 1,
@@ -159,8 +163,7 @@
     fn report(&mut self, now: u64) {
         let is_cut = (self.cut.0..self.cut.1).contains(&now);
         let entries = &self.entries;
-        let report =
-            |entry: &Entry| entry.serves(now).then(|| entry.controller.report(Millis(now)));
+        let report = |entry: &Entry| entry.serves(now).then(|| entry.controller.report(clock(now)));
         let sent: Vec<Option<RolloutReport>> = entries.iter().map(report).collect();
         let results: Vec<Option<CanaryProgress>> = entries
             .iter()
@@ -174,7 +177,7 @@
                     known.clone_from(&sent[*peer]);
                     if let Some(result) = results[*peer] {
                         let target = entry.controller.rollout.target.clone();
-                        entry.controller.merge_canary_result(&target, result, Millis(now));
+                        entry.controller.merge_canary_result(&target, result, clock(now));
                     }
                 }
             }
@@ -188,7 +191,7 @@
                 report.as_ref().map(|report| (Incarnation(*peer as u64), report.clone()))
             });
             let decided =
-                entry.controller.decide(reports.collect::<Vec<_>>(), REPLICAS, Millis(now));
+                entry.controller.decide(reports.collect::<Vec<_>>(), REPLICAS, clock(now));
             if let Some(state) = decided.filter(|state| state.is_final()) {
                 self.state = state;
                 return;
