Divide shares by the estimated fleet, not by the peers that an entry knows

What callers could see: in a large fleet a new version gets several times the canary requests beyond its share, and the entries together more than the retry allowance.

The class of the first matter: what is not heard counts as not there.

Change: FleetSize, a sample of the smallest hashes of entries heard of in the last 8 s, with the time since each was alive. It goes to six receivers in every second round, in a notice of at most 400 bytes whatever the fleet's size (3 kB a second and entry), and at once to a peer that has just been discovered. Up to 31 entries are counted, more are estimated. Metric ibissail_direct_entries.

--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 use ibissail_core::{Epoch, Incarnation, Millis, StoreRevision};
 use ibissail_direct::{Confirmation, Confirmed, EpochConfirmation, EpochConfirmed};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
@@ -22,6 +23,9 @@
 /// Largest encoded report, in bytes, that fits in one datagram.
 const MAX_REPORT_BYTES: usize = 1_400;
 
+/// Receivers of a sample of entries, chosen at random in each round.
+const FLEET_SAMPLE_RECEIVERS: usize = 6;
+
 /// A datagram between entries.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) enum Message {
@@ -100,6 +104,8 @@
         };
         let live = state.peers.live_entry_count(now) - 1;
         self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
+        let entries = state.peers.entry_count(now);
+        self.metrics.entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
         (receivers, report)
     }
 
@@ -170,7 +176,7 @@
             match socket.recv_from(&mut buf).await {
                 Ok((length, _from)) => {
                     if let Some(peer) = shared.handle_message(&buf[..length]) {
-                        shared.send_evidence(&[peer], since_boot()).await;
+                        shared.introduce(peer, since_boot()).await;
                     }
                 }
                 // The error concerns an earlier datagram, sent to a closed port; others may still
@@ -200,6 +206,12 @@
             shared.send(&message, *receiver).await;
         }
     }
+    if let Some(notice) = shared.build_fleet_notice(now) {
+        let message = Message::Notice(notice);
+        for receiver in sample_receivers(&receivers) {
+            shared.send(&message, receiver).await;
+        }
+    }
     match encode(report) {
         Ok(bytes) => {
             for receiver in receivers {
@@ -211,6 +223,11 @@
     }
 }
 
+/// Chooses the receivers of a sample of entries.
+fn sample_receivers(receivers: &[SocketAddr]) -> Vec<SocketAddr> {
+    receivers.choose_multiple(&mut rand::rng(), FLEET_SAMPLE_RECEIVERS).copied().collect()
+}
+
 /// Encodes a report for one datagram; the smallest loads are left out if not all fit. A report that
 /// is too large without any load is encoded nevertheless.
 fn encode(mut report: Report) -> Result<Vec<u8>, rmp_serde::encode::Error> {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -65,6 +65,8 @@
     pub(crate) replicas: Gauge,
     /// Live peers.
     pub(crate) peers: Gauge,
+    /// Estimated number of live entries, including those that are not known as peers.
+    pub(crate) entries: Gauge,
 }
 
 impl DirectMetrics {
@@ -88,6 +90,7 @@
             configuration_age: Gauge::default(),
             replicas: Gauge::default(),
             peers: Gauge::default(),
+            entries: Gauge::default(),
         };
         registry.register("requests", "Ended requests", metrics.requests.clone());
         registry.register("attempts", "Ended attempts", metrics.attempts.clone());
@@ -122,6 +125,7 @@
         registry.register("configuration_age_ms", "Age of the configuration", age);
         registry.register("replicas", "Replicas listed", metrics.replicas.clone());
         registry.register("peers", "Peers heard of lately", metrics.peers.clone());
+        registry.register("entries", "Estimated number of entries", metrics.entries.clone());
         Self { registry: Arc::new(registry), ..metrics }
     }
 
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -1,8 +1,9 @@
-//! Notices between entries: restores of the store, what replicas say about themselves, and results
-//! of canary phases.
+//! Notices between entries: restores of the store, what replicas say about themselves, results of
+//! canary phases, and samples of the entries.
 
 use super::{
     Shared,
+    messages::Message,
     peers::{LeavingReplica, Notice, PausedReplica, replica_hash},
     state::State,
 };
@@ -10,7 +11,7 @@
 use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{Replica, ReplicaSignals};
 use slog::info;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Time after a restore of the store for which an entry tells its peers of it. By then the
 /// operators and the replicas have written again what was lost.
@@ -19,6 +20,20 @@
 const MAX_NOTICE_REPLICAS: usize = 48;
 
 impl State {
+    /// A notice that tells nothing but the epoch and the configuration.
+    pub(super) fn empty_notice(&self) -> Notice {
+        Notice {
+            incarnation: self.peers.incarnation,
+            epoch: self.epoch,
+            configuration: self.table.as_ref().map_or(0, |table| table.version),
+            leaving: Vec::new(),
+            paused: Vec::new(),
+            crashes: None,
+            canary_results: Vec::new(),
+            fleet: Vec::new(),
+        }
+    }
+
     fn replicas_by_hash(&self) -> BTreeMap<u32, Replica> {
         self.replicas.iter().map(|replica| (replica_hash(&replica.id), replica.clone())).collect()
     }
@@ -47,15 +62,24 @@
         if !is_restore_recent && is_empty {
             return None;
         }
-        Some(Notice {
-            incarnation: state.peers.incarnation,
-            epoch: state.epoch,
-            configuration: state.table.as_ref().map_or(0, |table| table.version),
-            leaving,
-            paused,
-            crashes: None,
-            canary_results,
-        })
+        Some(Notice { leaving, paused, canary_results, ..state.empty_notice() })
+    }
+
+    /// Notice with the sample of entries; `None` in rounds in which it is not sent.
+    pub(super) fn build_fleet_notice(&self, now: Millis) -> Option<Notice> {
+        let mut state = self.state();
+        let fleet = state.peers.due_fleet_sample(now)?;
+        Some(Notice { fleet, ..state.empty_notice() })
+    }
+
+    /// Tells a peer that has just been discovered what the reports do not say.
+    pub(super) async fn introduce(&self, peer: SocketAddr, now: Millis) {
+        let notice = {
+            let mut state = self.state();
+            Notice { fleet: state.peers.fleet_sample(now), ..state.empty_notice() }
+        };
+        self.send(&Message::Notice(notice), peer).await;
+        self.send_evidence(&[peer], now).await;
     }
 
     /// Applies a peer's notice. That a replica is leaving counts for this entry too; that it has
@@ -70,6 +94,7 @@
         if let Some(crashes) = &notice.crashes {
             state.quarantine.merge(crashes, now);
         }
+        state.peers.merge_fleet_sample(&notice.fleet, now);
         for told in &notice.canary_results {
             if state.merge_canary_result(told, now) {
                 info!(self.log, "rollout: canary result adopted"; "service" => %told.service,
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,7 +1,9 @@
 //! The other entries: the latest report of each, and the addresses that reports are sent to.
 
 use ibissail_core::{Epoch, Incarnation, InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
-use ibissail_direct::{CanaryProgress, CrashEvidence, DirectSettings, RolloutReport, stable_hash};
+use ibissail_direct::{
+    CanaryProgress, CrashEvidence, DirectSettings, FleetSize, RolloutReport, stable_hash,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,6 +25,8 @@
 const CONTACT_INTERVAL: u64 = 7;
 /// Time after the discovery of a peer in which each report carries the addresses of peers.
 const DISCOVERY_TIME: Millis = Millis(5_000);
+/// Once in this many rounds, the sample of entries is sent to some of the receivers.
+const FLEET_SAMPLE_INTERVAL: u64 = 2;
 /// Most peer addresses in a report.
 const MAX_CONTACTS: usize = 8;
 /// Most sessions in a report.
@@ -96,6 +100,9 @@
     /// Results of the canary phases that end now.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) canary_results: Vec<ToldCanaryResult>,
+    /// Sample from which the receiver estimates the number of entries.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) fleet: Vec<(u32, u64)>,
 }
 
 /// Another entry.
@@ -129,6 +136,8 @@
     /// Addresses of peers, known from reports, and when each was first mentioned or last sent a
     /// report.
     contacts: BTreeMap<SocketAddr, Millis>,
+    /// Sample of all entries, of which this one knows only some as peers.
+    fleet: FleetSize,
     /// Number of rounds of reports that this entry has started.
     round: u64,
     /// When a peer was last discovered; `None` if none ever was.
@@ -155,6 +164,7 @@
             configurations: BTreeMap::new(),
             seeds: BTreeSet::new(),
             contacts: BTreeMap::new(),
+            fleet: FleetSize::new(&settings.vm),
             round: 0,
             discovered_at: None,
         };
@@ -180,11 +190,31 @@
         self.live(now).map(|(_, peer)| peer.address).collect()
     }
 
-    /// Number of live entries, including this one.
+    /// Number of live entries that this one knows, including itself.
     pub(crate) fn live_entry_count(&self, now: Millis) -> usize {
         self.live(now).count() + 1
     }
 
+    /// Estimated number of live entries, including this one and those that it does not know.
+    pub(crate) fn entry_count(&mut self, now: Millis) -> usize {
+        self.fleet.estimate(now).max(self.live_entry_count(now))
+    }
+
+    /// The sample of entries for peers, in those rounds in which it is sent.
+    pub(super) fn due_fleet_sample(&mut self, now: Millis) -> Option<Vec<(u32, u64)>> {
+        self.round.is_multiple_of(FLEET_SAMPLE_INTERVAL).then(|| self.fleet_sample(now))
+    }
+
+    /// The sample of entries for a peer.
+    pub(super) fn fleet_sample(&mut self, now: Millis) -> Vec<(u32, u64)> {
+        self.fleet.sample(now)
+    }
+
+    /// Adds a peer's sample of entries.
+    pub(super) fn merge_fleet_sample(&mut self, sample: &[(u32, u64)], now: Millis) {
+        self.fleet.merge(sample, now);
+    }
+
     /// Number of live entries whose names sort before the name of this one.
     pub(crate) fn rank(&self, now: Millis) -> u64 {
         self.live(now).filter(|(vm, _)| **vm < self.vm).count() as u64
--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -55,15 +55,7 @@
     pub(super) fn build_evidence(&self, now: Millis) -> Option<Notice> {
         let mut state = self.state();
         let evidence = state.quarantine.evidence(now)?;
-        Some(Notice {
-            incarnation: state.peers.incarnation,
-            epoch: state.epoch,
-            configuration: state.table.as_ref().map_or(0, |table| table.version),
-            leaving: Vec::new(),
-            paused: Vec::new(),
-            crashes: Some(evidence),
-            canary_results: Vec::new(),
-        })
+        Some(Notice { crashes: Some(evidence), ..state.empty_notice() })
     }
 
     /// Tells all live peers what is known to crash replicas.
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -342,7 +342,7 @@
     pub(super) fn try_take_retry(&self, request: &AdmittedRequest, reserve: f64) -> bool {
         let now = since_boot();
         let mut state = self.state();
-        let entries = state.peers.live_entry_count(now);
+        let entries = state.peers.entry_count(now);
         state.budget(&request.service).try_take_retry(now, entries, reserve)
     }
 }
--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -117,7 +117,7 @@
         service: &ServiceId,
         now: Millis,
     ) -> bool {
-        let entries = self.peers.live_entry_count(now);
+        let entries = self.peers.entry_count(now);
         let Some(progress) = self.rollouts.get_mut(service) else { return false };
         let observed_for = progress.controller.evidence.own_observed_for(now);
         let duration = progress.controller.rollout.duration;
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -9,7 +9,7 @@
 
 use ibissail_platform_standin::{
     Behaviour, CallerRequest, CallerResponse, ConfigurationSpec, ReplicaStandin, StoreStandin,
-    is_ready, rollout_spec, send_request, settings_file,
+    is_ready, rollout_spec, send_raw, send_request, settings_file,
 };
 use std::{
     fs::{self, File},
@@ -184,6 +184,16 @@
         is_ready(self.readiness)
     }
 
+    /// Value of a metric without labels.
+    pub fn metric(&self, name: &str) -> i64 {
+        let address = SocketAddr::new(self.callers.ip(), self.private_ports.1);
+        let request = b"GET /metrics HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n";
+        let text = send_raw(address, request).body;
+        let prefix = format!("ibissail_direct_{name} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.and_then(|value| value.parse().ok()).expect("the metric is served")
+    }
+
     /// Where the entry receives messages of other entries.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.callers.ip(), self.private_ports.0)
--- a/crates/daemon/tests/session_versions.rs
+++ b/crates/daemon/tests/session_versions.rs
@@ -220,6 +220,9 @@
         found.early.iter().chain(&found.back).map(|(id, _)| id.as_str()).collect();
     assert!(early + back <= MAX_MOVED, "{found:?}\n{}", log_lines(&fleet, &moved));
     assert!(late > 0, "sessions move in the second half");
+    let counts: Vec<i64> = fleet.iter().map(|entry| entry.metric("entries")).collect();
+    let entries = i64::try_from(ENTRIES).expect("it is small");
+    assert!(counts.iter().all(|count| *count == entries), "each counts all entries: {counts:?}");
     let adopted = fleet.iter().filter(|entry| entry.log().contains("canary result adopted"));
     assert!(adopted.count() > ENTRIES / 2, "the entries tell each other the canary's result");
 }
--- /dev/null
+++ b/crates/direct/src/fleet_size.rs
@@ -0,0 +1,82 @@
+//! Estimates how many entries are alive, although each entry knows few of them.
+//!
+//! Each entry has a hash, and the entries pass on the smallest hashes that they have heard of, each
+//! with the time since its entry was alive. Evenly spread hashes are the closer together the more
+//! there are, so a sample of fixed size tells the number.
+
+use crate::stable_hash;
+use ibissail_core::{Millis, VmId};
+use std::collections::BTreeMap;
+
+/// Hashes in the sample; up to one less, all entries are counted, and above that the estimate is off
+/// by about a sixth.
+const SAMPLE_SIZE: usize = 32;
+/// Time after which an entry that has not been heard of no longer counts. The sample takes about
+/// three rounds to reach hundreds of entries.
+const ENTRY_TTL: Millis = Millis(8_000);
+
+/// The sample of one entry.
+#[derive(Debug, Clone)]
+pub struct FleetSize {
+    own: u32,
+    /// When the entry with each hash was last alive, on this entry's clock.
+    alive_at: BTreeMap<u32, Millis>,
+}
+
+impl FleetSize {
+    /// Creates the sample of the entry on this VM, which knows no other.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::FleetSize;
+    /// let mut first = FleetSize::new(&"front-1".parse().unwrap());
+    /// let mut second = FleetSize::new(&"front-2".parse().unwrap());
+    /// second.merge(&first.sample(Millis(0)), Millis(0));
+    /// assert_eq!(second.estimate(Millis(0)), 2);
+    /// assert_eq!(second.estimate(Millis(60_000)), 1, "the other has not been heard of since");
+    /// ```
+    #[must_use]
+    pub fn new(vm: &VmId) -> Self {
+        let own = (stable_hash(&[vm.as_str()]) & u64::from(u32::MAX)) as u32;
+        Self { own, alive_at: BTreeMap::new() }
+    }
+
+    /// The sample for a peer: each hash, and the time in milliseconds since its entry was alive.
+    pub fn sample(&mut self, now: Millis) -> Vec<(u32, u64)> {
+        self.refresh(now);
+        self.alive_at.iter().map(|(hash, alive_at)| (*hash, now.since(*alive_at).0)).collect()
+    }
+
+    /// Adds the sample of a peer.
+    pub fn merge(&mut self, told: &[(u32, u64)], now: Millis) {
+        for (hash, age) in told.iter().take(SAMPLE_SIZE) {
+            let told_at = now.since(Millis(*age));
+            let known = self.alive_at.entry(*hash).or_insert(told_at);
+            *known = told_at.max(*known);
+        }
+        self.refresh(now);
+    }
+
+    /// Estimated number of live entries, including this one.
+    pub fn estimate(&mut self, now: Millis) -> usize {
+        self.refresh(now);
+        match self.alive_at.last_key_value() {
+            Some((largest, _)) if self.alive_at.len() == SAMPLE_SIZE => {
+                let density = (SAMPLE_SIZE - 1) as f64 / f64::from((*largest).max(1));
+                (density * f64::from(u32::MAX)) as usize
+            }
+            _ => self.alive_at.len(),
+        }
+    }
+
+    /// Removes entries that have not been heard of, and all but the smallest hashes.
+    fn refresh(&mut self, now: Millis) {
+        self.alive_at.insert(self.own, now);
+        self.alive_at.retain(|_, alive_at| now.since(*alive_at) < ENTRY_TTL);
+        while self.alive_at.len() > SAMPLE_SIZE {
+            self.alive_at.pop_last();
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -28,6 +28,7 @@
 mod crash_records;
 mod departures;
 mod evidence;
+mod fleet_size;
 mod freshness;
 mod hash;
 mod health;
@@ -67,6 +68,7 @@
     QuarantineChange, QuarantineSource,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
+pub use fleet_size::FleetSize;
 pub use freshness::Freshness;
 pub use hash::stable_hash;
 pub use health::Health;
