Read and log the rates that replicas name

The adapter now decodes it into RequestRate, thousandths of a request a second; text that is no rate (empty, words, negative, NaN, inf, 1e999, a list, hex) counts as none. A response that is the replica's own and names none ends the limit; another process's at its address does not. Lines 'replica: limit named' and 'replica: limit ended'. No decision uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod id;
 mod key;
+mod rate;
 mod unit;
 
 pub use error::{ErrorKind, ErrorResponse, Fault, Ran, RetryAfter};
@@ -13,6 +14,7 @@
     ServiceId, Target, VersionId, VmId, ZoneId,
 };
 pub use key::SigningKey;
+pub use rate::RequestRate;
 pub use unit::{
     ByteSize, Count, Epoch, Millis, ParseError, Price, Ratio, Revision, StoreRevision, Tokens,
 };
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -21,6 +21,10 @@
         ModelVersion(value: String) {
             display("`{}` is not a model version; valid: model@version", value)
         }
+        /// The text is not a rate.
+        Rate(value: String) {
+            display("`{}` is not a rate; valid: a decimal number of requests a second, 0 or more", value)
+        }
         /// The text is not a duration.
         Duration(value: String) {
             display("`{}` is not a duration; valid: a whole number with ms, s, m or h", value)
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -144,6 +144,9 @@
     fn record_signals(&self, response: &ReplicaResponse) {
         let SelectedReplica { id, started_unix_ms, .. } = self.replica();
         self.shared.record_signals(id, *started_unix_ms, response.is_leaving, response.pause);
+        if response.limit.is_some() || response.ends_limit {
+            self.shared.record_limit(id, *started_unix_ms, response.limit);
+        }
     }
 
     /// Gives the retry of an attempt that has reached no replica back to the budget.
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -8,7 +8,7 @@
     state::State,
 };
 use crate::clock::since_boot;
-use ibissail_core::{InstanceId, Millis};
+use ibissail_core::{InstanceId, Millis, RequestRate};
 use ibissail_direct::{Replica, ReplicaSignals};
 use slog::info;
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -145,6 +145,26 @@
         }
     }
 
+    /// Records the rate that a replica names in a response; `None` if it names none.
+    pub(super) fn record_limit(
+        &self,
+        id: &InstanceId,
+        started_unix_ms: Option<u64>,
+        limit: Option<RequestRate>,
+    ) {
+        let mut state = self.state();
+        let State { signals, replicas, .. } = &mut *state;
+        let known = replicas.get(id);
+        if signals.record_limit(id, started_unix_ms, known, limit, since_boot()) {
+            match limit {
+                Some(rate) => info!(self.log, "replica: limit named"; "replica" => %id,
+                    "rate" => %rate, "source" => "response"),
+                None => info!(self.log, "replica: limit ended"; "replica" => %id,
+                    "source" => "response"),
+            }
+        }
+    }
+
     fn record_pause(
         &self,
         signals: &mut ReplicaSignals,
--- a/crates/direct/src/signals.rs
+++ b/crates/direct/src/signals.rs
@@ -1,11 +1,11 @@
-//! What replicas say about themselves in their responses: that they are leaving, or that they want
-//! no requests for a while.
+//! What replicas say about themselves in their responses: that they are leaving, that they want no
+//! requests for a while, or how many they take.
 //!
-//! Both concern one run of a replica: a later start time under the same name ends them, and a
-//! response that was sent before ends neither.
+//! All concern one run of a replica: a later start time under the same name ends them, and a
+//! response that was sent before ends none.
 
 use crate::Replica;
-use ibissail_core::{InstanceId, Millis};
+use ibissail_core::{InstanceId, Millis, RequestRate};
 use std::collections::BTreeMap;
 
 /// Longest pause that a replica can ask for; a longer one is shortened.
@@ -33,6 +33,8 @@
     paused_until: Millis,
     /// Time until which a peer has been asked to pause; only a hint for this entry.
     peer_paused_until: Millis,
+    /// Rate that it accepts from all entries together; `None` if it names none.
+    limit: Option<RequestRate>,
     listed_at: Millis,
 }
 
@@ -71,6 +73,23 @@
         Some(signals.paused_until)
     }
 
+    /// Records the rate that a run of a replica accepts from all entries together, `None` if it names
+    /// none; returns whether it has changed.
+    pub fn record_limit(
+        &mut self,
+        id: &InstanceId,
+        started_unix_ms: Option<u64>,
+        known: Option<&Replica>,
+        limit: Option<RequestRate>,
+        now: Millis,
+    ) -> bool {
+        if limit.is_none() && !self.signals.contains_key(id) {
+            return false;
+        }
+        let Some(signals) = self.entry(id, started_unix_ms, known, now) else { return false };
+        std::mem::replace(&mut signals.limit, limit) != limit
+    }
+
     /// Records that a replica has asked a peer for a pause.
     pub fn record_peer_pause(&mut self, known: &Replica, pause: Millis, now: Millis) {
         if let Some(signals) = self.entry(&known.id, known.started_unix_ms, Some(known), now) {
