Send a replica no more than the rate that it names

The class: a signal of a replica that concerns all entries together, while leaving and pauses hold for each entry alone.

Change: RateLimit, this entry's share of a replica's rate. The rate is divided by the estimated size of the fleet. Each entry has a token bucket, and where there are more entries than the replica bears at once, evenly spread turns. Every attempt takes from the share before it is sent: first ones, retries, handovers, larger models, resumed streams, canaries. What has no share goes to the other replicas. If all are limited, callers above the sum are refused at once (503, not run), less urgent ones first, each with a time booked behind the callers refused before. The old version's limits move nothing to a canary. Limits are told in notices with the age of the response; the newest response decides, so the end is noticed by one and told to all. A new entry that has heard of no other takes a 64th. Leaving, pauses and draining come first.

--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -194,13 +194,8 @@
     if receivers.is_empty() {
         return;
     }
-    if let Some(notice) = shared.build_notice(now) {
-        let message = Message::Notice(notice);
-        for receiver in &receivers {
-            shared.send(&message, *receiver).await;
-        }
-    }
-    if let Some(notice) = shared.build_evidence(now) {
+    let notices = [shared.build_notice(now), shared.build_limits(now), shared.build_evidence(now)];
+    for notice in notices.into_iter().flatten() {
         let message = Message::Notice(notice);
         for receiver in &receivers {
             shared.send(&message, *receiver).await;
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod epochs;
 mod handover;
+mod limits;
 mod messages;
 mod metrics;
 mod notices;
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -8,7 +8,7 @@
     state::State,
 };
 use crate::clock::since_boot;
-use ibissail_core::{InstanceId, Millis, RequestRate};
+use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{Replica, ReplicaSignals};
 use slog::info;
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -31,10 +31,11 @@
             crashes: None,
             canary_results: Vec::new(),
             fleet: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
-    fn replicas_by_hash(&self) -> BTreeMap<u32, Replica> {
+    pub(super) fn replicas_by_hash(&self) -> BTreeMap<u32, Replica> {
         self.replicas.iter().map(|replica| (replica_hash(&replica.id), replica.clone())).collect()
     }
 
@@ -79,12 +80,16 @@
             Notice { fleet: state.peers.fleet_sample(now), ..state.empty_notice() }
         };
         self.send(&Message::Notice(notice), peer).await;
+        if let Some(notice) = self.build_limits(now) {
+            self.send(&Message::Notice(notice), peer).await;
+        }
         self.send_evidence(&[peer], now).await;
     }
 
     /// Applies a peer's notice. That a replica is leaving counts for this entry too; that it has
     /// asked the peer for a pause is only a hint.
     pub(super) fn apply_notice(&self, notice: &Notice, now: Millis) {
+        self.apply_limits(notice, now);
         let mut state = self.state();
         state.peers.store_configuration(notice.incarnation, notice.configuration, now);
         if notice.epoch > state.epoch && state.epoch.is_some() {
@@ -145,26 +150,6 @@
         }
     }
 
-    /// Records the rate that a replica names in a response; `None` if it names none.
-    pub(super) fn record_limit(
-        &self,
-        id: &InstanceId,
-        started_unix_ms: Option<u64>,
-        limit: Option<RequestRate>,
-    ) {
-        let mut state = self.state();
-        let State { signals, replicas, .. } = &mut *state;
-        let known = replicas.get(id);
-        if signals.record_limit(id, started_unix_ms, known, limit, since_boot()) {
-            match limit {
-                Some(rate) => info!(self.log, "replica: limit named"; "replica" => %id,
-                    "rate" => %rate, "source" => "response"),
-                None => info!(self.log, "replica: limit ended"; "replica" => %id,
-                    "source" => "response"),
-            }
-        }
-    }
-
     fn record_pause(
         &self,
         signals: &mut ReplicaSignals,
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -1,6 +1,9 @@
 //! The other entries: the latest report of each, and the addresses that reports are sent to.
 
-use ibissail_core::{Epoch, Incarnation, InstanceId, Millis, ServiceId, Tokens, VersionId, VmId};
+use crate::clock::since_boot;
+use ibissail_core::{
+    Epoch, Incarnation, InstanceId, Millis, RequestRate, ServiceId, Tokens, VersionId, VmId,
+};
 use ibissail_direct::{
     CanaryProgress, CrashEvidence, DirectSettings, FleetSize, RolloutReport, stable_hash,
 };
@@ -79,6 +82,19 @@
     pub(super) result: CanaryProgress,
 }
 
+/// What a response of a replica has said about the rate that it accepts, as told to peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct ToldLimit {
+    /// Short hash of the replica's name.
+    pub(super) replica: u32,
+    /// Start time of the replica's run; `None` if not reported.
+    pub(super) started_unix_ms: Option<u64>,
+    /// `None` if it no longer names a rate.
+    pub(super) rate: Option<RequestRate>,
+    /// Time since the response arrived.
+    pub(super) age: Millis,
+}
+
 /// What an entry tells its peers besides its report. It is a message of its own, which entries of
 /// earlier builds ignore, and is sent only while there is something to tell.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -103,6 +119,9 @@
     /// Sample from which the receiver estimates the number of entries.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) fleet: Vec<(u32, u64)>,
+    /// Rates that replicas accept.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) limits: Vec<ToldLimit>,
 }
 
 /// Another entry.
@@ -164,7 +183,7 @@
             configurations: BTreeMap::new(),
             seeds: BTreeSet::new(),
             contacts: BTreeMap::new(),
-            fleet: FleetSize::new(&settings.vm),
+            fleet: FleetSize::new(&settings.vm, since_boot()),
             round: 0,
             discovered_at: None,
         };
@@ -200,6 +219,11 @@
         self.fleet.estimate(now).max(self.live_entry_count(now))
     }
 
+    /// The same, except that an entry that has just started and heard of no other assumes many.
+    pub(super) fn cautious_entry_count(&mut self, now: Millis) -> usize {
+        self.fleet.cautious_estimate(now).max(self.live_entry_count(now))
+    }
+
     /// The sample of entries for peers, in those rounds in which it is sent.
     pub(super) fn due_fleet_sample(&mut self, now: Millis) -> Option<Vec<(u32, u64)>> {
         self.round.is_multiple_of(FLEET_SAMPLE_INTERVAL).then(|| self.fleet_sample(now))
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -263,6 +263,12 @@
             let kind = progress.unserved_kind();
             return Err(request.error_reply(kind, "the retry budget is exhausted"));
         }
+        if !self.try_take_limit(&replica.id) {
+            if needs_retry {
+                self.state().budget(&request.service).return_retry();
+            }
+            return Err(self.no_replica_reply(request, progress));
+        }
         self.record_session(request, &replica.version);
         Ok(Target {
             replica,
@@ -322,19 +328,19 @@
     fn no_replica_reply(&self, request: &AdmittedRequest, progress: &Progress) -> ErrorReply {
         let kind = progress.unserved_kind();
         let reply = request.error_reply(kind, "no replica is available");
-        let pause = self.state().pause_of_all_replicas(&request.service, since_boot());
-        match (reply.retry_after, pause) {
-            (Some(_), Some(pause)) => ErrorReply {
-                retry_after: Some(retry_after_pause(
-                    pause,
-                    RETRY_AFTER_SPREAD,
-                    rand::rng().random(),
-                )),
-                detail: format!("all replicas have asked for a pause, the shortest for {pause}"),
-                ..reply
-            },
-            _ => reply,
+        if reply.retry_after.is_none() {
+            return reply;
         }
+        let now = since_boot();
+        let mut state = self.state();
+        let fleet = state.fleet_share(now);
+        let Some(wait) = state.time_until_accepted(request, fleet, now) else { return reply };
+        let retry_after = match state.book_return(&request.service, wait, fleet, now) {
+            Some(booked) => booked,
+            None => retry_after_pause(wait, RETRY_AFTER_SPREAD, rand::rng().random()),
+        };
+        let detail = format!("no replica takes a request before {wait}");
+        ErrorReply { retry_after: Some(retry_after), detail, ..reply }
     }
 
     /// Takes a retry from the budget; returns `false` if no more than the share `reserve` of the
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -10,8 +10,8 @@
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, InstanceId, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
 use ibissail_direct::{
-    Candidate, Demand, PromptDemand, Replica, TrafficSplit, Unavailability, VersionFilter,
-    canary_replica_count, expected_wait, select_candidate, stable_hash,
+    Candidate, Demand, FleetShare, PromptDemand, Replica, TrafficSplit, VersionFilter,
+    canary_replica_count, expected_wait, select_candidate, stable_hash, urgency_reserve,
 };
 use std::net::SocketAddr;
 
@@ -23,6 +23,17 @@
 /// carry the usual daily load.
 const MIN_CANDIDATES_DIVISOR: usize = 2;
 
+/// What decides which replicas may take the next attempt of a request.
+struct CandidateQuery<'a> {
+    request: &'a AdmittedRequest,
+    progress: &'a Progress,
+    model: Option<&'a ModelId>,
+    /// Availability zone of this entry.
+    zone: &'a ZoneId,
+    fleet: FleetShare,
+    now: Millis,
+}
+
 /// The replica selected for an attempt.
 #[derive(Debug, Clone)]
 pub(crate) struct SelectedReplica {
@@ -49,18 +60,25 @@
         let mut state = self.state();
         let versions = state.allowed_versions(request, progress, now);
         let zone = &self.settings.zone;
-        let mut candidates = state.candidates(request, progress, model, &versions, zone, now);
-        if candidates.is_empty() && progress.pinned_version.is_none() && progress.attempts_sent == 0
-        {
+        let fleet = state.fleet_share(now);
+        let query = CandidateQuery { request, progress, model, zone, fleet, now };
+        let mut candidates = state.candidates(&query, &versions);
+        // What the limits of the old version's replicas leave must not move to a new version.
+        let is_old_limited = matches!(versions, VersionFilter::Except(_))
+            && candidates.is_empty()
+            && state.is_limited(&query, &versions);
+        let may_change = progress.pinned_version.is_none() && progress.attempts_sent == 0;
+        if candidates.is_empty() && may_change && !is_old_limited {
             // No replica of the preferred version is left: use one of any version that has not
             // failed.
             let fallback = state.fallback_versions(&request.service);
-            candidates = state.candidates(request, progress, model, &fallback, zone, now);
+            candidates = state.candidates(&query, &fallback);
         }
         if candidates.is_empty()
+            && !is_old_limited
             && let Some(versions) = state.versions_of_a_last_step(&request.service, now)
         {
-            candidates = state.candidates(request, progress, model, &versions, zone, now);
+            candidates = state.candidates(&query, &versions);
         }
         state.limit_canary_replicas(request, &mut candidates, now);
         let body = ByteSize(request.body.len() as u64);
@@ -226,40 +244,47 @@
         is_last_step.then_some(VersionFilter::Only(split.target))
     }
 
-    /// Time until a replica of the service accepts requests again, if none does now because all have
-    /// asked for a pause or are leaving, and at least one has asked for a pause.
-    pub(super) fn pause_of_all_replicas(&self, service: &ServiceId, now: Millis) -> Option<Millis> {
-        let mut shortest: Option<Millis> = None;
-        for replica in self.replicas.ready(service, now) {
-            match self.signals.unavailability(replica, now)? {
-                Unavailability::Leaving => {}
-                Unavailability::PausedUntil(until) => {
-                    let rest = until.since(now);
-                    shortest = Some(shortest.map_or(rest, |shortest| shortest.min(rest)));
-                }
-            }
-        }
-        shortest
-    }
-
-    /// Replicas that may take the next attempt. Ejected ones are included if fewer than one in
-    /// `MIN_CANDIDATES_DIVISOR` would be left without them.
-    fn candidates(
-        &self,
-        request: &AdmittedRequest,
-        progress: &Progress,
-        model: Option<&ModelId>,
-        versions: &VersionFilter,
-        zone: &ZoneId,
-        now: Millis,
-    ) -> Vec<Candidate> {
-        let peers = self.peers.loads(now);
-        let allowed = |replica: &&Replica| {
+    /// Replicas that may take the next attempt, whatever rates they accept.
+    fn allowed_replicas<'a>(
+        &'a self,
+        query: &'a CandidateQuery<'a>,
+        versions: &'a VersionFilter,
+    ) -> impl Iterator<Item = &'a Replica> {
+        let CandidateQuery { request, progress, model, now, .. } = *query;
+        self.replicas.ready(&request.service, now).filter(move |replica| {
             self.signals.unavailability(replica, now).is_none()
                 && versions.allows(&replica.version)
                 && !progress.tried.contains(&replica.id)
                 && model
                     .is_none_or(|model| replica.models.is_empty() || replica.models.contains(model))
+        })
+    }
+
+    /// Whether one of the replicas that may take the next attempt accepts a limited rate only.
+    fn is_limited(&self, query: &CandidateQuery<'_>, versions: &VersionFilter) -> bool {
+        let mut allowed = self.allowed_replicas(query, versions);
+        allowed.any(|replica| self.signals.limit(replica).is_some())
+    }
+
+    /// Whether all of them do.
+    fn are_all_limited(&self, query: &CandidateQuery<'_>, versions: &VersionFilter) -> bool {
+        let mut allowed = self.allowed_replicas(query, versions);
+        allowed.all(|replica| self.signals.limit(replica).is_some())
+    }
+
+    /// Replicas that may take the next attempt. Ejected ones are included if fewer than one in
+    /// `MIN_CANDIDATES_DIVISOR` would be left without them.
+    fn candidates(&self, query: &CandidateQuery<'_>, versions: &VersionFilter) -> Vec<Candidate> {
+        let CandidateQuery { request, model, zone, fleet, now, .. } = *query;
+        let peers = self.peers.loads(now);
+        let reserve = if self.are_all_limited(query, versions) {
+            urgency_reserve(request.urgency)
+        } else {
+            0.0
+        };
+        let has_share = |replica: &&Replica| {
+            let limit = self.signals.limit(replica);
+            limit.is_none_or(|limit| limit.can_take(fleet, reserve, now))
         };
         let candidate = |replica: &Replica| {
             let own = self.loads.get(&replica.id).copied().unwrap_or_default();
@@ -283,8 +308,8 @@
             };
             (candidate, health.is_ejected(now))
         };
-        let all: Vec<(Candidate, bool)> =
-            self.replicas.ready(&request.service, now).filter(allowed).map(candidate).collect();
+        let allowed = self.allowed_replicas(query, versions).filter(has_share);
+        let all: Vec<(Candidate, bool)> = allowed.map(candidate).collect();
         let minimum = all.len().div_ceil(MIN_CANDIDATES_DIVISOR);
         let healthy = all.iter().filter(|(_, is_ejected)| !is_ejected).count();
         let includes_ejected = healthy < minimum.max(1);
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -60,6 +60,8 @@
     /// When replicas of several versions of a service were first seen without a rollout.
     pub(crate) mixed_since: BTreeMap<ServiceId, Millis>,
     pub(crate) sessions: BTreeMap<String, SessionVersion>,
+    /// When the caller refused last for each service, because its replicas are limited, may return.
+    pub(super) returns: BTreeMap<ServiceId, Millis>,
     /// Share of requests that a bad version may receive.
     pub(super) exposure: f64,
     /// Requests that a bad version may receive beyond that share.
@@ -90,6 +92,7 @@
             baselines: BTreeMap::new(),
             mixed_since: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            returns: BTreeMap::new(),
             budgets: BTreeMap::new(),
             exposure: settings.exposure,
             exposure_allowance: settings.exposure_allowance,
--- a/crates/direct/src/fleet_size.rs
+++ b/crates/direct/src/fleet_size.rs
@@ -15,32 +15,38 @@
 /// three rounds to reach hundreds of entries.
 const ENTRY_TTL: Millis = Millis(8_000);
 
+/// Time for which an entry that has heard of no other does not take itself for the only one.
+const DISCOVERY_TIME: Millis = Millis(3_000);
+/// Number of entries that it assumes until then.
+const ASSUMED_ENTRIES: usize = 64;
+
 /// The sample of one entry.
 #[derive(Debug, Clone)]
 pub struct FleetSize {
     own: u32,
+    started: Millis,
     /// When the entry with each hash was last alive, on this entry's clock.
     alive_at: BTreeMap<u32, Millis>,
 }
 
 impl FleetSize {
-    /// Creates the sample of the entry on this VM, which knows no other.
+    /// Creates the sample of the entry on this VM, which starts now and knows no other.
     ///
     /// # Examples
     ///
     /// ```
     /// use ibissail_core::Millis;
     /// use ibissail_direct::FleetSize;
-    /// let mut first = FleetSize::new(&"front-1".parse().unwrap());
-    /// let mut second = FleetSize::new(&"front-2".parse().unwrap());
+    /// let mut first = FleetSize::new(&"front-1".parse().unwrap(), Millis(0));
+    /// let mut second = FleetSize::new(&"front-2".parse().unwrap(), Millis(0));
     /// second.merge(&first.sample(Millis(0)), Millis(0));
     /// assert_eq!(second.estimate(Millis(0)), 2);
     /// assert_eq!(second.estimate(Millis(60_000)), 1, "the other has not been heard of since");
     /// ```
     #[must_use]
-    pub fn new(vm: &VmId) -> Self {
+    pub fn new(vm: &VmId, now: Millis) -> Self {
         let own = (stable_hash(&[vm.as_str()]) & u64::from(u32::MAX)) as u32;
-        Self { own, alive_at: BTreeMap::new() }
+        Self { own, started: now, alive_at: BTreeMap::new() }
     }
 
     /// The sample for a peer: each hash, and the time in milliseconds since its entry was alive.
@@ -71,6 +77,13 @@
         }
     }
 
+    /// The same, except that an entry that has just started and heard of no other assumes many.
+    pub fn cautious_estimate(&mut self, now: Millis) -> usize {
+        let estimate = self.estimate(now);
+        let is_new = now.since(self.started) < DISCOVERY_TIME;
+        if estimate == 1 && is_new { ASSUMED_ENTRIES } else { estimate }
+    }
+
     /// Removes entries that have not been heard of, and all but the smallest hashes.
     fn refresh(&mut self, now: Millis) {
         self.alive_at.insert(self.own, now);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,6 +35,7 @@
 mod lost_runs;
 mod placement;
 mod prefix_cache;
+mod rate_limit;
 mod redundancy;
 mod replicas;
 mod request;
@@ -77,6 +78,7 @@
     Candidate, Demand, PromptDemand, expected_wait, placement_cost, select_candidate,
 };
 pub use prefix_cache::PrefixCacheIndex;
+pub use rate_limit::{FleetShare, RateLimit, urgency_reserve};
 pub use replicas::{Replica, ReplicaChange, ReplicaSet, ReplicaState};
 pub use request::{Prompt, PromptPart};
 pub use restored_rollout::{RolloutChange, RolloutRecords, restored_state};
@@ -86,7 +88,7 @@
 pub use settings::DirectSettings;
 pub use shared_evidence::SharedEvidence;
 pub use shutdown::{admits_during_shutdown, shutdown_deadline};
-pub use signals::{MAX_PAUSE, ReplicaSignals, Unavailability};
+pub use signals::{MAX_PAUSE, NamedLimit, ReplicaSignals, Unavailability};
 pub use spreading::watches_replicas;
 pub use stream_pace::{StreamPace, is_pace_class, pace_class};
 pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash, Suspect};
--- /dev/null
+++ b/crates/direct/src/rate_limit.rs
@@ -0,0 +1,219 @@
+//! This entry's share of the rate that a replica accepts from all entries together.
+//!
+//! The rate is divided evenly. If the fleet's burst is at least one request for each entry, each has
+//! a token bucket. Otherwise, buckets that hold a whole token each would allow a burst as large as
+//! the fleet, so time is divided into periods, and each entry may send one request in some of them.
+
+use crate::{hash::stable_hash_with_bytes, stable_hash};
+use ibissail_core::{InstanceId, Millis, RequestRate, VmId};
+
+/// Time whose requests the entries together may send at once, in seconds, with token buckets.
+const BURST_SECONDS: f64 = 1.5;
+/// Requests that the entries together may send at once beyond that, with token buckets.
+const BURST_REQUESTS: f64 = 4.0;
+/// The same two for turns, whose number in a period varies and needs more room.
+const TURN_BURST_SECONDS: f64 = 1.0;
+const TURN_BURST_REQUESTS: f64 = 1.5;
+/// Part of the rate that token buckets use; the rest absorbs errors in the number of entries.
+const USED_PART: f64 = 0.95;
+/// Part of the rate that turns use.
+const TURN_USED_PART: f64 = 0.75;
+/// Lowest rate at which the entries together ask a replica, so that the end of its limit is noticed.
+const MIN_RATE: f64 = 0.1;
+/// Fractional part of the golden ratio, whose multiples are evenly spread modulo 1.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+/// Periods after the current one that are searched for the next turn.
+const MAX_PERIODS: u64 = 256;
+/// Urgency from which requests leave the most tokens to more urgent ones.
+const LEAST_URGENT: u32 = 3;
+/// Part of a bucket's burst that the least urgent requests leave.
+const MAX_RESERVE: f64 = 0.75;
+
+/// The entry that takes a share, and the number of entries among which a rate is divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetShare {
+    /// Hash of the entry's name.
+    entry: u64,
+    entries: usize,
+}
+
+impl FleetShare {
+    /// The share of the entry on this VM in a fleet of `entries`, this one included.
+    #[must_use]
+    pub fn new(vm: &VmId, entries: usize) -> Self {
+        Self { entry: stable_hash(&[vm.as_str()]), entries: entries.max(1) }
+    }
+}
+
+/// How this entry takes its share.
+#[derive(Debug, Clone, Copy)]
+enum Method {
+    /// A token bucket that holds at least one request.
+    Bucket { per_ms: f64, capacity: f64 },
+    /// A turn in this part of the periods.
+    Turns { period_ms: f64, part: f64 },
+}
+
+/// A rate that a replica accepts, and what this entry has used of its share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimit {
+    rate: RequestRate,
+    /// Hash of the replica's name.
+    replica: u64,
+    /// Requests that the bucket held at `updated_at`.
+    level: f64,
+    updated_at: Millis,
+    /// The last period whose turn was used.
+    used_period: Option<u64>,
+}
+
+impl RateLimit {
+    /// Starts to limit the requests to a replica; the bucket is empty.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::{Millis, RequestRate};
+    /// use ibissail_direct::{FleetShare, RateLimit};
+    /// let mut limit = RateLimit::new(&"r-1".parse().unwrap(), RequestRate(4_000), Millis(0));
+    /// let fleet = FleetShare::new(&"front-1".parse().unwrap(), 2);
+    /// assert!(!limit.try_take(fleet, 0.0, Millis(100)));
+    /// assert!(limit.try_take(fleet, 0.0, Millis(600)), "two a second are this entry's");
+    /// assert!(!limit.try_take(fleet, 0.0, Millis(600)));
+    /// ```
+    #[must_use]
+    pub fn new(replica: &InstanceId, rate: RequestRate, now: Millis) -> Self {
+        let replica = stable_hash(&[replica.as_str()]);
+        Self { rate, replica, level: 0.0, updated_at: now, used_period: None }
+    }
+
+    /// The rate that the replica accepts from all entries together.
+    #[must_use]
+    pub fn rate(&self) -> RequestRate {
+        self.rate
+    }
+
+    /// Whether a request may be sent now that leaves `reserve`, a part of the burst, to others.
+    #[must_use]
+    pub fn can_take(&self, fleet: FleetShare, reserve: f64, now: Millis) -> bool {
+        match self.method(fleet) {
+            Method::Bucket { per_ms, capacity } => {
+                self.level_at(per_ms, capacity, now) >= needed(capacity, reserve)
+            }
+            Method::Turns { period_ms, part } => {
+                let period = self.period(fleet, period_ms, now);
+                self.used_period != Some(period) && self.has_turn(fleet, period, part)
+            }
+        }
+    }
+
+    /// Takes a request from the share; returns whether it may be sent.
+    pub fn try_take(&mut self, fleet: FleetShare, reserve: f64, now: Millis) -> bool {
+        if !self.can_take(fleet, reserve, now) {
+            return false;
+        }
+        match self.method(fleet) {
+            Method::Bucket { per_ms, capacity } => {
+                self.level = self.level_at(per_ms, capacity, now) - 1.0;
+                self.updated_at = now;
+            }
+            Method::Turns { period_ms, .. } => {
+                self.used_period = Some(self.period(fleet, period_ms, now));
+            }
+        }
+        true
+    }
+
+    /// Time until a request may be sent, if no other is sent before.
+    #[must_use]
+    pub fn wait(&self, fleet: FleetShare, reserve: f64, now: Millis) -> Millis {
+        if self.can_take(fleet, reserve, now) {
+            return Millis(0);
+        }
+        match self.method(fleet) {
+            Method::Bucket { per_ms, capacity } => {
+                let missing = needed(capacity, reserve) - self.level_at(per_ms, capacity, now);
+                Millis((missing / per_ms).ceil() as u64)
+            }
+            Method::Turns { period_ms, part } => {
+                let current = self.period(fleet, period_ms, now);
+                let next = (current + 1..=current + MAX_PERIODS)
+                    .find(|period| self.has_turn(fleet, *period, part));
+                let next = next.unwrap_or(current + MAX_PERIODS);
+                let starts_at = next as f64 * period_ms - self.phase(fleet, period_ms);
+                Millis((starts_at - now.0 as f64).ceil().max(0.0) as u64)
+            }
+        }
+    }
+
+    /// Average time between two requests of this entry's share.
+    #[must_use]
+    pub fn interval(&self, fleet: FleetShare) -> Millis {
+        let interval = match self.method(fleet) {
+            Method::Bucket { per_ms, .. } => 1.0 / per_ms,
+            Method::Turns { period_ms, part } => period_ms / part,
+        };
+        Millis(interval as u64)
+    }
+
+    fn method(&self, fleet: FleetShare) -> Method {
+        let rate = self.rate.per_second().max(MIN_RATE);
+        let entries = fleet.entries as f64;
+        let capacity = (BURST_SECONDS * rate + BURST_REQUESTS) / entries;
+        if capacity >= 1.0 {
+            return Method::Bucket { per_ms: USED_PART * rate / entries / 1_000.0, capacity };
+        }
+        let burst = TURN_BURST_SECONDS * rate + TURN_BURST_REQUESTS;
+        // The length of a period does not depend on the number of entries, so that a change of that
+        // number does not start a new period.
+        let period_ms = burst / (TURN_USED_PART * rate) * 1_000.0;
+        Method::Turns { period_ms, part: burst / entries }
+    }
+
+    fn level_at(&self, per_ms: f64, capacity: f64, now: Millis) -> f64 {
+        let added = per_ms * now.since(self.updated_at).0 as f64;
+        (self.level + added).min(capacity)
+    }
+
+    /// Time by which this entry's periods begin earlier than others'.
+    fn phase(&self, fleet: FleetShare, period_ms: f64) -> f64 {
+        unit_hash([fleet.entry, self.replica]) * period_ms
+    }
+
+    fn period(&self, fleet: FleetShare, period_ms: f64, now: Millis) -> u64 {
+        ((now.0 as f64 + self.phase(fleet, period_ms)) / period_ms) as u64
+    }
+
+    /// Whether this entry may send a request in the period. Its turns are evenly spread, differ from
+    /// those of other entries, and stay the same but for a few when the number of entries changes.
+    fn has_turn(&self, fleet: FleetShare, period: u64, part: f64) -> bool {
+        let offset = unit_hash([fleet.entry, self.replica, 1]);
+        (offset + period as f64 * GOLDEN_RATIO).fract() < part
+    }
+}
+
+/// Part of a bucket's burst that requests of this urgency leave to more urgent ones; 0 is the most
+/// urgent.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_direct::urgency_reserve;
+/// assert!(urgency_reserve(0) < urgency_reserve(1));
+/// assert!(urgency_reserve(9) < 1.0);
+/// ```
+#[must_use]
+pub fn urgency_reserve(urgency: u32) -> f64 {
+    MAX_RESERVE * f64::from(urgency.min(LEAST_URGENT)) / f64::from(LEAST_URGENT)
+}
+
+/// Requests that a bucket must hold for one that leaves `reserve` of the burst beyond the first.
+fn needed(capacity: f64, reserve: f64) -> f64 {
+    1.0 + (capacity - 1.0) * reserve
+}
+
+/// A number from 0 to below 1 that depends on these numbers only.
+fn unit_hash<const N: usize>(numbers: [u64; N]) -> f64 {
+    let bytes = numbers.map(u64::to_le_bytes);
+    (stable_hash_with_bytes(&[], bytes.as_flattened()) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/direct/src/signals.rs
+++ b/crates/direct/src/signals.rs
@@ -4,7 +4,7 @@
 //! All concern one run of a replica: a later start time under the same name ends them, and a
 //! response that was sent before ends none.
 
-use crate::Replica;
+use crate::{FleetShare, RateLimit, Replica};
 use ibissail_core::{InstanceId, Millis, RequestRate};
 use std::collections::BTreeMap;
 
@@ -13,6 +13,8 @@
 /// Time for which the signals of a replica that is no longer listed are kept. It may be listed again
 /// after an outage of the platform.
 const UNLISTED_TTL: Millis = Millis(60_000);
+/// Time for which peers are told that a replica no longer names a rate.
+const ENDED_LIMIT_TIME: Millis = Millis(10_000);
 /// Most replicas whose signals are kept; those unlisted for longest are forgotten first.
 const MAX_REPLICAS: usize = 16_384;
 
@@ -25,6 +27,17 @@
     PausedUntil(Millis),
 }
 
+/// What a response of a replica says about the rate that it accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// Start time of the replica's run; `None` if not reported.
+    pub started_unix_ms: Option<u64>,
+    /// Rate that it accepts from all entries together; `None` if it names none.
+    pub rate: Option<RequestRate>,
+    /// When the response arrived, on this entry's clock.
+    pub observed_at: Millis,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Signals {
     /// Start time of the run that the signals are from; `None` if not reported.
@@ -34,7 +47,10 @@
     /// Time until which a peer has been asked to pause; only a hint for this entry.
     peer_paused_until: Millis,
     /// Rate that it accepts from all entries together; `None` if it names none.
-    limit: Option<RequestRate>,
+    limit: Option<RateLimit>,
+    /// When a response that named a rate, or none after it had named one, arrived at this entry or at
+    /// the peer that told it.
+    limit_observed_at: Option<Millis>,
     listed_at: Millis,
 }
 
@@ -73,21 +89,59 @@
         Some(signals.paused_until)
     }
 
-    /// Records the rate that a run of a replica accepts from all entries together, `None` if it names
-    /// none; returns whether it has changed.
+    /// Records the rate that a run of a replica named in a response; returns whether it has changed.
+    /// A response that arrived earlier than the one known changes nothing.
     pub fn record_limit(
         &mut self,
         id: &InstanceId,
-        started_unix_ms: Option<u64>,
+        named: NamedLimit,
         known: Option<&Replica>,
-        limit: Option<RequestRate>,
         now: Millis,
     ) -> bool {
-        if limit.is_none() && !self.signals.contains_key(id) {
+        if named.rate.is_none() && !self.signals.contains_key(id) {
             return false;
         }
-        let Some(signals) = self.entry(id, started_unix_ms, known, now) else { return false };
-        std::mem::replace(&mut signals.limit, limit) != limit
+        let Some(signals) = self.entry(id, named.started_unix_ms, known, now) else {
+            return false;
+        };
+        let before = signals.limit.map(|limit| limit.rate());
+        let is_needless = named.rate.is_none() && signals.limit_observed_at.is_none();
+        if is_needless || signals.limit_observed_at > Some(named.observed_at) {
+            return false;
+        }
+        signals.limit_observed_at = Some(named.observed_at);
+        if before == named.rate {
+            return false;
+        }
+        signals.limit = named.rate.map(|rate| RateLimit::new(id, rate, now));
+        true
+    }
+
+    /// The limit of a replica; `None` if it names none.
+    #[must_use]
+    pub fn limit(&self, replica: &Replica) -> Option<&RateLimit> {
+        self.current(replica)?.limit.as_ref()
+    }
+
+    /// Takes a request from this entry's share of the rate of a replica; returns whether it may be
+    /// sent, as it may to a replica that names no rate.
+    pub fn try_take(&mut self, replica: &Replica, fleet: FleetShare, now: Millis) -> bool {
+        if self.limit(replica).is_none() {
+            return true;
+        }
+        let limit = self.signals.get_mut(&replica.id).and_then(|signals| signals.limit.as_mut());
+        limit.is_none_or(|limit| limit.try_take(fleet, 0.0, now))
+    }
+
+    /// The limits that replicas name, and those that have ended lately.
+    pub fn named_limits(&self, now: Millis) -> impl Iterator<Item = (&InstanceId, NamedLimit)> {
+        self.signals.iter().filter_map(move |(id, signals)| {
+            let observed_at = signals.limit_observed_at?;
+            let rate = signals.limit.map(|limit| limit.rate());
+            let is_told = rate.is_some() || now.since(observed_at) < ENDED_LIMIT_TIME;
+            let named = NamedLimit { started_unix_ms: signals.started_unix_ms, rate, observed_at };
+            is_told.then_some((id, named))
+        })
     }
 
     /// Records that a replica has asked a peer for a pause.
--- a/crates/direct/tests/fleet_size.rs
+++ b/crates/direct/tests/fleet_size.rs
@@ -38,7 +38,7 @@
         });
         let known = known.collect();
         Self {
-            entries: (0..size).map(|index| FleetSize::new(&name(index))).collect(),
+            entries: (0..size).map(|index| FleetSize::new(&name(index), Millis(100_000))).collect(),
             known,
             is_alive: vec![true; size],
             loss: rng.random_range(0.0..0.3),
@@ -98,6 +98,13 @@
     }
 }
 
+#[test]
+fn new_entry_takes_itself_for_the_only_one_after_a_while() {
+    let mut entry = FleetSize::new(&"front-1".parse().expect("a valid name"), Millis(500));
+    assert!(entry.cautious_estimate(Millis(600)) >= 30, "others may not have been heard of yet");
+    assert_eq!(entry.cautious_estimate(Millis(8_500)), 1);
+}
+
 #[test]
 fn ended_entries_are_no_longer_counted() {
     for size in [5, 30, 68, 200] {
--- a/crates/direct/tests/replica_signals.rs
+++ b/crates/direct/tests/replica_signals.rs
@@ -1,7 +1,9 @@
 //! What replicas say about themselves in responses, compared with a naive model.
 
-use ibissail_core::{Count, InstanceId, Millis};
-use ibissail_direct::{MAX_PAUSE, Replica, ReplicaSignals, ReplicaState, Unavailability};
+use ibissail_core::{Count, InstanceId, Millis, RequestRate};
+use ibissail_direct::{
+    MAX_PAUSE, NamedLimit, RateLimit, Replica, ReplicaSignals, ReplicaState, Unavailability,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 fn id() -> InstanceId {
@@ -121,3 +123,40 @@
         }
     }
 }
+
+#[test]
+fn newest_response_decides_on_a_limit() {
+    let mut signals = ReplicaSignals::default();
+    let known = replica(Some(1));
+    let rate = |rate| Some(RequestRate(rate));
+    let mut record = |rate, observed_at, started_unix_ms| {
+        let observed_at = Millis(observed_at);
+        let named = NamedLimit { started_unix_ms, rate, observed_at };
+        signals.record_limit(&id(), named, Some(&known), Millis(20_000));
+        signals.limit(&known).map(RateLimit::rate)
+    };
+    assert_eq!(record(None, 100, Some(1)), None);
+    assert_eq!(record(rate(4_000), 1_000, Some(1)), rate(4_000));
+    assert_eq!(record(None, 900, Some(1)), rate(4_000), "a peer's older response");
+    assert_eq!(record(rate(2_000), 2_000, Some(1)), rate(2_000));
+    assert_eq!(record(None, 3_000, Some(1)), None);
+    assert_eq!(record(rate(2_000), 2_500, Some(1)), None, "a peer has not heard of the end");
+    assert_eq!(record(rate(1_000), 4_000, Some(1)), rate(1_000));
+    assert_eq!(record(rate(9_000), 5_000, Some(0)), rate(1_000), "an earlier run's response");
+    let restarted = replica(Some(2));
+    assert!(signals.limit(&restarted).is_none(), "the limit is that of the run before");
+}
+
+#[test]
+fn end_of_a_limit_is_told_for_a_while() {
+    let mut signals = ReplicaSignals::default();
+    let known = replica(None);
+    let mut record = |rate, observed_at| {
+        let named = NamedLimit { started_unix_ms: None, rate, observed_at };
+        signals.record_limit(&id(), named, Some(&known), observed_at);
+    };
+    record(Some(RequestRate(500)), Millis(0));
+    record(None, Millis(1_000));
+    assert_eq!(signals.named_limits(Millis(5_000)).count(), 1);
+    assert_eq!(signals.named_limits(Millis(60_000)).count(), 0);
+}
