Keep the rate that an upstream names at its sidecar too

What callers and operators would see in the other deployment: an upstream that names a limit got as many requests as before. The same cause as at direct entries: nothing read the header in the responses of upstreams.

Change: the sidecar, which sends all requests of its upstream, reads it and refuses runs beyond the rate as if it were full, with 'not run', so that the entries go to other sidecars; keyed runs are fenced as at a full table. A response without it ends the limit.

Not built: a Retry-After from the rate; callers get the usual second.

--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -10,6 +10,7 @@
 mod sse;
 mod upstream;
 mod upstream_ends;
+mod upstream_limit;
 
 use crate::{StartError, node::Node, process::listen, response};
 use async_std::task::{self, JoinHandle};
@@ -29,6 +30,7 @@
     time::Duration,
 };
 use upstream_ends::UpstreamEnds;
+use upstream_limit::UpstreamLimit;
 
 /// Maximum age of the ticket in a run request, which is the time since the probe that the request
 /// is based on.
@@ -50,6 +52,7 @@
     upstream: UpstreamSettings,
     upstream_pool: Pool,
     upstream_ends: UpstreamEnds,
+    upstream_limit: UpstreamLimit,
     table: Mutex<RunTable>,
     active: Mutex<BTreeMap<RunKey, ActiveRun>>,
     outbox: Mutex<Outbox>,
@@ -136,6 +139,7 @@
                 ..PoolOptions::default()
             }),
             upstream_ends: UpstreamEnds::default(),
+            upstream_limit: UpstreamLimit::default(),
             active: Mutex::default(),
             outbox: Mutex::default(),
             unread: Mutex::default(),
--- a/crates/daemon/src/sidecar/protocol.rs
+++ b/crates/daemon/src/sidecar/protocol.rs
@@ -35,7 +35,7 @@
     check_permission(shared, &req)?;
     let key = req.key.clone();
     let now = shared.node.now();
-    let admission = shared.table().admit(&req, now);
+    let admission = shared.table().admit_if(&req, now, || shared.upstream_limit.try_take(now));
     match admission {
         Admission::Start => runs::start(shared, req),
         Admission::Attach => {}
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -43,6 +43,7 @@
         }
         Err(error) => return failed_outcome(transport_fault(req, &error)),
     };
+    shared.record_upstream_limit(&reply.response);
     let status = u16::from(reply.response.status());
     if status >= 500 && matches!(req.target, Target::Model(_)) {
         let fault = Fault::new(ErrorKind::UpstreamFailed, format!("status {status}"));
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -17,10 +17,10 @@
 
 /// The effect takes place after a delay.
 const SLOW_EFFECT: ServiceFaults =
-    ServiceFaults { before_ms: 1_200, after_ms: 0, fail_after: false };
+    ServiceFaults { before_ms: 1_200, after_ms: 0, fail_after: false, limit: None };
 /// The effect takes place at once and the response comes after a delay.
 const SLOW_RESPONSE: ServiceFaults =
-    ServiceFaults { before_ms: 0, after_ms: 1_200, fail_after: false };
+    ServiceFaults { before_ms: 0, after_ms: 1_200, fail_after: false, limit: None };
 
 fn cluster(test: &str) -> Cluster {
     Cluster::with_upstreams(
--- a/crates/execution/src/table.rs
+++ b/crates/execution/src/table.rs
@@ -117,6 +117,15 @@
     /// Decides on a run request. `Start` registers the run as in progress. A refusal because the
     /// table is draining or full fences a keyed run.
     pub fn admit(&mut self, req: &RunRequest, now: Millis) -> Admission {
+        self.admit_if(req, now, || true)
+    }
+
+    /// The same, except that a run that would start is refused like one at a full table unless
+    /// `may_start` returns true.
+    pub fn admit_if<F>(&mut self, req: &RunRequest, now: Millis, may_start: F) -> Admission
+    where
+        F: FnOnce() -> bool,
+    {
         if let Some(run) = self.runs.get(&req.key)
             && let Some(admission) = Self::admit_existing(run, req)
         {
@@ -131,7 +140,7 @@
         if self.draining {
             return self.refuse(req, ErrorKind::Draining, now);
         }
-        if self.is_full() {
+        if self.is_full() || !may_start() {
             return self.refuse(req, ErrorKind::NoReplica, now);
         }
         self.running += 1;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,12 +4,14 @@
 use crate::http::{json_response, read_json_body, read_request_body};
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Request, Response, StatusCode};
+use ibissail_core::Millis;
+use ibissail_platform::RATE_LIMIT_HEADER;
 use ibissail_transport::{Caller, ServerOptions, ShutdownSignal, serve};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// Faults injected into the service through `/control/faults`.
@@ -22,6 +24,8 @@
     pub after_ms: u64,
     /// The effect takes place, but the response has status 500.
     pub fail_after: bool,
+    /// Rate that the service names in its responses, as text that may be no rate.
+    pub limit: Option<String>,
 }
 
 /// Counters of the service, reported at `/control/counts`.
@@ -32,6 +36,9 @@
     /// Number of calls received completely, by idempotency key.
     #[serde(default)]
     pub arrivals: BTreeMap<String, u64>,
+    /// When each call was received, in Unix milliseconds.
+    #[serde(default)]
+    pub arrived_unix_ms: Vec<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -73,7 +80,12 @@
     let faults = lock(state).faults.clone();
     let key = req.header("idempotency-key").map(|h| h.as_str().to_owned()).unwrap_or_default();
     let body = read_request_body(&mut req).await;
-    *lock(state).counts.arrivals.entry(key.clone()).or_default() += 1;
+    {
+        let counts = &mut lock(state).counts;
+        *counts.arrivals.entry(key.clone()).or_default() += 1;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        counts.arrived_unix_ms.push(Millis::from(now).0);
+    }
     task::sleep(Duration::from_millis(faults.before_ms)).await;
     let count = {
         let mut state = lock(state);
@@ -82,9 +94,14 @@
         *count
     };
     task::sleep(Duration::from_millis(faults.after_ms)).await;
-    if faults.fail_after {
-        return Response::new(StatusCode::InternalServerError);
+    let mut res = if faults.fail_after {
+        Response::new(StatusCode::InternalServerError)
+    } else {
+        let result = serde_json::json!({"key": key, "effect": count, "bytes": body.len()});
+        json_response(200, &result)
+    };
+    if let Some(limit) = &faults.limit {
+        res.insert_header(RATE_LIMIT_HEADER, limit.as_str());
     }
-    let result = serde_json::json!({"key": key, "effect": count, "bytes": body.len()});
-    json_response(200, &result)
+    res
 }
