Keep what is used of a share when a replica changes the rate that it names

What callers would see: a replica that names another rate in each answer gets no requests at all while it is limited.

Cause: each new rate began an empty bucket. Change: a new rate replaces the old one and keeps the level, at direct entries and sidecars.

--- a/crates/daemon/src/sidecar/upstream_limit.rs
+++ b/crates/daemon/src/sidecar/upstream_limit.rs
@@ -27,8 +27,14 @@
         if limit.map(|(limit, _)| limit.rate()) == rate {
             return false;
         }
-        let named = rate.zip(vm.as_str().parse::<InstanceId>().ok());
-        *limit = named.map(|(rate, id)| (RateLimit::new(&id, rate, now), FleetShare::new(vm, 1)));
+        match (&mut *limit, rate) {
+            (Some((limit, _)), Some(rate)) => limit.set_rate(rate),
+            (limit, rate) => {
+                let named = rate.zip(vm.as_str().parse::<InstanceId>().ok());
+                *limit = named
+                    .map(|(rate, id)| (RateLimit::new(&id, rate, now), FleetShare::new(vm, 1)));
+            }
+        }
         true
     }
 
--- a/crates/direct/src/rate_limit.rs
+++ b/crates/direct/src/rate_limit.rs
@@ -93,6 +93,11 @@
         self.rate
     }
 
+    /// Replaces the rate; what has been used of the share still counts.
+    pub fn set_rate(&mut self, rate: RequestRate) {
+        self.rate = rate;
+    }
+
     /// Whether a request may be sent now that leaves `reserve`, a part of the burst, to others.
     #[must_use]
     pub fn can_take(&self, fleet: FleetShare, reserve: f64, now: Millis) -> bool {
--- a/crates/direct/src/signals.rs
+++ b/crates/direct/src/signals.rs
@@ -113,7 +113,10 @@
         if before == named.rate {
             return false;
         }
-        signals.limit = named.rate.map(|rate| RateLimit::new(id, rate, now));
+        match (&mut signals.limit, named.rate) {
+            (Some(limit), Some(rate)) => limit.set_rate(rate),
+            (limit, rate) => *limit = rate.map(|rate| RateLimit::new(id, rate, now)),
+        }
         true
     }
 
--- a/crates/direct/tests/replica_signals.rs
+++ b/crates/direct/tests/replica_signals.rs
@@ -2,7 +2,8 @@
 
 use ibissail_core::{Count, InstanceId, Millis, RequestRate};
 use ibissail_direct::{
-    MAX_PAUSE, NamedLimit, RateLimit, Replica, ReplicaSignals, ReplicaState, Unavailability,
+    FleetShare, MAX_PAUSE, NamedLimit, RateLimit, Replica, ReplicaSignals, ReplicaState,
+    Unavailability,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -160,3 +161,18 @@
     assert_eq!(signals.named_limits(Millis(5_000)).count(), 1);
     assert_eq!(signals.named_limits(Millis(60_000)).count(), 0);
 }
+
+#[test]
+fn limit_that_changes_with_each_response_starves_nobody() {
+    let mut signals = ReplicaSignals::default();
+    let known = replica(None);
+    let fleet = FleetShare::new(&"front-1".parse().expect("a valid name"), 2);
+    let mut sent = 0;
+    for at in (0..20_000).step_by(100) {
+        let rate = Some(RequestRate(4_000 + at % 300));
+        let named = NamedLimit { started_unix_ms: None, rate, observed_at: Millis(at) };
+        signals.record_limit(&id(), named, Some(&known), Millis(at));
+        sent += u32::from(signals.try_take(&known, fleet, Millis(at)));
+    }
+    assert!((30..=50).contains(&sent), "{sent} of 40");
+}
