Tell limits of replicas without the names of their fields

A notice carries the names of its fields, and each told limit repeated them: by calculation 2.2 kB with 40 limits, more than the datagram it is meant for. As tuples, like leaving replicas, they take 25 bytes each.

--- a/crates/daemon/src/direct/limits.rs
+++ b/crates/daemon/src/direct/limits.rs
@@ -29,11 +29,9 @@
         let named = self.signals.named_limits(now);
         let listed = named.filter(|(id, _)| self.replicas.get(id).is_some());
         let mut told: Vec<ToldLimit> = listed
-            .map(|(id, named)| ToldLimit {
-                replica: replica_hash(id),
-                started_unix_ms: named.started_unix_ms,
-                rate: named.rate,
-                age: now.since(named.observed_at),
+            .map(|(id, named)| {
+                let NamedLimit { started_unix_ms, rate, observed_at } = named;
+                (replica_hash(id), started_unix_ms, rate, now.since(observed_at))
             })
             .collect();
         if told.len() > MAX_NOTICE_LIMITS {
@@ -118,15 +116,12 @@
         }
         let mut state = self.state();
         let replicas = state.replicas_by_hash();
-        for told in &notice.limits {
-            let Some(replica) = replicas.get(&told.replica) else { continue };
-            let named = NamedLimit {
-                started_unix_ms: told.started_unix_ms,
-                rate: told.rate,
-                observed_at: now.since(told.age),
-            };
+        for (hash, started_unix_ms, rate, age) in &notice.limits {
+            let Some(replica) = replicas.get(hash) else { continue };
+            let (started_unix_ms, rate) = (*started_unix_ms, *rate);
+            let named = NamedLimit { started_unix_ms, rate, observed_at: now.since(*age) };
             if state.signals.record_limit(&replica.id, named, Some(replica), now) {
-                self.log_limit(&replica.id, told.rate, "peer");
+                self.log_limit(&replica.id, rate, "peer");
             }
         }
     }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -82,18 +82,10 @@
     pub(super) result: CanaryProgress,
 }
 
-/// What a response of a replica has said about the rate that it accepts, as told to peers.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(super) struct ToldLimit {
-    /// Short hash of the replica's name.
-    pub(super) replica: u32,
-    /// Start time of the replica's run; `None` if not reported.
-    pub(super) started_unix_ms: Option<u64>,
-    /// `None` if it no longer names a rate.
-    pub(super) rate: Option<RequestRate>,
-    /// Time since the response arrived.
-    pub(super) age: Millis,
-}
+/// What a response of a replica has said about the rate that it accepts, as reported to peers: the
+/// short hash of its name, its start time, the rate, `None` if it no longer names one, and the time
+/// since the response arrived.
+pub(super) type ToldLimit = (u32, Option<u64>, Option<RequestRate>, Millis);
 
 /// What an entry tells its peers besides its report. It is a message of its own, which entries of
 /// earlier builds ignore, and is sent only while there is something to tell.
