Divide the rate of a limited replica by the entries' demand

What callers saw: all replicas of a service limited, one entry with many callers and two with none, and the callers refused although the replicas would have taken them all.

Cause: even shares; those of idle entries were wasted. Change: notices on limits carry the sender's requests for the service in the last 2 s. A tenth of a rate is divided evenly, the rest by demand; entries that were not heard of count like the others.

--- a/crates/daemon/src/direct/limits.rs
+++ b/crates/daemon/src/direct/limits.rs
@@ -3,26 +3,47 @@
 
 use super::{
     Shared,
-    peers::{Notice, ToldLimit, replica_hash},
+    peers::{Notice, ToldLimit, replica_hash, truncate_hash},
     serve::AdmittedRequest,
     state::State,
 };
 use crate::clock::since_boot;
 use ibissail_core::{InstanceId, Millis, RequestRate, ServiceId};
-use ibissail_direct::{FleetShare, NamedLimit, Unavailability, urgency_reserve};
+use ibissail_direct::{FleetShare, NamedLimit, Unavailability, stable_hash, urgency_reserve};
 use rand::Rng;
 use slog::info;
+use std::collections::BTreeSet;
 
 /// Most limits in a notice, so that it fits in one datagram; with more, they take turns.
 const MAX_NOTICE_LIMITS: usize = 40;
+/// Time whose requests are an entry's demand.
+const DEMAND_SPAN: Millis = Millis(2_000);
 /// Longest time after which a caller is asked to come back.
 const MAX_RETURN_TIME: Millis = Millis(8_000);
 
+/// The short hash that identifies a service in notices.
+fn service_hash(service: &ServiceId) -> u32 {
+    truncate_hash(stable_hash(&[service.as_str()]))
+}
+
 impl State {
-    /// This entry's share of what the entries divide.
-    pub(super) fn fleet_share(&mut self, now: Millis) -> FleetShare {
+    /// This entry's share of the rates that the replicas of a service accept, by its demand.
+    pub(super) fn fleet_share(&mut self, service: &ServiceId, now: Millis) -> FleetShare {
         let entries = self.peers.cautious_entry_count(now);
-        FleetShare::new(&self.peers.vm, entries)
+        let heard = self.peers.demands(service_hash(service), now);
+        let own = self.budget(service).recent_requests(DEMAND_SPAN, now);
+        FleetShare::by_demand(&self.peers.vm, entries, own, &heard)
+    }
+
+    /// Recent requests of this entry for each service with limited replicas.
+    fn demands(&mut self, now: Millis) -> Vec<(u32, u32)> {
+        let named = self.signals.named_limits(now);
+        let limited = named.filter_map(|(id, _)| Some(self.replicas.get(id)?.service.clone()));
+        let services: BTreeSet<ServiceId> = limited.collect();
+        let demand = |service: &ServiceId| {
+            (service_hash(service), self.budget(service).recent_requests(DEMAND_SPAN, now))
+        };
+        services.iter().map(demand).collect()
     }
 
     fn told_limits(&self, now: Millis) -> Vec<ToldLimit> {
@@ -104,9 +125,13 @@
     /// Notice about the rates that replicas accept; `None` if there is nothing to tell. It is apart
     /// from the others, so that each fits in one datagram.
     pub(super) fn build_limits(&self, now: Millis) -> Option<Notice> {
-        let state = self.state();
+        let mut state = self.state();
         let limits = state.told_limits(now);
-        (!limits.is_empty()).then(|| Notice { limits, ..state.empty_notice() })
+        if limits.is_empty() {
+            return None;
+        }
+        let demands = state.demands(now);
+        Some(Notice { limits, demands, ..state.empty_notice() })
     }
 
     /// Applies the limits that a peer has told.
@@ -115,6 +140,7 @@
             return;
         }
         let mut state = self.state();
+        state.peers.store_demands(notice.incarnation, &notice.demands, now);
         let replicas = state.replicas_by_hash();
         for (hash, started_unix_ms, rate, age) in &notice.limits {
             let Some(replica) = replicas.get(hash) else { continue };
@@ -128,10 +154,10 @@
 
     /// Takes a request from this entry's share of the rate of a replica; returns whether it may be
     /// sent.
-    pub(super) fn try_take_limit(&self, id: &InstanceId) -> bool {
+    pub(super) fn try_take_limit(&self, service: &ServiceId, id: &InstanceId) -> bool {
         let now = since_boot();
         let mut state = self.state();
-        let fleet = state.fleet_share(now);
+        let fleet = state.fleet_share(service, now);
         let State { signals, replicas, .. } = &mut *state;
         replicas.get(id).is_none_or(|replica| signals.try_take(replica, fleet, now))
     }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -32,6 +32,7 @@
             canary_results: Vec::new(),
             fleet: Vec::new(),
             limits: Vec::new(),
+            demands: Vec::new(),
         }
     }
 
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -30,6 +30,8 @@
 const DISCOVERY_TIME: Millis = Millis(5_000);
 /// Once in this many rounds, the sample of entries is sent to some of the receivers.
 const FLEET_SAMPLE_INTERVAL: u64 = 2;
+/// Age from which the requests that a peer has told are ignored.
+const DEMAND_TTL: Millis = Millis(2_500);
 /// Most peer addresses in a report.
 const MAX_CONTACTS: usize = 8;
 /// Most sessions in a report.
@@ -114,6 +116,9 @@
     /// Rates that replicas accept.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) limits: Vec<ToldLimit>,
+    /// Short hashes of services with limited replicas, each with the sender's recent requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) demands: Vec<(u32, u32)>,
 }
 
 /// Another entry.
@@ -147,6 +152,8 @@
     /// Addresses of peers, known from reports, and when each was first mentioned or last sent a
     /// report.
     contacts: BTreeMap<SocketAddr, Millis>,
+    /// Recent requests of peers for services with limited replicas, and when each was told.
+    demands: BTreeMap<(u32, Incarnation), (u32, Millis)>,
     /// Sample of all entries, of which this one knows only some as peers.
     fleet: FleetSize,
     /// Number of rounds of reports that this entry has started.
@@ -175,6 +182,7 @@
             configurations: BTreeMap::new(),
             seeds: BTreeSet::new(),
             contacts: BTreeMap::new(),
+            demands: BTreeMap::new(),
             fleet: FleetSize::new(&settings.vm, since_boot()),
             round: 0,
             discovered_at: None,
@@ -216,6 +224,22 @@
         self.fleet.cautious_estimate(now).max(self.live_entry_count(now))
     }
 
+    /// Stores the recent requests of a peer for services with limited replicas.
+    pub(super) fn store_demands(&mut self, peer: Incarnation, told: &[(u32, u32)], now: Millis) {
+        self.demands.retain(|_, (_, told_at)| now.since(*told_at) < DEMAND_TTL);
+        for (service, requests) in told {
+            self.demands.insert((*service, peer), (*requests, now));
+        }
+    }
+
+    /// Recent requests for a service, given by its short hash, of each peer that has told them.
+    pub(super) fn demands(&self, service: u32, now: Millis) -> Vec<u32> {
+        let range = (service, Incarnation(0))..=(service, Incarnation(u64::MAX));
+        let told = self.demands.range(range).map(|(_, told)| *told);
+        let recent = told.filter(|(_, told_at)| now.since(*told_at) < DEMAND_TTL);
+        recent.map(|(requests, _)| requests).collect()
+    }
+
     /// The sample of entries for peers, in those rounds in which it is sent.
     pub(super) fn due_fleet_sample(&mut self, now: Millis) -> Option<Vec<(u32, u64)>> {
         self.round.is_multiple_of(FLEET_SAMPLE_INTERVAL).then(|| self.fleet_sample(now))
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -263,7 +263,7 @@
             let kind = progress.unserved_kind();
             return Err(request.error_reply(kind, "the retry budget is exhausted"));
         }
-        if !self.try_take_limit(&replica.id) {
+        if !self.try_take_limit(&request.service, &replica.id) {
             if needs_retry {
                 self.state().budget(&request.service).return_retry();
             }
@@ -333,7 +333,7 @@
         }
         let now = since_boot();
         let mut state = self.state();
-        let fleet = state.fleet_share(now);
+        let fleet = state.fleet_share(&request.service, now);
         let Some(wait) = state.time_until_accepted(request, fleet, now) else { return reply };
         let retry_after = match state.book_return(&request.service, wait, fleet, now) {
             Some(booked) => booked,
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -60,7 +60,7 @@
         let mut state = self.state();
         let versions = state.allowed_versions(request, progress, now);
         let zone = &self.settings.zone;
-        let fleet = state.fleet_share(now);
+        let fleet = state.fleet_share(&request.service, now);
         let query = CandidateQuery { request, progress, model, zone, fleet, now };
         let mut candidates = state.candidates(&query, &versions);
         // What the limits of the old version's replicas leave must not move to a new version.
--- a/crates/daemon/tests/replica_limits.rs
+++ b/crates/daemon/tests/replica_limits.rs
@@ -201,3 +201,26 @@
         });
     }
 }
+
+#[test]
+fn callers_of_one_entry_get_what_the_others_do_not_use() {
+    let fleet = Fleet::start("limit_uneven");
+    let busy = [fleet.entries[0].callers];
+    let traffic = Traffic::start(&busy, Duration::from_millis(125), |number| {
+        CallerRequest::new("GET", "/look/1", &format!("uneven-{number}"))
+    });
+    thread::sleep(Duration::from_secs(2));
+    for replica in &fleet.replicas {
+        replica.set_limit(Some("4"));
+    }
+    let from = Instant::now() + REACTION_TIME;
+    thread::sleep(TEST_TIME);
+    let exchanges = traffic.stop();
+    let later: Vec<&Exchange> =
+        exchanges.iter().filter(|exchange| exchange.sent_at >= from).collect();
+    assert_served(&later, 95, 60);
+    for replica in &fleet.replicas {
+        let most = most_in_a_window(replica, from);
+        assert!(most <= allowed(4_000), "{most} requests in {WINDOW:?}");
+    }
+}
--- a/crates/direct/src/rate_limit.rs
+++ b/crates/direct/src/rate_limit.rs
@@ -1,6 +1,6 @@
 //! This entry's share of the rate that a replica accepts from all entries together.
 //!
-//! The rate is divided evenly. If the fleet's burst is at least one request for each entry, each has
+//! The rate is divided by the entries' demand. If the fleet's burst is at least one request for each entry, each has
 //! a token bucket. Otherwise, buckets that hold a whole token each would allow a burst as large as
 //! the fleet, so time is divided into periods, and each entry may send one request in some of them.
 
@@ -18,6 +18,8 @@
 const USED_PART: f64 = 0.95;
 /// Part of the rate that turns use.
 const TURN_USED_PART: f64 = 0.75;
+/// Part of a rate that is divided evenly, so that an entry without demand can begin to send.
+const EVEN_PART: f64 = 0.1;
 /// Lowest rate at which the entries together ask a replica, so that the end of its limit is noticed.
 const MIN_RATE: f64 = 0.1;
 /// Fractional part of the golden ratio, whose multiples are evenly spread modulo 1.
@@ -29,19 +31,44 @@
 /// Part of a bucket's burst that the least urgent requests leave.
 const MAX_RESERVE: f64 = 0.75;
 
-/// The entry that takes a share, and the number of entries among which a rate is divided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The part of a rate that an entry takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetShare {
     /// Hash of the entry's name.
     entry: u64,
-    entries: usize,
+    /// Number of entries that would each take this part.
+    entries: f64,
 }
 
 impl FleetShare {
-    /// The share of the entry on this VM in a fleet of `entries`, this one included.
+    /// An even share of the entry on this VM in a fleet of `entries`, this one included.
     #[must_use]
     pub fn new(vm: &VmId, entries: usize) -> Self {
-        Self { entry: stable_hash(&[vm.as_str()]), entries: entries.max(1) }
+        Self { entry: stable_hash(&[vm.as_str()]), entries: entries.max(1) as f64 }
+    }
+
+    /// A share by demand: `own` requests of this entry and those of the peers heard of, all in the
+    /// same span of time. Peers that were not heard of count like the others.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_direct::FleetShare;
+    /// let vm = "front-1".parse().unwrap();
+    /// assert_eq!(FleetShare::by_demand(&vm, 3, 7, &[7, 7]), FleetShare::new(&vm, 3));
+    /// assert_ne!(FleetShare::by_demand(&vm, 3, 7, &[0, 0]), FleetShare::new(&vm, 3));
+    /// ```
+    #[must_use]
+    pub fn by_demand(vm: &VmId, entries: usize, own: u32, heard: &[u32]) -> Self {
+        let even = Self::new(vm, entries);
+        let others = entries.saturating_sub(1).max(heard.len()) as f64;
+        let sum: f64 = heard.iter().map(|demand| f64::from(*demand)).sum();
+        let total = f64::from(own) + sum * others / heard.len().max(1) as f64;
+        if heard.is_empty() || total == 0.0 {
+            return even;
+        }
+        let part = EVEN_PART / even.entries + (1.0 - EVEN_PART) * f64::from(own) / total;
+        Self { entries: 1.0 / part, ..even }
     }
 }
 
@@ -163,7 +190,7 @@
 
     fn method(&self, fleet: FleetShare) -> Method {
         let rate = self.rate.per_second().max(MIN_RATE);
-        let entries = fleet.entries as f64;
+        let entries = fleet.entries;
         let capacity = (BURST_SECONDS * rate + BURST_REQUESTS) / entries;
         if capacity >= 1.0 {
             return Method::Bucket { per_ms: USED_PART * rate / entries / 1_000.0, capacity };
--- a/crates/direct/src/retry_budget.rs
+++ b/crates/direct/src/retry_budget.rs
@@ -51,6 +51,13 @@
         self.current_bucket(now).requests += 1;
     }
 
+    /// Callers' requests in the last `span`, at most the window.
+    #[must_use]
+    pub fn recent_requests(&self, span: Millis, now: Millis) -> u32 {
+        let recent = self.buckets.iter().filter(|bucket| now.since(bucket.start) < span);
+        recent.map(|bucket| bucket.requests).sum()
+    }
+
     /// Takes a retry if the budget allows one; returns whether it does.
     ///
     /// `entries` is the number of entries known, this one included. `reserve` is the share of the
--- a/crates/direct/tests/rate_limits.rs
+++ b/crates/direct/tests/rate_limits.rs
@@ -198,3 +198,71 @@
     assert!(urgent[1] * 100 >= urgent[0] * 95, "{urgent:?} urgent, {other:?} others");
     assert!(other[1] > 0 && other[1] * 2 < other[0], "{urgent:?} urgent, {other:?} others");
 }
+
+/// Requests that an entry tells, of the last two seconds.
+const DEMAND_SPAN_MS: u64 = 2_000;
+
+/// Plays a fleet of five whose callers reach entry `busy(now)` only, `demand` a second; returns the
+/// most requests in a window and those a second on average.
+fn play_uneven<F>(rate: RequestRate, demand: u64, busy: F) -> (usize, f64)
+where
+    F: Fn(u64) -> usize,
+{
+    const ENTRIES: usize = 5;
+    let vms: Vec<VmId> =
+        (0..ENTRIES).map(|index| format!("front-{index}").parse().expect("a name")).collect();
+    let replica = "r-1".parse().expect("a name");
+    let mut limits = [RateLimit::new(&replica, rate, Millis(0)); ENTRIES];
+    let mut wanted: [Vec<u64>; ENTRIES] = Default::default();
+    let mut told = [0; ENTRIES];
+    let mut sent = Vec::new();
+    let recent = |wanted: &Vec<u64>, now: u64| {
+        let recent = wanted.iter().rev().take_while(|at| **at + DEMAND_SPAN_MS > now);
+        u32::try_from(recent.count()).expect("it is small")
+    };
+    for now in (0..DURATION_MS).step_by(10) {
+        if now % 400 == 0 {
+            told = std::array::from_fn(|index| recent(&wanted[index], now));
+        }
+        if now % (1_000 / demand) >= 10 {
+            continue;
+        }
+        let index = busy(now);
+        wanted[index].push(now);
+        let heard: Vec<u32> =
+            (0..ENTRIES).filter(|other| *other != index).map(|other| told[other]).collect();
+        let own = recent(&wanted[index], now);
+        let share = FleetShare::by_demand(&vms[index], ENTRIES, own, &heard);
+        if limits[index].try_take(share, 0.0, Millis(now)) {
+            sent.push(now);
+        }
+    }
+    let in_window = |(index, start): (usize, &u64)| {
+        sent[index..].iter().take_while(|at| **at < start + WINDOW_MS).count()
+    };
+    let most = sent.iter().enumerate().map(in_window).max().unwrap_or_default();
+    (most, sent.len() as f64 * 1_000.0 / DURATION_MS as f64)
+}
+
+#[test]
+fn rate_is_not_wasted_on_idle_entries() {
+    for rate in [1_000, 4_000, 12_000].map(RequestRate) {
+        let (most, average) = play_uneven(rate, 20, |_| 0);
+        assert!(most as f64 <= allowed(rate), "{rate}: {most} in a window");
+        assert!(average >= 0.75 * rate.per_second(), "{rate}: {average:.2} a second");
+    }
+}
+
+#[test]
+fn rate_holds_while_demand_moves_from_entry_to_entry() {
+    for rate in [500, 1_000, 4_000, 12_000].map(RequestRate) {
+        for seconds in [1, 2, 5, 9] {
+            let (most, average) = play_uneven(rate, 20, |now| {
+                usize::try_from(now / 1_000 / seconds % 5).unwrap_or(0)
+            });
+            let context = format!("{rate}, {seconds} s each");
+            assert!(most as f64 <= allowed(rate), "{context}: {most} in a window");
+            assert!(average >= 0.3 * rate.per_second(), "{context}: {average:.2} a second");
+        }
+    }
+}
