Let entries that start late in a rollout keep sessions on the new version

What callers could see: an entry that starts in the second half sent sessions back to the old version until it had heard a peer. Cause: an age from wall clocks kept all sessions on the old version, however far into the second half it lay. Change: only up to 3 s after the point from which sessions may move, an error that wall clocks bear.

--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -10,6 +10,10 @@
 use ibissail_core::{Count, Incarnation, Millis, ServiceId, VersionId};
 use serde::{Deserialize, Serialize};
 
+/// Error of an age that wall clocks gave up to which sessions still stay on the old version long
+/// enough.
+const MAX_CLOCK_ERROR: Millis = Millis(3_000);
+
 /// Report on a rollout, sent to the peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RolloutReport {
@@ -148,7 +152,10 @@
         let schedule = self.schedule(now);
         let split = TrafficSplit::new(&self.rollout, &schedule, self.verdict.is_bad(), self.canary);
         if split.is_canary && self.is_start_estimated {
-            return TrafficSplit { session_share: 0.0, ..split };
+            let elapsed = schedule.elapsed.since(MAX_CLOCK_ERROR);
+            if !(Schedule { elapsed, ..schedule }).includes_sessions() {
+                return TrafficSplit { session_share: 0.0, ..split };
+            }
         }
         split
     }
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -139,7 +139,7 @@
 
 impl Schedule {
     /// Whether sessions may run on the new version.
-    fn includes_sessions(&self) -> bool {
+    pub(crate) fn includes_sessions(&self) -> bool {
         self.elapsed.0 as f64 >= self.duration.0 as f64 * SESSION_DELAY_PART
     }
 
