Use less of a limited rate where entries take turns

Turns now use 0.6 of the rate instead of 0.75; token buckets, which fleets of up to five have at 1 a second, are not concerned.

--- a/crates/direct/src/rate_limit.rs
+++ b/crates/direct/src/rate_limit.rs
@@ -17,7 +17,7 @@
 /// Part of the rate that token buckets use; the rest absorbs errors in the number of entries.
 const USED_PART: f64 = 0.95;
 /// Part of the rate that turns use.
-const TURN_USED_PART: f64 = 0.75;
+const TURN_USED_PART: f64 = 0.6;
 /// Part of a rate that is divided evenly, so that an entry without demand can begin to send.
 const EVEN_PART: f64 = 0.1;
 /// Lowest rate at which the entries together ask a replica, so that the end of its limit is noticed.
