Let answers after the canary phase complete the test of a version

What operators would see: a sound version of a service with few requests is rolled back, although enough answers had come by the end of the rollout.

Cause: fixed not only whether the version is suspect, on which the entries must agree, but also the number of its answers, before the last step. Change: only the suspicion is fixed; answers and time go on counting.

--- a/crates/direct/src/controller.rs
+++ b/crates/direct/src/controller.rs
@@ -227,23 +227,22 @@
         }
         self.slowdown = slowdown(&evidence);
         self.pace_slowdown = pace_slowdown(&evidence);
-        if self.is_canary_concluded {
-            return;
-        }
         let mut canary = CanaryProgress {
             responses: evidence.new.response_count(),
             observed_for: self.evidence.observed_for(now),
             is_suspect: is_suspect(&evidence, replicas),
         };
         let schedule = self.schedule(now);
-        if schedule.is_canary_concluded() {
-            // The version is observed until the full phase begins.
-            let left = schedule.canary_time_left();
-            canary.observed_for = canary.observed_for.saturating_add(left);
-            canary = self.canary_result.map_or(canary, |known| known.max(canary));
-            self.canary_result = Some(canary);
+        if schedule.is_canary_concluded() && !self.is_canary_concluded {
+            self.canary_result = self.canary_result.max(Some(canary));
             self.is_canary_concluded = true;
         }
+        if let Some(result) = self.canary_result {
+            // Responses that come later may complete the test, but not make the version suspect.
+            canary.responses = canary.responses.max(result.responses);
+            canary.observed_for = canary.observed_for.max(result.observed_for);
+            canary.is_suspect = result.is_suspect;
+        }
         self.canary = canary;
     }
 
@@ -271,7 +270,9 @@
             return false;
         }
         self.canary_result = Some(result);
-        self.canary = result;
+        self.canary.responses = self.canary.responses.max(result.responses);
+        self.canary.observed_for = self.canary.observed_for.max(result.observed_for);
+        self.canary.is_suspect = result.is_suspect;
         true
     }
 
--- a/crates/direct/src/rollout.rs
+++ b/crates/direct/src/rollout.rs
@@ -157,12 +157,6 @@
         self.time_until_full() <= longest.min(AGREEMENT_TIME.0 as f64)
     }
 
-    /// Time until the full phase begins; zero once it has begun.
-    #[must_use]
-    pub fn canary_time_left(&self) -> Millis {
-        Millis(self.time_until_full().max(0.0) as u64)
-    }
-
     /// Phase at the elapsed time.
     ///
     /// # Examples
--- a/crates/direct/tests/rollout_history.rs
+++ b/crates/direct/tests/rollout_history.rs
@@ -315,3 +315,22 @@
     assert_eq!(controller.verdict(), Verdict::NoDifference, "not enough to reject it");
     assert!((controller.current_split(later).share - 1.0).abs() < f64::EPSILON);
 }
+
+/// A service with few requests gives its last answers just before the rollout's end.
+#[test]
+fn answers_after_the_canary_phase_complete_the_test() {
+    let rollout = Simulation::new(1, false).rollout;
+    let mut controller = RolloutController::new(rollout, EXPOSURE, Millis(0), Millis(0));
+    let sample =
+        Sample { route: 1, latency_class: 1, replica: 1, is_failure: false, latency_ms: Some(60) };
+    let no_peers = Vec::new;
+    for _ in 0..4 {
+        controller.evidence.record(true, &sample);
+    }
+    controller.decide(no_peers(), REPLICAS, Millis(12_500));
+    controller.decide(no_peers(), REPLICAS, Millis(13_000));
+    assert!(controller.current_split(Millis(13_000)).is_canary, "four answers are too few");
+    controller.evidence.record(true, &sample);
+    let due = Millis(13_450);
+    assert_eq!(controller.decide(no_peers(), REPLICAS, due), Some(RolloutState::Succeeded));
+}
