Send nothing to a version that an earlier rollout has rejected

What callers saw: a new version was rolled back because it failed, the next one was ordered half a second later, and requests went to the failing version again until its replicas had gone, some seconds; sessions moved to it and back.

Cause: during a rollout the old version is whatever is not the new one, and the next rollout replaces all that an entry knows of the one before. Change: an entry remembers versions that its rollouts have rejected while a replica of them is listed; such a replica is no candidate. A new rollout to the version gives it another chance. An entry that starts in between knows nothing of the rejection.

--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -5,8 +5,8 @@
 use async_std::task;
 use ibissail_core::{Count, InstanceId, Millis, ServiceId, VersionId};
 use ibissail_direct::{
-    ExtraCanaryRequests, Rollout, RolloutChange, RolloutController, RolloutRecords, RolloutState,
-    Sample, SharedEvidence,
+    ExtraCanaryRequests, Replica, Rollout, RolloutChange, RolloutController, RolloutRecords,
+    RolloutState, Sample, SharedEvidence,
 };
 use ibissail_platform::{StoreClient, StoreError};
 use slog::{info, warn};
@@ -80,7 +80,9 @@
                 known.desired_state = None;
                 known.records = records;
             }
-            (RolloutChange::Status | RolloutChange::Restored | RolloutChange::Other, _) => {
+            (RolloutChange::Status | RolloutChange::Restored | RolloutChange::Other, known) => {
+                let before = known.map(|known| known.controller.rollout.clone());
+                self.remember_rejection(before, &rollout.target);
                 let mut progress = RolloutProgress::new(rollout, self.exposure, now);
                 let rollout = &progress.controller.rollout;
                 progress.controller.old_running = self.running_on_others(&service, &rollout.target);
@@ -94,6 +96,23 @@
         }
     }
 
+    /// Remembers that the rollout before has rejected its version, whose replicas leave some seconds
+    /// later. A new rollout to a version gives it another chance.
+    fn remember_rejection(&mut self, before: Option<Rollout>, target: &VersionId) {
+        let Some(before) = before else { return };
+        let versions = self.rejected.entry(before.service).or_default();
+        if before.state == RolloutState::RolledBack {
+            versions.insert(before.target);
+        }
+        versions.remove(target);
+    }
+
+    /// Whether an earlier rollout has rejected the version that a replica runs.
+    pub(super) fn is_rejected(&self, replica: &Replica) -> bool {
+        let versions = self.rejected.get(&replica.service);
+        versions.is_some_and(|versions| versions.contains(&replica.version))
+    }
+
     /// Requests in progress on replicas of other versions of a service.
     fn running_on_others(&self, service: &ServiceId, target: &VersionId) -> u32 {
         let replicas = self.replicas.iter();
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -254,6 +254,7 @@
         self.replicas.ready(&request.service, now).filter(move |replica| {
             self.signals.unavailability(replica, now).is_none()
                 && versions.allows(&replica.version)
+                && !self.is_rejected(replica)
                 && !progress.tried.contains(&replica.id)
                 && model
                     .is_none_or(|model| replica.models.is_empty() || replica.models.contains(model))
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -7,7 +7,10 @@
     CrashQuarantine, DirectSettings, Freshness, Health, PartHash, PrefixCacheIndex, ReplicaSet,
     ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable,
 };
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 /// Load of this entry on one replica.
 #[derive(Debug, Clone, Copy, Default)]
@@ -57,6 +60,8 @@
     pub(crate) rollouts: BTreeMap<ServiceId, RolloutProgress>,
     /// The version that each service last ran alone, or that its last rollout moved it to.
     pub(crate) baselines: BTreeMap<ServiceId, VersionId>,
+    /// Versions that earlier rollouts of a service have rejected, and whose replicas are still listed.
+    pub(crate) rejected: BTreeMap<ServiceId, BTreeSet<VersionId>>,
     /// When replicas of several versions of a service were first seen without a rollout.
     pub(crate) mixed_since: BTreeMap<ServiceId, Millis>,
     pub(crate) sessions: BTreeMap<String, SessionVersion>,
@@ -90,6 +95,7 @@
             peers: PeerTable::new(settings),
             rollouts: BTreeMap::new(),
             baselines: BTreeMap::new(),
+            rejected: BTreeMap::new(),
             mixed_since: BTreeMap::new(),
             sessions: BTreeMap::new(),
             returns: BTreeMap::new(),
@@ -123,5 +129,10 @@
         self.signals.expire(|id| replicas.get(id).is_some(), now);
         self.health.retain(|id, _| replicas.get(id).is_some());
         self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
+        let listed: BTreeSet<(&ServiceId, &VersionId)> =
+            replicas.iter().map(|replica| (&replica.service, &replica.version)).collect();
+        for (service, versions) in &mut self.rejected {
+            versions.retain(|version| listed.contains(&(service, version)));
+        }
     }
 }
--- a/crates/daemon/tests/direct_store.rs
+++ b/crates/daemon/tests/direct_store.rs
@@ -268,6 +268,32 @@
     );
 }
 
+#[test]
+fn rejected_version_gets_nothing_in_the_next_rollout() {
+    let fixture = EntryFixture::start("rejected_version", &configuration(1, &["/look/"], &[]));
+    fixture.add_version("old-1", "records", "v1", OK_RESPONSE);
+    fixture.wait_ready();
+    thread::sleep(Duration::from_millis(2_200));
+    let bad = Behaviour::Respond(500, Duration::ZERO);
+    fixture.add_version("new-1", "records", "v2", bad.clone());
+    fixture.add_version("new-2", "records", "v2", bad);
+    fixture.start_rollout("records", "v2", 16.0);
+    assert_eq!(send_until_final(&fixture, "records"), "rolled_back");
+    // It has not failed yet, so that nothing but its version speaks against it.
+    let rejected = fixture.add_version("new-3", "records", "v2", OK_RESPONSE);
+    fixture.wait_for_replica(&rejected);
+    let next = fixture.add_version("next-1", "records", "v3", OK_RESPONSE);
+    fixture.wait_for_replica(&next);
+    fixture.start_rollout("records", "v3", 20.0);
+    for number in 0..200 {
+        let response =
+            fixture.send(&CallerRequest::new("GET", "/look/1", &format!("next-{number}")));
+        assert_eq!(response.status, 200);
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(rejected.run_count(), 0, "requests of the rejected version");
+}
+
 #[test]
 fn unreachable_store_is_called_rarely() {
     let fixture = EntryFixture::start("unreachable_store", &configuration(1, &["/look/"], &[]));
