Give the rollouts of two tests time for enough requests on a busy machine

Traced by the entry's log: the tests wait for eight requests on the new version and then for a stream that reaches the old one. Beside a load of 20 the eighth came with the last step of the rollout of 5 s, 443 requests after the order; then nothing reached the old version and the loop had no end.

Change: rollouts of 8 s, and both loops end with a failed assertion instead of never. The checks are the same.

--- a/crates/daemon/tests/replaced_version.rs
+++ b/crates/daemon/tests/replaced_version.rs
@@ -10,6 +10,9 @@
 
 /// Events of the stream that outlasts the rollout.
 const EVENTS: u64 = 30;
+/// Time of the rollout, in which a busy machine too brings the new version enough requests before
+/// all go to it.
+const ROLLOUT_SECONDS: f64 = 8.0;
 
 fn configuration() -> ConfigurationSpec {
     let mut route = RouteSpec::new("/drafts/", "resumable", "writers");
@@ -41,10 +44,11 @@
     fixture.wait_for_replica(&old);
     let new =
         fixture.add_version("r-2", "writers", "v2", stream(EVENTS, 0, StreamEnding::Complete));
-    fixture.start_rollout("writers", "v2", 5.0);
+    fixture.start_rollout("writers", "v2", ROLLOUT_SECONDS);
     fixture.wait_for_replica(&new);
     let mut number = 0;
     while new.run_count() < 8 {
+        assert_eq!(fixture.rollout_state("writers").replace("running", ""), "", "too few requests");
         number += 1;
         fixture.send(&draft(&format!("short-{number}")));
         thread::sleep(Duration::from_millis(10));
@@ -56,6 +60,7 @@
             let mut number = 0;
             loop {
                 number += 1;
+                assert!(number < 100, "the stream reaches the old version");
                 let before = old.run_count();
                 let response = fixture.send(&draft(&format!("long-{number}")));
                 if old.run_count() > before {
--- a/crates/daemon/tests/silent_leaving.rs
+++ b/crates/daemon/tests/silent_leaving.rs
@@ -22,6 +22,9 @@
 /// Events of the complete stream, and those before the silence.
 const EVENTS: u64 = 80;
 const EVENTS_BEFORE: u64 = 3;
+/// Time of the rollouts, in which a busy machine too brings the new version enough requests before
+/// all go to it.
+const ROLLOUT_SECONDS: f64 = 8.0;
 
 /// Set by a test or by a script.
 #[derive(Debug, Clone, Default)]
@@ -218,9 +221,10 @@
     });
     let receiver = peer.as_ref().unwrap_or(&fixture);
     add_replica(&fixture, &new, "new-1", "v2");
-    fixture.start_rollout("writers", "v2", 5.0);
+    fixture.start_rollout("writers", "v2", ROLLOUT_SECONDS);
     let mut number = 0;
     while new.received_at().len() < 8 {
+        assert_eq!(fixture.rollout_state("writers").replace("running", ""), "", "too few requests");
         number += 1;
         fixture.send(&draft(&format!("short-{number}")));
         thread::sleep(Duration::from_millis(10));
@@ -230,6 +234,7 @@
             let mut number = 0;
             loop {
                 number += 1;
+                assert!(number < 100, "the stream reaches the old version");
                 let response = receiver.send(&draft(&format!("{name}-{number}")));
                 if has_begun.is_set() {
                     return response;
