Log how far a failed response got and what is not taken as evidence

Cause: the logs could not tell whether evidence on a crash was never taken, dropped at a bound or insufficient: a failed attempt did not say what it had received, and a response that ended with its connection left no line of its own.

Change: `attempt: failed` names what was received and the framing; new lines `attempt: ended with its connection`, `attempt: no evidence` with the reason, and `replica: not crashed` with the result of the check. No decision changes.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -11,12 +11,12 @@
     response::write_complete,
     retry::FAILURE_RESERVE,
     trials::Trial,
-    upstream::{Exchange, ReceivedHead, SendError, StallLimits, UpstreamResponse},
+    upstream::{Exchange, Received, ReceivedHead, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, Millis};
 use ibissail_direct::CascadeStep;
-use ibissail_http1::Connection;
+use ibissail_http1::{Connection, Framing};
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::info;
 use std::sync::Arc;
@@ -228,13 +228,14 @@
         &self,
         progress: &mut Progress,
         reason: &'static str,
+        received: Received,
         error: &str,
     ) -> NextStep {
         let request = self.request;
         self.shared.record_failure(&self.replica().id);
         info!(self.shared.log, "attempt: failed"; "id" => &request.params.id,
             "content" => %request.content, "replica" => %self.replica().id, "reason" => reason,
-            "error" => error);
+            "received" => %received, "error" => error);
         if !progress.has_response_started() {
             progress.pinned_version = None;
         }
@@ -280,7 +281,12 @@
                 let is_stream = self.request.route.kind.is_stream();
                 let trial = if is_stream { trial.without_parts() } else { trial };
                 trial.fail();
-                return Err(self.handle_failure(progress, "lost", &error.to_string()));
+                return Err(self.handle_failure(
+                    progress,
+                    "lost",
+                    Received::Nothing,
+                    &error.to_string(),
+                ));
             }
         };
         self.record_signals(&response);
@@ -289,7 +295,8 @@
         }
         if response.status < 300 && !response.is_signed {
             let error = "the successful response is not signed";
-            return Err(self.handle_failure(progress, "unsigned", error));
+            let received = Received::Head(head.framing);
+            return Err(self.handle_failure(progress, "unsigned", received, error));
         }
         Ok(UpstreamResponse::new(exchange, head, response, self.start_trial()))
     }
@@ -304,7 +311,8 @@
         if self.is_stream(&upstream) {
             self.receive_stream(connection, progress, upstream).await
         } else if progress.has_response_started() {
-            self.handle_failure(progress, "refused", "the replica did not resume the stream")
+            let error = "the replica did not resume the stream";
+            self.handle_failure(progress, "refused", upstream.received_so_far(), error)
         } else {
             self.receive_buffered(connection, progress, upstream).await
         }
@@ -362,6 +370,7 @@
             relay_stream(connection, self.request, progress, &mut upstream, limits, &mut pace);
         match relaying.await {
             StreamOutcome::Complete => {
+                self.log_close_delimited(&upstream);
                 upstream.trial.succeed();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.splitter.event_count());
@@ -385,11 +394,20 @@
             ),
             StreamOutcome::Broken(error) => {
                 upstream.trial.fail();
-                self.handle_failure(progress, "broken", &error)
+                self.handle_failure(progress, "broken", upstream.received_so_far(), &error)
             }
         }
     }
 
+    /// Logs a response that ended with its connection, as it also does if its replica ends.
+    fn log_close_delimited(&self, upstream: &UpstreamResponse) {
+        if upstream.head.framing == Framing::UntilClose {
+            info!(self.shared.log, "attempt: ended with its connection";
+                "id" => &self.request.params.id, "replica" => %self.replica().id,
+                "received" => %upstream.received_so_far());
+        }
+    }
+
     async fn receive_buffered(
         &self,
         connection: &mut Connection,
@@ -403,10 +421,11 @@
             None => upstream.wait_for_all(limit).await,
         };
         match waited {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => self.log_close_delimited(&upstream),
             Ok(Err(error)) => {
                 upstream.trial.fail();
-                return self.handle_failure(progress, "torn", &error.to_string());
+                let received = upstream.received_so_far();
+                return self.handle_failure(progress, "torn", received, &error.to_string());
             }
             Err(error) => {
                 return self.handle_silence(
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -71,8 +71,9 @@
             if events.is_empty() {
                 continue;
             }
-            upstream.trial.record_events();
-            pace.record_events(progress.splitter.event_count() - event_count);
+            let count = progress.splitter.event_count() - event_count;
+            upstream.trial.record_events(count);
+            pace.record_events(count);
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -50,6 +50,8 @@
     address: SocketAddr,
     began_at: Millis,
     is_proven: bool,
+    /// Events that have arrived, as far as they have ids.
+    events: u64,
 }
 
 impl Trial {
@@ -75,16 +77,23 @@
             address: replica.address,
             began_at: now,
             is_proven: false,
+            events: 0,
         }
     }
 
+    /// Number of events that have arrived.
+    pub(super) fn event_count(&self) -> u64 {
+        self.events
+    }
+
     /// Takes the parts of the prompt off suspicion, because none was answered yet.
     pub(super) fn without_parts(self) -> Self {
         Self { parts: Vec::new(), names: Vec::new(), ..self }
     }
 
     /// Records that the answer goes on: complete events have arrived.
-    pub(super) fn record_events(&mut self) {
+    pub(super) fn record_events(&mut self, count: u64) {
+        self.events += count;
         if since_boot().since(self.began_at) >= PROOF_TIME {
             self.succeed();
         }
@@ -109,6 +118,8 @@
         let now = since_boot();
         let is_fresh = now.since(self.began_at) < BLAME_TIME;
         if !is_fresh || self.is_proven {
+            let reason = if self.is_proven { "the answer has gone on" } else { "it is too old" };
+            self.log_no_evidence(reason);
             return;
         }
         let run = self.lost.run;
@@ -116,14 +127,18 @@
         // The check would connect to the replica. An evacuated zone may also lose its power.
         let replica = state.replicas.get(&self.replica);
         if replica.is_some_and(|replica| state.is_evacuated(&replica.zone)) {
+            self.log_no_evidence("the zone of the replica is evacuated");
             return;
         }
         let is_first = !state.pending_checks.contains_key(&run);
         if is_first && state.pending_checks.len() >= MAX_CHECKS {
+            self.log_no_evidence("too many replicas are being checked");
             return;
         }
         let waiting = state.pending_checks.entry(run).or_default();
-        if waiting.len() < MAX_WAITING {
+        if waiting.len() >= MAX_WAITING {
+            self.log_no_evidence("too many requests wait for the check");
+        } else {
             let lost = LostRun { ended_at: now, ..self.lost };
             let parts = self.parts.iter().copied().zip(self.names.iter().cloned()).collect();
             waiting.insert(self.lost.request, BrokenAttempt { lost, parts });
@@ -140,6 +155,12 @@
             task::spawn(check.run());
         }
     }
+
+    /// Logs why an attempt that broke is not held against its request.
+    fn log_no_evidence(&self, reason: &'static str) {
+        info!(self.shared.log, "attempt: no evidence"; "replica" => %self.replica,
+            "request" => %self.lost.request, "content" => %self.lost.content, "reason" => reason);
+    }
 }
 
 /// A check whether a replica has ended.
@@ -155,12 +176,17 @@
 impl CrashCheck {
     /// Opens a connection to the replica. One that accepts it has only broken off answers.
     async fn run(self) {
-        let has_ended = match check_for_crash(self.address).await {
+        let result = check_for_crash(self.address).await;
+        let has_ended = match result {
             CrashCheckResult::Running => false,
             CrashCheckResult::Ended => true,
             // This entry may be cut off itself.
             CrashCheckResult::Unreachable => self.hears_another_replica(),
         };
+        if !has_ended {
+            info!(self.shared.log, "replica: not crashed"; "replica" => %self.replica,
+                "result" => ?result);
+        }
         let Some(waiting) = self.record(has_ended) else { return };
         let names: BTreeSet<&str> = waiting
             .values()
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -5,10 +5,11 @@
 use crate::clock::since_boot;
 use async_global_executor::Task;
 use async_std::{net::TcpStream, task};
+use derive_more::Display;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use ibissail_core::{InstanceId, Millis, ModelId, ServiceId, Tokens};
 use ibissail_direct::RequestKind;
-use ibissail_http1::{BodyReader, Connection, HttpError, ResponseHead, dial};
+use ibissail_http1::{BodyReader, Connection, Framing, HttpError, ResponseHead, dial};
 use ibissail_platform::{
     ReplicaResponse, UpstreamHeaders, decode_replica_response, encode_upstream_head,
 };
@@ -189,6 +190,23 @@
     }
 }
 
+/// What has been received of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Received {
+    /// No head.
+    #[display("nothing")]
+    Nothing,
+    /// The head of a response with this framing.
+    #[display("head, {_0}")]
+    Head(Framing),
+    /// The head, and this many events of a stream.
+    #[display("{_1} events, {_0}")]
+    Events(Framing, u64),
+    /// The head, and this many bytes of a body.
+    #[display("{_1} bytes, {_0}")]
+    Bytes(Framing, usize),
+}
+
 /// The head of a response, or why there is none.
 pub(crate) type ReceivedHead = Result<(ResponseHead, ReplicaResponse), SendError>;
 
@@ -234,6 +252,16 @@
         Self { exchange, head, response, body, received: Vec::new(), read_error: None, trial }
     }
 
+    /// What has been received, for the log.
+    pub(super) fn received_so_far(&self) -> Received {
+        let framing = self.head.framing;
+        match (self.trial.event_count(), self.received.len()) {
+            (0, 0) => Received::Head(framing),
+            (0, bytes) => Received::Bytes(framing, bytes),
+            (events, _) => Received::Events(framing, events),
+        }
+    }
+
     /// Reads the rest of the body into memory; the outer error says for how long the replica has
     /// been silent.
     pub(super) async fn wait_for_all(
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,7 @@
 //! Parser of request and response heads, and of the framing of their bodies.
 
 use crate::HttpError;
+use derive_more::Display;
 use httparse::{EMPTY_HEADER, Header, Request, Response, Status};
 
 /// Maximum number of headers in a message.
@@ -91,15 +92,19 @@
 }
 
 /// How the length of a body is determined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Framing {
     /// There is no body.
+    #[display("no body")]
     None,
     /// The body has this many bytes.
+    #[display("length {_0}")]
     Length(u64),
     /// The body uses the chunked transfer coding.
+    #[display("chunked")]
     Chunked,
     /// The body ends when the connection is closed.
+    #[display("until close")]
     UntilClose,
 }
 
