Test crashes before the head, after unframed responses and after a silence

Cause: the only test of prompts that crash replicas had replicas that end 60 ms after a chunked head.

Change: the stand-in ends in eight ways; a test for each, with the same rates and bounds.

--- a/crates/daemon/tests/crashing_prompts.rs
+++ b/crates/daemon/tests/crashing_prompts.rs
@@ -7,7 +7,12 @@
     traffic::{Traffic, assert_quarantined, assert_served, sent_after},
     wait_until,
 };
-use ibissail_platform_standin::{CallerRequest, ConfigurationSpec, CrashingReplicas, RouteSpec};
+use ibissail_platform_standin::{
+    CallerRequest, ConfigurationSpec, CrashingReplicas, RouteSpec,
+    SentBeforeCrash::{self, Event, Head, Nothing, PartOfEvent},
+    StreamCrash,
+    StreamFraming::{self, Chunked, UntilClose},
+};
 use std::{net::SocketAddr, thread, time::Duration};
 
 /// The part that crashes replicas.
@@ -34,10 +39,16 @@
     request
 }
 
-#[test]
-fn prompt_part_does_not_crash_one_replica_after_another() {
-    let fleet = EntryFixture::start_fleet("crashing", &configuration());
-    let replicas = CrashingReplicas::start(&fleet[0].store, "writers", CRASHING_PART, 8);
+/// A crash a short time after a replica has sent this much of a response.
+fn crash(framing: StreamFraming, sent: SentBeforeCrash) -> StreamCrash {
+    StreamCrash { framing, sent, delay: Duration::from_millis(60) }
+}
+
+/// Asserts that a part on which replicas crash in these ways is kept from them in time, and that
+/// sound requests are served.
+fn assert_kept_from_replicas(test: &str, crashes: &[StreamCrash]) {
+    let fleet = EntryFixture::start_fleet(test, &configuration());
+    let replicas = CrashingReplicas::start(&fleet[0].store, "writers", CRASHING_PART, 8, crashes);
     EntryFixture::wait_for_fleet(&fleet);
     let entries: [SocketAddr; 3] = fleet.each_ref().map(|entry| entry.callers);
     let sound = Traffic::start(&entries, SOUND_INTERVAL, |number| {
@@ -57,3 +68,54 @@
     assert_quarantined(&sent_after(&crashing, bound), "prompt_quarantined", 10);
     assert_served(&sent_after(&sound, bound), 90, 50);
 }
+
+#[test]
+fn prompt_part_does_not_crash_one_replica_after_another() {
+    assert_kept_from_replicas("crashing", &[crash(Chunked, Head)]);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_before_the_head_is_quarantined() {
+    assert_kept_from_replicas("crash_before_head", &[crash(Chunked, Nothing)]);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_after_an_unframed_head_is_quarantined() {
+    assert_kept_from_replicas("crash_unframed_head", &[crash(UntilClose, Head)]);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_inside_an_event_is_quarantined() {
+    let crashes = [Chunked, UntilClose].map(|framing| crash(framing, PartOfEvent));
+    assert_kept_from_replicas("crash_inside", &crashes);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_after_an_unframed_event_is_quarantined() {
+    let sent = Event(Duration::from_millis(20));
+    assert_kept_from_replicas("crash_unframed_event", &[crash(UntilClose, sent)]);
+}
+
+#[test]
+fn prompt_part_that_crashes_slow_replicas_after_an_event_is_quarantined() {
+    let sent = Event(Duration::from_millis(450));
+    assert_kept_from_replicas("crash_slow", &[crash(Chunked, sent)]);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_after_a_silence_is_quarantined() {
+    // The entries ask another replica after 1.5 s without a head.
+    let crash = StreamCrash { delay: Duration::from_millis(1_900), ..crash(Chunked, Nothing) };
+    assert_kept_from_replicas("crash_silent", &[crash]);
+}
+
+#[test]
+fn prompt_part_that_crashes_replicas_in_several_ways_is_quarantined() {
+    let crashes = [
+        crash(Chunked, Nothing),
+        crash(UntilClose, Head),
+        crash(Chunked, PartOfEvent),
+        crash(UntilClose, Event(Duration::from_millis(20))),
+    ];
+    assert_kept_from_replicas("crash_mixed", &crashes);
+}
