Move the files on crashes and quarantines into a folder

Change: they move to `crashes/`, without the prefix of their names; imports follow. Nothing else changes.

--- a/crates/direct/src/crash_exchange.rs
+++ b/crates/direct/src/crashes/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CrashEvidence, CrashQuarantine, PartHash, QUARANTINE_TIME, RequestHash, Suspect,
-    crash_quarantine::{MIN_BLAMED_CRASHES, Quarantine, TELL_COUNT},
+    crashes::quarantine::{MIN_BLAMED_CRASHES, Quarantine, TELL_COUNT},
 };
 use ibissail_core::Millis;
 use std::{cmp::Reverse, collections::BTreeMap};
--- /dev/null
+++ b/crates/direct/src/crashes/mod.rs
@@ -0,0 +1,20 @@
+//! Requests, and parts of prompts, that crash replicas: evidence, its exchange, and quarantine.
+
+mod answer_outcomes;
+mod blame;
+mod evidence;
+mod exchange;
+mod lost_runs;
+mod quarantine;
+mod records;
+mod redundancy;
+mod request_blame;
+mod suspects;
+
+pub use evidence::{CrashEvidence, SuspectRequest, ToldCrash};
+pub use lost_runs::{LostRun, ToldRun};
+pub use quarantine::{
+    BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_TIME, QUARANTINE_TIME,
+    QuarantineChange, QuarantineSource,
+};
+pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash, Suspect};
--- a/crates/direct/src/crash_quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -8,12 +8,12 @@
 
 use crate::{
     ContentHash, LostRun, PartHash, RequestHash, RunHash, Suspect,
-    answer_outcomes::AnswerOutcomes,
-    blame::{Blame, History, most_blamed},
-    crash_records::{Crash, CrashRecords},
-    lost_runs::LostRuns,
-    redundancy::redundant_part,
-    suspects::SoundRecords,
+    crashes::answer_outcomes::AnswerOutcomes,
+    crashes::blame::{Blame, History, most_blamed},
+    crashes::lost_runs::LostRuns,
+    crashes::records::{Crash, CrashRecords},
+    crashes::redundancy::redundant_part,
+    crashes::suspects::SoundRecords,
 };
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/direct/src/redundancy.rs
+++ b/crates/direct/src/crashes/redundancy.rs
@@ -1,6 +1,6 @@
 //! Quarantined parts whose crashes another quarantined part explains.
 
-use crate::{PartHash, RequestHash, RunHash, crash_records::CrashRecords};
+use crate::{PartHash, RequestHash, RunHash, crashes::records::CrashRecords};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Crashes that a part must explain beyond those of a part whose requests all have it too.
--- a/crates/direct/src/request_blame.rs
+++ b/crates/direct/src/crashes/request_blame.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     ContentHash, CrashQuarantine, LostRun, RequestHash, RunHash, Suspect,
-    blame::{Blame, History},
-    crash_quarantine::{BLAME_TIME, PROVEN_SETTLING_TIME, SETTLING_TIME},
-    lost_runs::independent_runs,
+    crashes::blame::{Blame, History},
+    crashes::lost_runs::independent_runs,
+    crashes::quarantine::{BLAME_TIME, PROVEN_SETTLING_TIME, SETTLING_TIME},
 };
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,19 +15,14 @@
 )]
 
 mod admission;
-mod answer_outcomes;
 mod backoff;
-mod blame;
 mod caller_buffers;
 mod canary;
 mod cascade;
 mod configuration;
 mod confirmation;
 mod controller;
-mod crash_evidence;
-mod crash_exchange;
-mod crash_quarantine;
-mod crash_records;
+mod crashes;
 mod departures;
 mod evidence;
 mod fleet_size;
@@ -35,13 +30,10 @@
 mod hash;
 mod health;
 mod limits;
-mod lost_runs;
 mod placement;
 mod prefix_cache;
-mod redundancy;
 mod replicas;
 mod request;
-mod request_blame;
 mod restored_rollout;
 mod retry_after;
 mod retry_budget;
@@ -52,7 +44,6 @@
 mod signals;
 mod spreading;
 mod stream_pace;
-mod suspects;
 mod table;
 mod verdict;
 mod versions;
@@ -75,10 +66,10 @@
 };
 pub use confirmation::{Confirmation, Confirmed, EpochConfirmation, EpochConfirmed, ReadSchedule};
 pub use controller::{RolloutController, RolloutReport};
-pub use crash_evidence::{CrashEvidence, SuspectRequest, ToldCrash};
-pub use crash_quarantine::{
-    BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_TIME, QUARANTINE_TIME,
-    QuarantineChange, QuarantineSource,
+pub use crashes::{
+    BLAME_TIME, ContentHash, CrashEvidence, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME,
+    LostRun, MAX_TRACKED_PARTS, PROOF_TIME, PartHash, QUARANTINE_TIME, QuarantineChange,
+    QuarantineSource, RequestHash, RunHash, Suspect, SuspectRequest, ToldCrash, ToldRun,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
@@ -89,7 +80,6 @@
     ColdChange, ColdReplicas, ColdSource, ColdStart, ColdTime, FleetShare, RateLimit,
     ReplicaRecord, StatedCold, is_rate_limit, urgency_reserve,
 };
-pub use lost_runs::{LostRun, ToldRun};
 pub use placement::{
     Candidate, CandidateLoad, CountedRequests, Demand, EventsSample, FirstEventSample, FleetView,
     LearnedWork, MAX_REPORTED_COUNT, MAX_REPORTED_SPEED, MAX_TOLD_HELD, PeerHeldTokens,
@@ -109,7 +99,6 @@
 pub use signals::{MAX_PAUSE, NamedLimit, ReplicaSignals, Unavailability};
 pub use spreading::watches_replicas;
 pub use stream_pace::{StreamPace, is_pace_class, pace_class};
-pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash, Suspect};
 pub use table::RoutingTable;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, pace_slowdown, slowdown};
 pub use versions::VersionFilter;
