Hold every attempt at a replica that ends against its prompt

Callers saw replicas end one after another under requests with one part in their prompts, and their own requests fail meanwhile.

Cause: an attempt became evidence only when the head of its response had arrived. A replica that ended before that took the parts off suspicion, and an attempt that was given up shortly before (after a silence, for a larger model, by its caller) left no evidence at all. The class: evidence that depends on how the end of a replica looks on one connection.

Change: a trial begins when the request is sent. Whatever is neither proven sound nor known not to have run is a suspect when the replica ends: broken attempts, and those given up in the second before. A refused connection also has a replica checked where attempts were given up. The age of a response no longer excuses it.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -10,7 +10,6 @@
     request::AdmittedRequest,
     response::write_complete,
     retry::FAILURE_RESERVE,
-    trials::Trial,
     upstream::{Exchange, Received, ReceivedHead, SendError, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
@@ -175,6 +174,7 @@
         progress.refused.insert(self.replica().id.clone());
         self.shared.eject(&self.replica().id, "it does not accept connections");
         self.shared.record_unreachable(&self.replica().id);
+        self.shared.check_given_up(self.replica());
         info!(self.shared.log, "attempt: not sent"; "id" => &self.request.params.id,
             "replica" => %self.replica().id, "error" => error);
         NextStep::Retry("not_sent")
@@ -266,7 +266,7 @@
     fn accept_head(
         &self,
         progress: &mut Progress,
-        exchange: Exchange,
+        mut exchange: Exchange,
         received: ReceivedHead,
     ) -> Result<UpstreamResponse, NextStep> {
         let (head, response) = match received {
@@ -276,11 +276,7 @@
                 return Err(self.handle_silence(progress, pending, &error));
             }
             Err(error) => {
-                let trial = self.start_trial();
-                // A buffered response may have begun before its head arrives.
-                let is_stream = self.request.route.kind.is_stream();
-                let trial = if is_stream { trial.without_parts() } else { trial };
-                trial.fail();
+                exchange.trial.fail();
                 return Err(self.handle_failure(
                     progress,
                     "lost",
@@ -291,6 +287,7 @@
         };
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
+            exchange.trial.dismiss();
             return Err(self.handle_rejection(progress, rejection, response.status));
         }
         if response.status < 300 && !response.is_signed {
@@ -298,7 +295,7 @@
             let received = Received::Head(head.framing);
             return Err(self.handle_failure(progress, "unsigned", received, error));
         }
-        Ok(UpstreamResponse::new(exchange, head, response, self.start_trial()))
+        Ok(UpstreamResponse::new(exchange, head, response))
     }
 
     /// Forwards a response whose head has been received.
@@ -318,10 +315,6 @@
         }
     }
 
-    fn start_trial(&self) -> Trial {
-        Trial::new(self.shared, self.request, self.target)
-    }
-
     fn is_stream(&self, upstream: &UpstreamResponse) -> bool {
         self.request.is_stream(upstream.response.status)
     }
@@ -371,7 +364,7 @@
         match relaying.await {
             StreamOutcome::Complete => {
                 self.log_close_delimited(&upstream);
-                upstream.trial.succeed();
+                upstream.exchange.trial.succeed();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.splitter.event_count());
                 let status = upstream.response.status;
@@ -393,7 +386,7 @@
                 &error,
             ),
             StreamOutcome::Broken(error) => {
-                upstream.trial.fail();
+                upstream.exchange.trial.fail();
                 self.handle_failure(progress, "broken", upstream.received_so_far(), &error)
             }
         }
@@ -423,7 +416,7 @@
         match waited {
             Ok(Ok(())) => self.log_close_delimited(&upstream),
             Ok(Err(error)) => {
-                upstream.trial.fail();
+                upstream.exchange.trial.fail();
                 let received = upstream.received_so_far();
                 return self.handle_failure(progress, "torn", received, &error.to_string());
             }
@@ -435,7 +428,7 @@
                 );
             }
         }
-        let UpstreamResponse { exchange, head, response, received: body, mut trial, .. } = upstream;
+        let UpstreamResponse { mut exchange, head, response, received: body, .. } = upstream;
         let is_failure = response.status >= 500;
         let outcome = if is_failure { ResponseOutcome::Failure } else { ResponseOutcome::Success };
         self.record_response(outcome);
@@ -451,7 +444,11 @@
             if self.target.model.is_none() {
                 self.record_first_event();
             }
-            trial.succeed();
+            if response.status < 300 {
+                exchange.trial.succeed();
+            } else {
+                exchange.trial.succeed_request();
+            }
         }
         drop(exchange);
         progress.first_byte_at = Some(since_boot());
--- /dev/null
+++ b/crates/daemon/src/direct/crash_checks.rs
@@ -0,0 +1,146 @@
+//! Checks whether replicas have ended, and takes the attempts there as evidence.
+
+use super::{Shared, progress::SelectedReplica};
+use crate::{
+    clock::since_boot,
+    crash_check::{CrashCheckResult, check_for_crash},
+};
+use async_std::task;
+use ibissail_core::{InstanceId, Millis};
+use ibissail_direct::{PartHash, RequestHash, RunHash, SuspectAttempt};
+use slog::info;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+/// Most requests that wait for the check of one replica.
+const MAX_WAITING: usize = 64;
+/// Most parts and requests in the log line of a crash.
+const MAX_LOGGED: usize = 16;
+/// Most ids of parts that are remembered for the log.
+const MAX_NAMES: usize = 512;
+
+/// The attempts that wait for the check of one run of a replica, by request.
+#[derive(Debug, Clone, Default)]
+pub(super) struct WaitingAttempts(BTreeMap<RequestHash, SuspectAttempt>);
+
+impl WaitingAttempts {
+    /// Adds an attempt; returns `false` if too many wait.
+    pub(super) fn add(&mut self, suspect: SuspectAttempt) -> bool {
+        let request = suspect.lost.request;
+        let has_room = self.0.len() < MAX_WAITING || self.0.contains_key(&request);
+        if has_room {
+            self.0.insert(request, suspect);
+        }
+        has_room
+    }
+}
+
+/// Attempts at replicas that are being checked.
+pub(super) type PendingChecks = BTreeMap<RunHash, WaitingAttempts>;
+
+/// A check whether a replica has ended.
+#[derive(Debug)]
+pub(super) struct CrashCheck {
+    shared: Arc<Shared>,
+    replica: InstanceId,
+    run: RunHash,
+    address: SocketAddr,
+    broken_at: Millis,
+}
+
+impl CrashCheck {
+    /// Prepares the check of a run of a replica that may have ended at `broken_at`.
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        replica: InstanceId,
+        run: RunHash,
+        address: SocketAddr,
+        broken_at: Millis,
+    ) -> Self {
+        Self { shared: Arc::clone(shared), replica, run, address, broken_at }
+    }
+
+    /// Opens a connection to the replica. One that accepts it has only broken off answers.
+    pub(super) async fn run(self) {
+        let result = check_for_crash(self.address).await;
+        let has_ended = match result {
+            CrashCheckResult::Running => false,
+            CrashCheckResult::Ended => true,
+            // This entry may be cut off itself.
+            CrashCheckResult::Unreachable => self.hears_another_replica(),
+        };
+        if !has_ended {
+            info!(self.shared.log, "replica: not crashed"; "replica" => %self.replica,
+                "result" => ?result);
+            self.shared.state().pending_checks.remove(&self.run);
+            return;
+        }
+        let Some(attempts) = self.record_crash() else { return };
+        let names: BTreeSet<&str> = attempts
+            .iter()
+            .flat_map(|attempt| &attempt.parts)
+            .map(|(_, name)| name.as_str())
+            .collect();
+        let names: Vec<&str> = names.into_iter().take(MAX_LOGGED).collect();
+        let contents: BTreeSet<String> =
+            attempts.iter().map(|attempt| attempt.lost.content.to_string()).collect();
+        let contents: Vec<String> = contents.into_iter().take(MAX_LOGGED).collect();
+        self.shared.record_unreachable(&self.replica);
+        self.shared.metrics.crashes.inc();
+        info!(self.shared.log, "replica: crashed"; "replica" => %self.replica,
+            "requests" => attempts.len(), "contents" => contents.join(" "),
+            "suspects" => names.join(" "));
+        self.shared.review_quarantines(since_boot());
+        self.shared.spread_evidence().await;
+    }
+
+    /// Whether another replica has sent bytes to this entry since the attempt broke.
+    fn hears_another_replica(&self) -> bool {
+        let state = self.shared.state();
+        let mut others = state.loads.iter().filter(|(id, _)| **id != self.replica);
+        others.any(|(_, load)| load.last_byte_at >= self.broken_at)
+    }
+
+    /// Ends the check and records the crash; returns the attempts that may have caused it, if that is
+    /// new.
+    fn record_crash(&self) -> Option<Vec<SuspectAttempt>> {
+        let now = since_boot();
+        let mut state = self.shared.state();
+        let WaitingAttempts(waiting) = state.pending_checks.remove(&self.run)?;
+        let mut attempts = state.given_up.take(self.run, self.broken_at);
+        for attempt in &mut attempts {
+            attempt.lost.ended_at = self.broken_at;
+        }
+        attempts.extend(waiting.into_values());
+        let mut is_new = false;
+        for SuspectAttempt { lost, is_request_suspect, parts: named } in &attempts {
+            let parts: Vec<PartHash> = named.iter().map(|(part, _)| *part).collect();
+            is_new |= state.quarantine.record_crash(self.run, lost.request, &parts, now);
+            is_new |= *is_request_suspect && state.quarantine.record_lost_run(*lost, now);
+            if state.part_names.len() + named.len() > MAX_NAMES {
+                state.part_names.clear();
+            }
+            state.part_names.extend(named.iter().cloned());
+        }
+        is_new.then_some(attempts)
+    }
+}
+
+impl Shared {
+    /// Has a replica that accepts no connection checked, if attempts there have been given up.
+    pub(super) fn check_given_up(self: &Arc<Self>, replica: &SelectedReplica) {
+        let run = RunHash::new(&replica.id, replica.started_unix_ms);
+        let now = since_boot();
+        let mut state = self.state();
+        if state.pending_checks.contains_key(&run) || !state.given_up.has_any(run, now) {
+            return;
+        }
+        state.pending_checks.insert(run, WaitingAttempts::default());
+        drop(state);
+        let (id, address) = (replica.id.clone(), replica.address);
+        task::spawn(CrashCheck::new(self, id, run, address, now).run());
+    }
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod attempt;
 mod cold;
+mod crash_checks;
 mod epochs;
 mod handover;
 mod limits;
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -72,7 +72,7 @@
                 continue;
             }
             let count = progress.splitter.event_count() - event_count;
-            upstream.trial.record_events(count);
+            exchange.trial.record_events(count);
             pace.record_events(count);
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -3,18 +3,18 @@
 
 use super::{
     admission::{Gate, HeardLoads},
+    crash_checks::PendingChecks,
     outbox::BufferedCallers,
     peers::PeerTable,
     rollouts::RolloutProgress,
-    trials::PendingChecks,
     zones::{Evacuations, Zones},
 };
 use crate::clock::since_boot;
 use ibissail_core::{Count, Epoch, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
-    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, Health, LearnedWork,
-    ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex, ReplicaLoads, ReplicaSet,
-    ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable, Shedding,
+    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
+    Health, LearnedWork, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex, ReplicaLoads,
+    ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable, Shedding,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -65,6 +65,8 @@
     pub(super) part_names: BTreeMap<PartHash, String>,
     /// Replicas that may have crashed and are being checked.
     pub(super) pending_checks: PendingChecks,
+    /// Attempts that have lately been given up.
+    pub(super) given_up: GivenUpAttempts,
     /// Time as of which the list of replicas was last known to be current.
     pub(crate) replicas_confirmed_at: Option<Millis>,
     /// Whether a peer has read a newer configuration than this entry has.
@@ -129,6 +131,7 @@
             quarantine: CrashQuarantine::default(),
             part_names: BTreeMap::new(),
             pending_checks: PendingChecks::new(),
+            given_up: GivenUpAttempts::default(),
             replicas_confirmed_at: None,
             is_configuration_outdated: false,
             health: BTreeMap::new(),
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -1,43 +1,26 @@
 //! Attempts as evidence on their requests and on the parts of their prompts: a replica may crash as
 //! soon as it begins to run a request, or to answer one with a certain part.
+//!
+//! What counts is how far the response got, and whether the replica has ended; not how its end
+//! looked on the connection of the attempt.
 
-use super::{Shared, progress::Target, request::AdmittedRequest};
-use crate::{
-    clock::since_boot,
-    crash_check::{CrashCheckResult, check_for_crash},
+use super::{
+    Shared, crash_checks::CrashCheck, progress::SelectedReplica, request::AdmittedRequest,
 };
+use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
-use ibissail_direct::{BLAME_TIME, LostRun, PROOF_TIME, PartHash, RequestHash, RunHash};
-use slog::info;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
+use ibissail_direct::{
+    LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, RequestHash, RunHash, SuspectAttempt,
 };
+use slog::info;
+use std::{net::SocketAddr, sync::Arc};
 
-/// Most requests that wait for the check of one replica.
-const MAX_WAITING: usize = 32;
 /// Most replicas that are checked at the same time.
 const MAX_CHECKS: usize = 64;
-/// Most parts and requests in the log line of a crash, and most bytes of the id of each part.
-const MAX_LOGGED: usize = 16;
+/// Most bytes of the id of a part in a log line.
 const MAX_LOGGED_ID_BYTES: usize = 48;
 
-/// Most ids of parts that are remembered for the log.
-const MAX_NAMES: usize = 512;
-
-/// Requests whose attempts broke at a replica that is being checked.
-pub(super) type PendingChecks = BTreeMap<RunHash, BTreeMap<RequestHash, BrokenAttempt>>;
-
-/// An attempt that may have crashed its replica.
-#[derive(Debug, Clone)]
-pub(super) struct BrokenAttempt {
-    lost: LostRun,
-    /// The parts that may have done so, with their ids for the log.
-    parts: Vec<(PartHash, String)>,
-}
-
 /// One attempt whose replica may have begun to run the request.
 #[derive(Debug)]
 pub(crate) struct Trial {
@@ -48,36 +31,46 @@
     names: Vec<String>,
     replica: InstanceId,
     address: SocketAddr,
-    began_at: Millis,
-    is_proven: bool,
-    /// Events that have arrived, as far as they have ids.
+    /// When the head of the response arrived.
+    head_at: Option<Millis>,
+    /// Events that have arrived.
     events: u64,
+    is_request_proven: bool,
+    are_parts_proven: bool,
+    /// Whether it has been decided what the attempt is evidence for.
+    is_settled: bool,
 }
 
 impl Trial {
-    /// Starts a trial when the head of the answer arrives, or the connection breaks before.
-    pub(super) fn new(shared: &Arc<Shared>, request: &AdmittedRequest, target: &Target) -> Self {
+    /// Starts a trial when the request is sent.
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        request: &AdmittedRequest,
+        replica: &SelectedReplica,
+    ) -> Self {
         let parts = PartHash::shared(&request.params.prompt);
         let ids = request.params.prompt.shared_parts().iter();
         let names = ids.zip(&parts).map(|(part, hash)| logged_part(&part.id, *hash));
-        let (replica, now) = (&target.replica, since_boot());
+        let now = since_boot();
         let lost = LostRun {
             run: RunHash::new(&replica.id, replica.started_unix_ms),
             request: RequestHash::new(&request.params.id),
             content: request.content,
-            began_at: target.started,
+            began_at: now,
             ended_at: now,
         };
         Self {
             shared: Arc::clone(shared),
             lost,
             names: names.collect(),
+            are_parts_proven: parts.is_empty(),
             parts,
             replica: replica.id.clone(),
             address: replica.address,
-            began_at: now,
-            is_proven: false,
+            head_at: None,
             events: 0,
+            is_request_proven: false,
+            is_settled: false,
         }
     }
 
@@ -86,43 +79,61 @@
         self.events
     }
 
-    /// Takes the parts of the prompt off suspicion, because none was answered yet.
-    pub(super) fn without_parts(self) -> Self {
-        Self { parts: Vec::new(), names: Vec::new(), ..self }
+    /// Records that the head of the response has arrived.
+    pub(super) fn record_head(&mut self) {
+        self.head_at = Some(since_boot());
     }
 
-    /// Records that the answer goes on: complete events have arrived.
+    /// Records that the answer goes on: complete events have arrived, `count` of them with an id.
     pub(super) fn record_events(&mut self, count: u64) {
-        self.events += count;
-        if since_boot().since(self.began_at) >= PROOF_TIME {
+        self.events += count.max(1);
+        let has_gone_on = self.answering_since(since_boot()) >= PROOF_TIME;
+        if has_gone_on && self.events >= PROOF_EVENTS {
             self.succeed();
         }
     }
 
+    fn answering_since(&self, now: Millis) -> Millis {
+        self.head_at.map_or(Millis(0), |head_at| now.since(head_at))
+    }
+
+    /// Records that the replica has not run the request, or will not be heard on it.
+    pub(super) fn dismiss(&mut self) {
+        self.is_settled = true;
+    }
+
     /// Records that the answer has gone on for a while or is complete.
     pub(super) fn succeed(&mut self) {
-        if self.is_proven {
+        self.succeed_request();
+        if self.are_parts_proven {
             return;
         }
-        self.is_proven = true;
+        self.are_parts_proven = true;
         let now = since_boot();
-        let mut state = self.shared.state();
-        state.quarantine.record_sound_request(self.lost.content, self.lost.began_at, now);
-        if !self.parts.is_empty() {
-            state.quarantine.record_sound(&self.parts, self.began_at, now);
+        let began_at = self.head_at.unwrap_or(self.lost.began_at);
+        self.shared.state().quarantine.record_sound(&self.parts, began_at, now);
+    }
+
+    /// Records that the replica has run the request to an end without answering on its prompt.
+    pub(super) fn succeed_request(&mut self) {
+        if self.is_request_proven {
+            return;
         }
+        self.is_request_proven = true;
+        let mut state = self.shared.state();
+        let LostRun { content, began_at, .. } = self.lost;
+        state.quarantine.record_sound_request(content, began_at, since_boot());
     }
 
     /// Records that the attempt broke. If its replica has ended, the request may have crashed it.
-    pub(super) fn fail(&self) {
-        let now = since_boot();
-        let is_fresh = now.since(self.began_at) < BLAME_TIME;
-        if !is_fresh || self.is_proven {
-            let reason = if self.is_proven { "the answer has gone on" } else { "it is too old" };
-            self.log_no_evidence(reason);
+    pub(super) fn fail(&mut self) {
+        self.is_settled = true;
+        let Some(suspect) = self.suspect() else {
+            self.log_no_evidence("the answer has gone on");
             return;
-        }
+        };
         let run = self.lost.run;
+        let broken_at = suspect.lost.ended_at;
         let mut state = self.shared.state();
         // The check would connect to the replica. An evacuated zone may also lose its power.
         let replica = state.replicas.get(&self.replica);
@@ -135,27 +146,29 @@
             self.log_no_evidence("too many replicas are being checked");
             return;
         }
-        let waiting = state.pending_checks.entry(run).or_default();
-        if waiting.len() >= MAX_WAITING {
+        if !state.pending_checks.entry(run).or_default().add(suspect) {
             self.log_no_evidence("too many requests wait for the check");
-        } else {
-            let lost = LostRun { ended_at: now, ..self.lost };
-            let parts = self.parts.iter().copied().zip(self.names.iter().cloned()).collect();
-            waiting.insert(self.lost.request, BrokenAttempt { lost, parts });
         }
         drop(state);
         if is_first {
-            let check = CrashCheck {
-                shared: Arc::clone(&self.shared),
-                replica: self.replica.clone(),
-                run,
-                address: self.address,
-                broken_at: now,
-            };
-            task::spawn(check.run());
+            let (replica, address) = (self.replica.clone(), self.address);
+            task::spawn(CrashCheck::new(&self.shared, replica, run, address, broken_at).run());
         }
     }
 
+    /// The attempt as it ends now, with what it may have crashed its replica with; `None` if that is
+    /// nothing.
+    fn suspect(&self) -> Option<SuspectAttempt> {
+        let parts = self.parts.iter().copied().zip(self.names.iter().cloned());
+        let parts: Vec<_> = parts.filter(|_| !self.are_parts_proven).collect();
+        let is_request_suspect = !self.is_request_proven;
+        (is_request_suspect || !parts.is_empty()).then(|| SuspectAttempt {
+            lost: LostRun { ended_at: since_boot(), ..self.lost },
+            is_request_suspect,
+            parts,
+        })
+    }
+
     /// Logs why an attempt that broke is not held against its request.
     fn log_no_evidence(&self, reason: &'static str) {
         info!(self.shared.log, "attempt: no evidence"; "replica" => %self.replica,
@@ -163,75 +176,15 @@
     }
 }
 
-/// A check whether a replica has ended.
-#[derive(Debug)]
-struct CrashCheck {
-    shared: Arc<Shared>,
-    replica: InstanceId,
-    run: RunHash,
-    address: SocketAddr,
-    broken_at: Millis,
-}
-
-impl CrashCheck {
-    /// Opens a connection to the replica. One that accepts it has only broken off answers.
-    async fn run(self) {
-        let result = check_for_crash(self.address).await;
-        let has_ended = match result {
-            CrashCheckResult::Running => false,
-            CrashCheckResult::Ended => true,
-            // This entry may be cut off itself.
-            CrashCheckResult::Unreachable => self.hears_another_replica(),
-        };
-        if !has_ended {
-            info!(self.shared.log, "replica: not crashed"; "replica" => %self.replica,
-                "result" => ?result);
-        }
-        let Some(waiting) = self.record(has_ended) else { return };
-        let names: BTreeSet<&str> = waiting
-            .values()
-            .flat_map(|broken| &broken.parts)
-            .map(|(_, name)| name.as_str())
-            .collect();
-        let names: Vec<&str> = names.into_iter().take(MAX_LOGGED).collect();
-        let contents: BTreeSet<String> =
-            waiting.values().map(|broken| broken.lost.content.to_string()).collect();
-        let contents: Vec<String> = contents.into_iter().take(MAX_LOGGED).collect();
-        self.shared.record_unreachable(&self.replica);
-        self.shared.metrics.crashes.inc();
-        info!(self.shared.log, "replica: crashed"; "replica" => %self.replica,
-            "requests" => waiting.len(), "contents" => contents.join(" "),
-            "suspects" => names.join(" "));
-        self.shared.review_quarantines(since_boot());
-        self.shared.spread_evidence().await;
-    }
-
-    /// Whether another replica has sent bytes to this entry since the attempt broke.
-    fn hears_another_replica(&self) -> bool {
-        let state = self.shared.state();
-        let mut others = state.loads.iter().filter(|(id, _)| **id != self.replica);
-        others.any(|(_, load)| load.last_byte_at >= self.broken_at)
-    }
-
-    /// Ends the check; returns the attempts that may have crashed the replica, if it has ended.
-    fn record(&self, has_ended: bool) -> Option<BTreeMap<RequestHash, BrokenAttempt>> {
-        let now = since_boot();
-        let mut state = self.shared.state();
-        let waiting = state.pending_checks.remove(&self.run)?;
-        if !has_ended {
-            return None;
+impl Drop for Trial {
+    /// An attempt that was neither answered nor broken off by its replica has been given up.
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
         }
-        let mut is_new = false;
-        for (request, BrokenAttempt { lost, parts: named }) in &waiting {
-            let parts: Vec<PartHash> = named.iter().map(|(part, _)| *part).collect();
-            is_new |= state.quarantine.record_crash(self.run, *request, &parts, now);
-            is_new |= state.quarantine.record_lost_run(*lost, now);
-            if state.part_names.len() + named.len() > MAX_NAMES {
-                state.part_names.clear();
-            }
-            state.part_names.extend(named.iter().cloned());
+        if let Some(suspect) = self.suspect() {
+            self.shared.state().given_up.add(suspect);
         }
-        is_new.then_some(waiting)
     }
 }
 
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -225,6 +225,7 @@
     skipped_body: Option<BodyReader>,
     /// Writes the rest of the request behind a head that has arrived early; ends when it is dropped.
     rest_writer: Option<Task<()>>,
+    pub(super) trial: Box<Trial>,
 }
 
 /// A response whose body has not been read to its end.
@@ -238,24 +239,23 @@
     pub(crate) received: Vec<u8>,
     /// The error that ends the body after that part.
     pub(crate) read_error: Option<HttpError>,
-    pub(super) trial: Trial,
 }
 
 impl UpstreamResponse {
     pub(super) fn new(
-        exchange: Exchange,
+        mut exchange: Exchange,
         head: ResponseHead,
         response: ReplicaResponse,
-        trial: Trial,
     ) -> Self {
+        exchange.trial.record_head();
         let body = BodyReader::new(head.framing);
-        Self { exchange, head, response, body, received: Vec::new(), read_error: None, trial }
+        Self { exchange, head, response, body, received: Vec::new(), read_error: None }
     }
 
     /// What has been received, for the log.
     pub(super) fn received_so_far(&self) -> Received {
         let framing = self.head.framing;
-        match (self.trial.event_count(), self.received.len()) {
+        match (self.exchange.trial.event_count(), self.received.len()) {
             (0, 0) => Received::Head(framing),
             (0, bytes) => Received::Bytes(framing, bytes),
             (events, _) => Received::Events(framing, events),
@@ -317,6 +317,7 @@
             head_count: 0,
             skipped_body: None,
             rest_writer: None,
+            trial: Box::new(Trial::new(shared, request, replica)),
         })
     }
 
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod evidence;
 mod exchange;
+mod given_up;
 mod lost_runs;
 mod quarantine;
 mod records;
@@ -12,9 +13,10 @@
 mod suspects;
 
 pub use evidence::{CrashEvidence, SuspectRequest, ToldCrash};
+pub use given_up::{GIVEN_UP_TTL, GivenUpAttempts, SuspectAttempt};
 pub use lost_runs::{LostRun, ToldRun};
 pub use quarantine::{
-    BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_TIME, QUARANTINE_TIME,
-    QuarantineChange, QuarantineSource,
+    BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_EVENTS, PROOF_TIME,
+    QUARANTINE_TIME, QuarantineChange, QuarantineSource,
 };
 pub use suspects::{ContentHash, MAX_TRACKED_PARTS, PartHash, RequestHash, RunHash, Suspect};
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -18,10 +18,13 @@
 use ibissail_core::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Time from the head of an answer after which an event of it proves its parts sound. Replicas crash
-/// in the first event, within some 0.1 s.
+/// Time from the head of an answer, and events of it, from which it proves its parts sound. Replicas
+/// crash as they begin to answer, which takes a slow one longer.
 pub const PROOF_TIME: Millis = Millis(400);
-/// Time from the head of an answer after which a crash is not blamed on its request.
+/// The events; see [`PROOF_TIME`].
+pub const PROOF_EVENTS: u64 = 1;
+/// Time before a crash in which an answer must have begun to prove its request or its parts sound in
+/// spite of it.
 pub const BLAME_TIME: Millis = Millis(1_000);
 /// Longest quarantine. Each trial after it costs replicas.
 pub const QUARANTINE_TIME: Millis = Millis(600_000);
@@ -91,8 +94,8 @@
 }
 
 impl CrashQuarantine {
-    /// Records that a replica has crashed `BLAME_TIME` or less after it had begun to answer a
-    /// request with these parts; returns whether this is new.
+    /// Records that a replica has crashed before its answer to a request had proven these parts
+    /// sound; returns whether this is new.
     pub fn record_crash(
         &mut self,
         run: RunHash,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -68,8 +68,9 @@
 pub use controller::{RolloutController, RolloutReport};
 pub use crashes::{
     BLAME_TIME, ContentHash, CrashEvidence, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME,
-    LostRun, MAX_TRACKED_PARTS, PROOF_TIME, PartHash, QUARANTINE_TIME, QuarantineChange,
-    QuarantineSource, RequestHash, RunHash, Suspect, SuspectRequest, ToldCrash, ToldRun,
+    GIVEN_UP_TTL, GivenUpAttempts, LostRun, MAX_TRACKED_PARTS, PROOF_EVENTS, PROOF_TIME, PartHash,
+    QUARANTINE_TIME, QuarantineChange, QuarantineSource, RequestHash, RunHash, Suspect,
+    SuspectAttempt, SuspectRequest, ToldCrash, ToldRun,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
