Take the end of an unframed response as sound only if its replica runs on

Callers got streams as complete that had been cut off, also ones without any event, when their replica ended; and each such crash proved its part of the prompt sound at all entries.

Cause: a response with neither a length nor chunks ends with its connection, and a replica that ends closes its connections too.

Change: a stream that ends with its connection before any event is broken. A replica that is leaving or unlisted may end after its last response. Other unframed responses are delivered at once, and prove their request and parts sound after the same check. A response with an error status proves no part of a prompt sound.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -444,10 +444,10 @@
             if self.target.model.is_none() {
                 self.record_first_event();
             }
-            if response.status < 300 {
-                exchange.trial.succeed();
-            } else {
-                exchange.trial.succeed_request();
+            match head.framing {
+                _ if response.status >= 300 => exchange.trial.succeed_request(),
+                Framing::UntilClose => exchange.trial.end_with_connection(),
+                Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.succeed(),
             }
         }
         drop(exchange);
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -8,7 +8,7 @@
     upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::Connection;
+use ibissail_http1::{Connection, Framing};
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -77,6 +77,23 @@
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
+        } else if upstream.head.framing == Framing::UntilClose {
+            if exchange.trial.event_count() == 0 {
+                return StreamOutcome::Broken("the connection ended before any event".to_owned());
+            }
+            let checking = exchange.trial.has_replica_ended();
+            let checked = match &mut progress.outbox {
+                Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
+                None => Ok(checking.await),
+            };
+            match checked {
+                Ok(false) => {}
+                Ok(true) => {
+                    let error = "the replica ended with the connection";
+                    return StreamOutcome::Broken(error.to_owned());
+                }
+                Err(_gone) => return StreamOutcome::CallerGone,
+            }
         }
         if !progress.has_response_started() {
             let framing_header = "Transfer-Encoding: chunked\r\n";
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -5,13 +5,20 @@
 //! looked on the connection of the attempt.
 
 use super::{
-    Shared, crash_checks::CrashCheck, progress::SelectedReplica, request::AdmittedRequest,
+    Shared,
+    crash_checks::{CheckedAttempt, CrashCheck},
+    progress::SelectedReplica,
+    request::AdmittedRequest,
+};
+use crate::{
+    clock::since_boot,
+    crash_check::{CrashCheckResult, check_for_crash},
 };
-use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{
-    LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, RequestHash, RunHash, SuspectAttempt,
+    LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState, RequestHash, RunHash,
+    SuspectAttempt, Unavailability,
 };
 use slog::info;
 use std::{net::SocketAddr, sync::Arc};
@@ -127,6 +134,31 @@
 
     /// Records that the attempt broke. If its replica has ended, the request may have crashed it.
     pub(super) fn fail(&mut self) {
+        self.check(false);
+    }
+
+    /// Records that the response ended with its connection. Unless its replica has ended too, it
+    /// proves the request and its parts sound.
+    pub(super) fn end_with_connection(&mut self) {
+        self.check(true);
+    }
+
+    /// Whether the replica has ended together with the connection. One that is leaving may end after
+    /// its last response.
+    pub(super) async fn has_replica_ended(&self) -> bool {
+        let is_staying = {
+            let state = self.shared.state();
+            let now = since_boot();
+            state.replicas.get(&self.replica).is_some_and(|replica| {
+                replica.state == ReplicaState::Ready
+                    && state.signals.unavailability(replica, now) != Some(Unavailability::Leaving)
+            })
+        };
+        is_staying && check_for_crash(self.address).await == CrashCheckResult::Ended
+    }
+
+    /// Has the replica checked; `is_complete` says whether the response is complete if it runs.
+    fn check(&mut self, is_complete: bool) {
         self.is_settled = true;
         let Some(suspect) = self.suspect() else {
             self.log_no_evidence("the answer has gone on");
@@ -146,7 +178,9 @@
             self.log_no_evidence("too many replicas are being checked");
             return;
         }
-        if !state.pending_checks.entry(run).or_default().add(suspect) {
+        let began_at = self.head_at.unwrap_or(self.lost.began_at);
+        let checked = CheckedAttempt { suspect, began_at, is_complete };
+        if !state.pending_checks.entry(run).or_default().add(checked) {
             self.log_no_evidence("too many requests wait for the check");
         }
         drop(state);
--- a/crates/daemon/tests/crashing_prompts.rs
+++ b/crates/daemon/tests/crashing_prompts.rs
@@ -67,6 +67,11 @@
     assert!(late <= 3, "{late} requests with the part, {} crashes", replicas.crashes().len());
     assert_quarantined(&sent_after(&crashing, bound), "prompt_quarantined", 10);
     assert_served(&sent_after(&sound, bound), 90, 50);
+    // No stream that a crash has cut off looks complete.
+    let events: Vec<u64> = (1..=CrashingReplicas::EVENTS).collect();
+    for exchange in sound.iter().filter(|exchange| exchange.is_served()) {
+        assert_eq!(exchange.response.event_ids(), events, "{}", exchange.id);
+    }
 }
 
 #[test]
