Prove a part of a prompt sound only by several events

Cause: one event 0.4 s after the head proved the parts of a prompt sound. A slow replica needs as long for its first event and crashes after it, so that each crash left a proof, which releases the part at all entries.

Change: three events are needed besides the 0.4 s, or the end of the response.

--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -22,7 +22,7 @@
 /// crash as they begin to answer, which takes a slow one longer.
 pub const PROOF_TIME: Millis = Millis(400);
 /// The events; see [`PROOF_TIME`].
-pub const PROOF_EVENTS: u64 = 1;
+pub const PROOF_EVENTS: u64 = 3;
 /// Time before a crash in which an answer must have begun to prove its request or its parts sound in
 /// spite of it.
 pub const BLAME_TIME: Millis = Millis(1_000);
