Resume a stream only with what goes on after its last event

Callers found a stream that had broken off ended as if it were complete, or with other text or earlier events in its middle, when the next replica answered otherwise.

Cause: any successful response of a successor was appended.

Change: the first event of a resumed stream has an id, which follows the last one by at most the largest step before; this also holds where the caller resumes. A successor without any event ends the stream only with an empty chunk. A response head inside a stream breaks it, and a stream whose last event has no id is not sent elsewhere. In all these cases the next replica is asked, or the stream is broken off.

--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -75,7 +75,8 @@
         self.failed_connects = 0;
     }
 
-    pub(crate) fn new() -> Self {
+    /// Creates the progress of a request that resumes a stream after this event, if any.
+    pub(crate) fn new(resume_after: Option<u64>) -> Self {
         Self {
             attempts_sent: 0,
             may_have_run: false,
@@ -87,7 +88,7 @@
             first_byte_at: None,
             relayed_bytes: 0,
             outbox: None,
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::resuming_after(resume_after),
             attempt_log: Vec::new(),
             failed_connects: 0,
             has_reserved_retry: false,
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -23,6 +23,16 @@
     CallerGone,
 }
 
+/// Whether a response without any event is no stream. One that resumes a stream may lack only its end,
+/// which an empty chunk says clearly.
+fn may_not_be_empty(framing: Framing, is_resumed: bool) -> bool {
+    match framing {
+        Framing::Chunked => false,
+        Framing::UntilClose => true,
+        Framing::None | Framing::Length(_) => is_resumed,
+    }
+}
+
 /// Relays the stream of one replica, preceded by the head of the response unless the caller has
 /// received one already.
 pub(super) async fn relay_stream(
@@ -36,6 +46,7 @@
     let mut last_event_at = since_boot();
     loop {
         let event_count = progress.splitter.event_count();
+        let content_count = progress.splitter.content_count();
         let exchange = &mut upstream.exchange;
         let next = async {
             if !upstream.received.is_empty() {
@@ -71,16 +82,16 @@
             if events.is_empty() {
                 continue;
             }
-            let count = progress.splitter.event_count() - event_count;
-            exchange.trial.record_events(count);
-            pace.record_events(count);
+            exchange.trial.record_events(progress.splitter.content_count() - content_count);
+            pace.record_events(progress.splitter.event_count() - event_count);
             bytes = encode_chunk(&events);
         } else if progress.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
+        } else if exchange.trial.event_count() == 0
+            && may_not_be_empty(upstream.head.framing, progress.has_response_started())
+        {
+            return StreamOutcome::Broken("the response ended without an event".to_owned());
         } else if upstream.head.framing == Framing::UntilClose {
-            if exchange.trial.event_count() == 0 {
-                return StreamOutcome::Broken("the connection ended before any event".to_owned());
-            }
             let checking = exchange.trial.has_replica_ended();
             let checked = match &mut progress.outbox {
                 Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -59,7 +59,8 @@
             );
         }
     };
-    let mut progress = Progress::new();
+    let may_resume = request.route.kind == RequestKind::ResumableStream;
+    let mut progress = Progress::new(request.params.resume_after.filter(|_| may_resume));
     if request.route.kind.is_stream() && shared.state().is_adaptive(&request.service) {
         let caller = connection.stream().clone();
         progress.outbox = Some(Outbox::new(shared, caller, &request.params.id));
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -91,9 +91,9 @@
         self.head_at = Some(since_boot());
     }
 
-    /// Records that the answer goes on: complete events have arrived, `count` of them with an id.
+    /// Records that the answer goes on: complete events have arrived.
     pub(super) fn record_events(&mut self, count: u64) {
-        self.events += count.max(1);
+        self.events += count;
         let has_gone_on = self.answering_since(since_boot()) >= PROOF_TIME;
         if has_gone_on && self.events >= PROOF_EVENTS {
             self.succeed();
