Fail runs whose upstream answers with neither a length nor chunks

Callers of entries with sidecars got an empty success when an upstream ended after the head of such a response, and each of these crashes proved the request sound.

Cause: the HTTP library takes a response without a length or chunks for one without a body, and the sidecar reported the run as complete before the upstream's end showed. The class is that of direct entries: the end of the connection was taken for the end of the response.

Change: the sidecar waits until the connection ends, fails the run as incomplete, and has the upstream checked like after any other broken response.

--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -30,6 +30,7 @@
 
 /// Sends a request to the upstream and passes its response to the sink.
 pub(crate) async fn run(shared: &Shared, req: &RunRequest, sink: &Sink<'_>) -> Outcome {
+    let deadline = shared.node.now().saturating_add(req.time_left);
     let (upstream_req, format) = match build_request(shared, req) {
         Ok(prepared) => prepared,
         Err(fault) => return Outcome::NotSent(fault),
@@ -44,6 +45,12 @@
         Err(error) => return failed_outcome(transport_fault(req, &error)),
     };
     shared.record_upstream_limit(&reply.response);
+    if reply.is_close_delimited() && req.method != "HEAD" {
+        // The upstream may be about to end, which shows when the connection has.
+        let time_left = deadline.since(shared.node.now()).as_duration();
+        reply.discard_until_closed(MAX_RESPONSE, time_left).await;
+        return Outcome::Broken(incomplete("the response has neither a length nor chunks"));
+    }
     let status = u16::from(reply.response.status());
     if status >= 500 && matches!(req.target, Target::Model(_)) {
         let fault = Fault::new(ErrorKind::UpstreamFailed, format!("status {status}"));
--- a/crates/daemon/tests/common/crashing_upstream.rs
+++ b/crates/daemon/tests/common/crashing_upstream.rs
@@ -28,6 +28,30 @@
      \"content\":\"ridge\"},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":2,\
      \"completion_tokens\":1,\"total_tokens\":3}}";
 
+/// What an upstream has sent of its response when it ends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SentBeforeEnd {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// A head with neither a length nor chunks.
+    UnframedHead,
+    /// Such a head, and a part of the body.
+    PartOfUnframedBody,
+}
+
+impl SentBeforeEnd {
+    fn bytes(self) -> &'static [u8] {
+        match self {
+            Self::Nothing => b"",
+            Self::UnframedHead => b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n",
+            Self::PartOfUnframedBody => {
+                b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"choices\":[{"
+            }
+        }
+    }
+}
+
 /// What happened at the upstreams of one test.
 #[derive(Debug, Default)]
 struct History {
@@ -46,9 +70,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashingUpstreams {
     history: Arc<Mutex<History>>,
+    sent_before_end: SentBeforeEnd,
 }
 
 impl CrashingUpstreams {
+    /// Upstreams that end after they have sent this of their response.
+    pub fn ending_after(sent_before_end: SentBeforeEnd) -> Self {
+        Self { sent_before_end, ..Self::default() }
+    }
+
     /// Starts an upstream that comes back at the same address after each crash.
     pub fn start(&self, address: SocketAddr) {
         let listener = TcpListener::bind(address).expect("the address is free");
@@ -131,6 +161,7 @@
             };
             received = rest;
             if request.contains(CRASHING_TEXT) {
+                let _sent = stream.write_all(self.sent_before_end.bytes());
                 self.crash(&request, has_crashed);
                 return;
             }
--- a/crates/daemon/tests/crashing_upstreams.rs
+++ b/crates/daemon/tests/crashing_upstreams.rs
@@ -4,7 +4,7 @@
 
 use common::{
     Cluster, StopOnDrop,
-    crashing_upstream::{CRASHING_TEXT, CrashingUpstreams},
+    crashing_upstream::{CRASHING_TEXT, CrashingUpstreams, SentBeforeEnd},
     http::{self, Response},
     wait_until,
 };
@@ -83,8 +83,11 @@
 
 impl CrashingFleet {
     fn start(test: &str, offers: &str) -> Self {
+        Self::start_with(test, offers, CrashingUpstreams::default())
+    }
+
+    fn start_with(test: &str, offers: &str, upstreams: CrashingUpstreams) -> Self {
         let mut cluster = Cluster::with_upstreams(test, &[]);
-        let upstreams = CrashingUpstreams::default();
         for name in UPSTREAMS {
             cluster.add_sidecar_without_upstream(name, offers);
             upstreams.start(cluster.members[name].upstream.as_ref().expect("an upstream").0);
@@ -334,3 +337,26 @@
         }
     }
 }
+
+#[test]
+fn request_that_crashes_upstreams_after_an_unframed_head_is_refused() {
+    let upstreams = CrashingUpstreams::ending_after(SentBeforeEnd::UnframedHead);
+    let fleet = CrashingFleet::start_with("unframed_head", "service:routes", upstreams);
+    let copies = fleet.assert_kept_from_upstreams(sound_service_request, crashing_service_request);
+    assert_never_successful(&copies);
+}
+
+#[test]
+fn request_that_crashes_upstreams_inside_an_unframed_body_is_refused() {
+    let upstreams = CrashingUpstreams::ending_after(SentBeforeEnd::PartOfUnframedBody);
+    let fleet = CrashingFleet::start_with("unframed_body", "service:routes", upstreams);
+    let copies = fleet.assert_kept_from_upstreams(sound_service_request, crashing_service_request);
+    assert_never_successful(&copies);
+}
+
+/// Asserts that no copy was answered with what an upstream had sent before it ended.
+fn assert_never_successful(copies: &[Exchange]) {
+    for copy in copies {
+        assert_ne!(copy.response.status, 200, "{copy:?}");
+    }
+}
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -2,8 +2,11 @@
 
 use crate::upstream::Upstream;
 use async_std::{future::timeout, net::TcpStream};
-use futures_lite::{FutureExt, future};
-use http_types::{Body, Request, Response, headers::CONNECTION};
+use futures_lite::{AsyncReadExt, FutureExt, future};
+use http_types::{
+    Body, Request, Response, StatusCode,
+    headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use ibissail_core::ByteSize;
 use quick_error::quick_error;
 use std::{
@@ -13,6 +16,9 @@
     time::{Duration, Instant},
 };
 
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
 quick_error! {
     /// Why a request got no response.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -207,6 +213,33 @@
         self.response.take_body()
     }
 
+    /// Whether neither a length nor chunks delimit the body, which then ends with the connection. The
+    /// HTTP library does not read such a body.
+    #[must_use]
+    pub fn is_close_delimited(&self) -> bool {
+        let status = self.response.status();
+        let has_no_body = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
+        let is_framed = self.response.header(CONTENT_LENGTH).is_some()
+            || self.response.header(TRANSFER_ENCODING).is_some();
+        !has_no_body && !is_framed
+    }
+
+    /// Reads and discards at most `max_size` bytes until the peer closes the connection, for at most
+    /// `limit`.
+    pub async fn discard_until_closed(mut self, max_size: ByteSize, limit: Duration) {
+        let mut buf = [0; DISCARD_BUFFER_BYTES];
+        let reading = async {
+            let mut left = max_size.as_usize();
+            while left > 0 {
+                match self.stream.read(&mut buf).await {
+                    Ok(0) | Err(_) => break,
+                    Ok(count) => left = left.saturating_sub(count),
+                }
+            }
+        };
+        let _elapsed = timeout(limit, reading).await;
+    }
+
     /// Address of the peer that sent the response.
     #[must_use]
     pub fn peer(&self) -> SocketAddr {
