Decode each entry of the list of VMs by itself

Cause: the client of the object API decoded the whole list of VMs at once. One entry with a port out of range, a number out of range or deep nesting hid all others, so that entries with sidecars no longer learned of new VMs. The class is that of the lists of the other store.

Change: entries are decoded one by one; those that cannot be are left out and logged.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -49,7 +49,7 @@
         Some(address) => Some(fetch_process_status(address).await?),
         None => None,
     };
-    let vms = platform.list_vms().await?;
+    let vms = platform.list_vms().await?.vms;
     let status = Status { branches: branches.collect(), withdrawals, vms, process };
     print(output, &status, format_status);
     Ok(())
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -7,7 +7,7 @@
 use ibissail_execution::paths;
 use ibissail_object_store::{VmRecord, VmRole};
 use ibissail_settings::LocalSettings;
-use slog::debug;
+use slog::{debug, warn};
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
@@ -129,7 +129,12 @@
 pub(crate) async fn refresh_list(node: Arc<Node>) {
     while !node.is_stopping() {
         match node.platform.list_vms().await {
-            Ok(vms) => node.peers.set_vm_list(vms),
+            Ok(list) => {
+                for error in &list.unreadable {
+                    warn!(node.log, "peers: invalid entry of the VM list ignored"; "error" => error);
+                }
+                node.peers.set_vm_list(list.vms);
+            }
             Err(error) => {
                 debug!(node.log, "peers: VM list not read"; "error" => %error);
                 fetch_list_from_peer(&node).await;
--- a/crates/object-store/src/api.rs
+++ b/crates/object-store/src/api.rs
@@ -104,6 +104,15 @@
     pub offers: Option<Target>,
 }
 
+/// The platform's list of VMs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmList {
+    /// The entries that could be decoded.
+    pub vms: Vec<VmRecord>,
+    /// Why each of the others could not.
+    pub unreadable: Vec<String>,
+}
+
 /// Boxed future of a call to the platform, which keeps the trait object-safe.
 pub type PlatformFuture<'a, T> =
     Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
@@ -142,5 +151,5 @@
     ) -> PlatformFuture<'a, ChangeBatch>;
 
     /// Reads the list of VMs, which may be out of date.
-    fn list_vms(&self) -> PlatformFuture<'_, Vec<VmRecord>>;
+    fn list_vms(&self) -> PlatformFuture<'_, VmList>;
 }
--- a/crates/object-store/src/lib.rs
+++ b/crates/object-store/src/lib.rs
@@ -7,8 +7,8 @@
 mod wire;
 
 pub use api::{
-    Change, ChangeBatch, Listing, Object, ObjectApi, PlatformError, PlatformFuture, VmRecord,
-    VmRole, VmState,
+    Change, ChangeBatch, Listing, Object, ObjectApi, PlatformError, PlatformFuture, VmList,
+    VmRecord, VmRole, VmState,
 };
 pub use wire::{
     ChangesBody, HttpPlatformClient, ListingBody, OBJECTS_PATH, ObjectBody, VMS_PATH, WATCH_PATH,
--- a/crates/object-store/src/wire.rs
+++ b/crates/object-store/src/wire.rs
@@ -1,7 +1,7 @@
 //! The object API over HTTP: all paths, headers and bodies of the protocol are defined here.
 
 use crate::{
-    Change, ChangeBatch, Listing, Object, ObjectApi, PlatformError, PlatformFuture, VmRecord,
+    Change, ChangeBatch, Listing, Object, ObjectApi, PlatformError, PlatformFuture, VmList,
 };
 use http_types::{
     Method, Request, StatusCode, Url,
@@ -10,6 +10,7 @@
 use ibissail_core::{ByteSize, Revision};
 use ibissail_transport::{Pool, PoolOptions, SendError};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use std::{net::SocketAddr, time::Duration};
 
 /// Path of listings; with `/` and a key appended, the path of an object.
@@ -192,10 +193,20 @@
         })
     }
 
-    fn list_vms(&self) -> PlatformFuture<'_, Vec<VmRecord>> {
+    fn list_vms(&self) -> PlatformFuture<'_, VmList> {
         Box::pin(async move {
-            let body = self.read(VMS_PATH, self.timeout).await?;
-            body.ok_or_else(|| PlatformError::NotApplied("no list of VMs".to_owned()))
+            let body: Option<Vec<Box<RawValue>>> = self.read(VMS_PATH, self.timeout).await?;
+            let body =
+                body.ok_or_else(|| PlatformError::NotApplied("no list of VMs".to_owned()))?;
+            let mut list = VmList::default();
+            // One entry that cannot be decoded must not hide the others.
+            for entry in body {
+                match serde_json::from_str(entry.get()) {
+                    Ok(vm) => list.vms.push(vm),
+                    Err(error) => list.unreadable.push(error.to_string()),
+                }
+            }
+            Ok(list)
         })
     }
 }
