Reject settings that are nested too deeply

Every process that read a settings branch nested 100,000 levels deep ended by itself: the tree of a document is built and dropped by recursion, which overflowed the stack. Any writer of the store may leave such a branch, and processes read it again after each restart. Found while looking for the cause of the lists that one odd record spoils.

Change: the events of the parser, which does not recurse, are counted first; more than 64 levels are an error with the line, like any other invalid branch.

Measured: deeply_nested_text_is_rejected aborted with a stack overflow before and passes now, for sequences, mappings, block sequences and complex keys.

--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -2,8 +2,30 @@
 
 use crate::{ValidationError, ValidationErrors};
 use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
+use saphyr_parser::{Event, Parser};
 use std::{cell::RefCell, collections::BTreeMap, fmt::Display, str::FromStr};
 
+/// Deepest nesting of sequences and mappings. The tree of a document is built and dropped by recursion.
+const MAX_DEPTH: usize = 64;
+
+/// Line at which a text is nested more deeply than [`MAX_DEPTH`]; `None` if it is not, or if it is
+/// invalid before that.
+fn too_deep_line(text: &str) -> Option<usize> {
+    let mut depth = 0_usize;
+    for event in Parser::new_from_str(text) {
+        let (event, span) = event.ok()?;
+        match event {
+            Event::SequenceStart(..) | Event::MappingStart(..) => depth += 1,
+            Event::SequenceEnd | Event::MappingEnd => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            return Some(span.start.line());
+        }
+    }
+    None
+}
+
 /// A document being read, with the errors found so far.
 #[derive(Debug)]
 pub(crate) struct Document {
@@ -16,8 +38,13 @@
         Self { file: file.to_owned(), errors: RefCell::default() }
     }
 
-    /// Parses the text; a syntax error is returned as the only error.
+    /// Parses the text; a syntax error, or nesting that is too deep, is returned as the only error.
     pub(crate) fn load<'a>(&self, text: &'a str) -> Result<MarkedYaml<'a>, ValidationErrors> {
+        if let Some(line) = too_deep_line(text) {
+            let message = format!("nested more than {MAX_DEPTH} levels deep");
+            self.report(line, "(syntax)", message);
+            return Err(self.take_errors());
+        }
         match MarkedYaml::load_from_str(text) {
             Ok(mut documents) if documents.len() == 1 => Ok(documents.remove(0)),
             Ok(documents) => {
--- a/crates/settings/tests/malformed_text.rs
+++ b/crates/settings/tests/malformed_text.rs
@@ -41,3 +41,13 @@
         parse_all(&text.into_iter().collect::<String>());
     }
 }
+
+#[test]
+fn deeply_nested_text_is_rejected() {
+    for depth in [200, 100_000] {
+        for (open, close) in [("[", "]"), ("{a: ", "}"), ("- ", ""), ("? ", "")] {
+            parse_all(&format!("branch: {}1{}", open.repeat(depth), close.repeat(depth)));
+            parse_all(&format!("{}1{}", open.repeat(depth), close.repeat(depth)));
+        }
+    }
+}
