Prove a request of an entry with sidecars sound only by several parts of its response

Cause: as with parts of prompts at direct entries, one part of a response 0.4 s after the first proved a request sound, and a run that broke more than a second after its first bytes was no evidence.

Change: three parts are needed besides the 0.4 s, or the end of the response; whatever is not proven is a suspect when the upstream has ended.

No test of its own: the rule is the one that prompt_part_that_crashes_slow_replicas_after_an_event_is_quarantined tests at direct entries.

--- a/crates/daemon/src/entry/crashes.rs
+++ b/crates/daemon/src/entry/crashes.rs
@@ -8,8 +8,8 @@
 use ibissail_catalogue::choose_peers;
 use ibissail_core::{ErrorKind, Fault, Millis};
 use ibissail_direct::{
-    BLAME_TIME, ContentHash, CrashEvidence, CrashQuarantine, LostRun, PROOF_TIME, QuarantineChange,
-    QuarantineSource, RequestHash, RunHash,
+    ContentHash, CrashEvidence, CrashQuarantine, LostRun, PROOF_EVENTS, PROOF_TIME,
+    QuarantineChange, QuarantineSource, RequestHash, RunHash,
 };
 use ibissail_execution::{CrashNotice, Frame, FrameKind, RunKey, UpstreamRun, fingerprint, paths};
 use ibissail_transport::StreamResponse;
@@ -136,6 +136,8 @@
     content: ContentHash,
     began_at: Millis,
     first_bytes_at: Option<Millis>,
+    /// Parts of the response that have arrived.
+    parts: u64,
     is_proven: bool,
 }
 
@@ -147,6 +149,7 @@
             content,
             began_at: since_boot(),
             first_bytes_at: None,
+            parts: 0,
             is_proven: false,
         }
     }
@@ -155,7 +158,8 @@
     pub(crate) fn record_bytes(&mut self) {
         let now = since_boot();
         let first_bytes_at = *self.first_bytes_at.get_or_insert(now);
-        if now.since(first_bytes_at) >= PROOF_TIME {
+        self.parts += 1;
+        if now.since(first_bytes_at) >= PROOF_TIME && self.parts >= PROOF_EVENTS {
             self.succeed();
         }
     }
@@ -173,8 +177,7 @@
     /// has ended; then the request may have crashed it.
     pub(crate) fn fail(&self, key: &RunKey, endpoint: &ReplicaEndpoint, stream: StreamResponse) {
         let ended_at = since_boot();
-        let is_fresh = self.first_bytes_at.is_none_or(|first| ended_at.since(first) < BLAME_TIME);
-        if self.is_proven || !is_fresh {
+        if self.is_proven {
             return;
         }
         let failed = FailedRun {
