Tell peers of the sound parts that most crashes blame first

Cause: histories with the new evidence, in which nothing is answered for six seconds, quarantined a part that all requests of a route share: an entry that had just restarted knew of no answer on it, and its peers, which did, told it of rarer parts first.

Change: of what is equally due, the parts and requests that have met most crashes are told first. The histories play crashes before the head, after the head and after the first event, requests that wait up to 3 s for a head, and the new rules of evidence.

--- a/crates/direct/src/crashes/exchange.rs
+++ b/crates/direct/src/crashes/exchange.rs
@@ -48,7 +48,8 @@
     fn tell_sound(&mut self, evidence: &mut CrashEvidence, now: Millis) {
         let mut due: Vec<(Suspect, u32)> =
             self.to_tell.iter().map(|(suspect, left)| (*suspect, *left)).collect();
-        due.sort_by_key(|(_, left)| Reverse(*left));
+        // Peers that know nothing yet blame first what has met most crashes.
+        due.sort_by_key(|(suspect, left)| Reverse((*left, self.crash_count(*suspect))));
         for (suspect, left) in due {
             if !evidence.has_room_for_sound() {
                 return;
@@ -158,13 +159,18 @@
 
     /// Has the peers told that what they blame is known to be sound.
     fn tell_if_sound(&mut self, suspect: Suspect) {
-        let crashes = match suspect {
-            Suspect::Request(content) => self.lost_runs.with(content).count(),
-            Suspect::Part(part) => self.crashes.count_with(part).map_or(0, |(count, _)| count),
-        };
+        let crashes = self.crash_count(suspect);
         let is_blamed = crashes >= MIN_BLAMED_CRASHES || self.quarantines.contains_key(&suspect);
         if is_blamed && self.proven_at(suspect).is_some() {
             self.to_tell.insert(suspect, TELL_COUNT);
         }
     }
+
+    /// Number of recorded crashes that this may have caused.
+    fn crash_count(&self, suspect: Suspect) -> usize {
+        match suspect {
+            Suspect::Request(content) => self.lost_runs.with(content).count(),
+            Suspect::Part(part) => self.crashes.count_with(part).map_or(0, |(count, _)| count),
+        }
+    }
 }
--- a/crates/direct/tests/prompt_crashes.rs
+++ b/crates/direct/tests/prompt_crashes.rs
@@ -9,7 +9,7 @@
 
 use ibissail_core::Millis;
 use ibissail_direct::{
-    BLAME_TIME, CrashEvidence, CrashQuarantine, PROOF_TIME, PartHash, RequestHash, RunHash,
+    CrashEvidence, CrashQuarantine, PROOF_EVENTS, PROOF_TIME, PartHash, RequestHash, RunHash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
@@ -23,6 +23,19 @@
 const MAX_ATTEMPTS: u32 = 3;
 const MAX_LATE_REQUESTS: usize = 3;
 
+/// When replicas crash on a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashMoment {
+    /// Before the head of the response.
+    BeforeHead,
+    /// Shortly after the head.
+    AfterHead,
+    /// Shortly after the first event.
+    AfterEvent,
+    /// One of these, in turn.
+    Any,
+}
+
 /// The circumstances of a history.
 #[derive(Debug, Clone)]
 struct Conditions {
@@ -36,6 +49,9 @@
     rate: f64,
     /// When each crashing part begins to be sent, and its requests per second.
     crashing: Vec<(u64, f64)>,
+    crash_moment: CrashMoment,
+    /// Longest time until the head of a response, in milliseconds.
+    longest_wait: u64,
     /// Share of crashing requests that have one more part that only they have seen.
     rare_part_share: f64,
     /// Ordinary crashes per second in the time of trouble.
@@ -61,6 +77,8 @@
             subjects: 60,
             rate: 60.0,
             crashing: Vec::new(),
+            crash_moment: CrashMoment::AfterHead,
+            longest_wait: 400,
             rare_part_share: 0.0,
             crash_rate: 0.0,
             bursts: Vec::new(),
@@ -87,8 +105,8 @@
     replica: usize,
     head_at: u64,
     end_at: u64,
-    /// Time from the head to the first event.
-    first_event_after: u64,
+    /// Time from the head to the event that may prove the parts sound.
+    proving_event_after: u64,
     /// When the replica crashes because of it.
     crash_at: Option<u64>,
     is_proven: bool,
@@ -201,26 +219,43 @@
         }
         request.attempts += 1;
         let replica = up[self.rng.random_range(0..up.len())];
-        let head_at = self.now + self.rng.random_range(40..400);
+        let head_at = self.now + self.rng.random_range(40..self.conditions.longest_wait);
         let length = self.rng.random_range(300..4_000);
+        let first_event_after = self.rng.random_range(10..600);
+        let event_interval = self.rng.random_range(20..120);
         let crashing = self.crashing_of(&request);
-        let crash_at = crashing.map(|_| head_at + self.rng.random_range(40..120));
+        let crash_at = crashing.map(|_| self.crash_time(head_at, first_event_after));
         if let Some(part) = crashing {
             self.arrivals.entry(part).or_default().push(self.now);
         }
         let end_at = head_at + length;
-        let first_event_after = self.rng.random_range(10..600);
         self.attempts.push(Attempt {
             request,
             replica,
             head_at,
             end_at,
-            first_event_after,
+            proving_event_after: first_event_after + event_interval * (PROOF_EVENTS - 1),
             crash_at,
             is_proven: false,
         });
     }
 
+    /// When a replica crashes on a request that it has just been sent.
+    fn crash_time(&mut self, head_at: u64, first_event_after: u64) -> u64 {
+        let moments = [CrashMoment::BeforeHead, CrashMoment::AfterHead, CrashMoment::AfterEvent];
+        let moment = match self.conditions.crash_moment {
+            CrashMoment::Any => moments[self.rng.random_range(0..moments.len())],
+            moment => moment,
+        };
+        match moment {
+            CrashMoment::BeforeHead => {
+                self.rng.random_range(self.now + STEP..head_at.max(self.now + STEP) + 1)
+            }
+            CrashMoment::AfterHead | CrashMoment::Any => head_at + self.rng.random_range(40..120),
+            CrashMoment::AfterEvent => head_at + first_event_after + self.rng.random_range(10..80),
+        }
+    }
+
     fn crash(&mut self, replica: usize) {
         let run = self.run_hash(replica);
         let next = self.rng.random();
@@ -230,9 +265,7 @@
             .partition(|attempt: &Attempt| attempt.replica == replica);
         self.attempts = left;
         for attempt in broken {
-            let age = self.now.saturating_sub(attempt.head_at);
-            let is_fresh = attempt.head_at <= self.now && Millis(age) < BLAME_TIME;
-            if is_fresh && !attempt.is_proven {
+            if !attempt.is_proven {
                 let confirmed_at = self.now + self.rng.random_range(50..150);
                 let entry = attempt.request.entry;
                 self.confirmations.push((confirmed_at, entry, run, attempt.request.clone()));
@@ -271,8 +304,8 @@
                 continue;
             }
             let has_ended = attempt.end_at <= now;
-            let has_event = attempt.head_at + attempt.first_event_after <= now;
-            let is_old = attempt.head_at + PROOF_TIME.0 <= now && has_event;
+            let has_events = attempt.head_at + attempt.proving_event_after <= now;
+            let is_old = attempt.head_at + PROOF_TIME.0 <= now && has_events;
             if attempt.crash_at.is_none() && !attempt.is_proven && (has_ended || is_old) {
                 attempt.is_proven = true;
                 let entry = attempt.request.entry;
@@ -435,6 +468,38 @@
     );
 }
 
+#[test]
+fn crashing_part_is_refused_whenever_replicas_crash() {
+    for crash_moment in [CrashMoment::BeforeHead, CrashMoment::AfterEvent, CrashMoment::Any] {
+        play_all(
+            8,
+            |rng| Conditions {
+                crashing: vec![(12_000, rng.random_range(0.5..6.0))],
+                crash_moment,
+                crash_rate: 0.2,
+                ..Conditions::default()
+            },
+            World::assert_kept,
+        );
+    }
+}
+
+#[test]
+fn crashing_part_is_refused_among_requests_that_wait() {
+    play_all(
+        20,
+        |rng| Conditions {
+            replicas: 9,
+            rate: 35.0,
+            crashing: vec![(12_000, rng.random_range(0.5..2.0))],
+            crash_moment: CrashMoment::BeforeHead,
+            longest_wait: 3_000,
+            ..Conditions::default()
+        },
+        World::assert_kept,
+    );
+}
+
 #[test]
 fn crashing_part_is_refused_in_a_fleet_that_relays() {
     play_all(
