Correct the description of what blames a part

Cause: it still said that only requests in their first moments are suspects.

Change: the description names what has been sent and is not yet proven sound.

--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -1,10 +1,10 @@
 //! Keeps requests, and parts of prompts, that crash replicas from them.
 //!
 //! A replica may crash as soon as it begins to answer a request with a certain part, or to run a
-//! certain request, and takes all its other requests with it. A part is blamed by the crashes during
-//! whose first moments it was among the requests there, a request by the crashes that it has met,
-//! until an answer goes on for longer or ends. Entries tell each other the crashes, and what is sound
-//! or quarantined; merging them is idempotent and does not depend on their order.
+//! certain request, and takes all its other requests with it. A part is blamed by the crashes of
+//! replicas that had been sent it and had not yet proven it sound, a request by the crashes that it
+//! has met, until an answer goes on for a while or ends. Entries tell each other the crashes, and what
+//! is sound or quarantined; merging them is idempotent and does not depend on their order.
 
 use crate::{
     ContentHash, LostRun, PartHash, RequestHash, RunHash, Suspect,
