Stand-ins: late refusals, early answers, and a result when a case cannot run

A replica may answer 503 after a run and answer a long body before it has read it. A case whose processes cannot start exits with 2.

--- a/review/standin/callers.rs
+++ b/review/standin/callers.rs
@@ -119,3 +119,12 @@
     let body = String::from_utf8_lossy(&body).into_owned();
     Answer { head: Some(head), body, is_complete }
 }
+
+/// A submission with a body of this size.
+pub fn large_submission(attempt: &str, size: usize) -> String {
+    format!(
+        "POST /records/{attempt} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n\
+         Deadline-Ms: 5000\r\nApi-Key: {KEY}\r\nContent-Length: {size}\r\n\r\n{}",
+        "n".repeat(size)
+    )
+}
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -13,7 +13,7 @@
 
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
-const NOT_RUN: i32 = 2;
+pub const NOT_RUN: i32 = 2;
 
 /// Runs a case; returns the exit code.
 pub fn run(case: &str, record: &str) -> i32 {
@@ -26,6 +26,7 @@
         "crashed-body" => crashed_body(&record, &folder, has_trouble),
         "run-and-refused" => run_and_refused(&record, &folder, has_trouble),
         "silent-order" => silent_order(&record, &folder, has_trouble),
+        "early-answer" => early_answer(&record, &folder, has_trouble),
         "large-bodies" => large_bodies(&record, &folder, has_trouble),
         _ => NOT_RUN,
     };
@@ -143,7 +144,9 @@
     let answers = answers.lock().unwrap();
     for (attempt, answer) in answers.iter() {
         if answer.status() == 200 && answer.is_complete && answer.events() != whole {
-            record.write(&format!("ORDER: the stream {attempt} ended as complete without its last event"));
+            record.write(&format!(
+                "ORDER: the stream {attempt} ended as complete without its last event"
+            ));
             broken += 1;
         }
     }
@@ -221,10 +224,12 @@
         let (record, answers) = (Arc::clone(record), Arc::clone(&answers));
         let callers = entry.callers;
         senders.push(thread::spawn(move || {
-            let attempts = [format!("{number:02}00d07be2a35f68"), format!("{number:02}11d07be2a35f68")];
+            let attempts =
+                [format!("{number:02}00d07be2a35f68"), format!("{number:02}11d07be2a35f68")];
             let submission = callers::submission(&attempts[0], 1_500);
             let draft = callers::large_draft(&attempts[1], size);
-            record.write(&format!("sent {} and, kept, {} of {size} bytes", attempts[0], attempts[1]));
+            record
+                .write(&format!("sent {} and, kept, {} of {size} bytes", attempts[0], attempts[1]));
             let answer = callers::send_kept(callers, &submission, &draft, Duration::from_secs(21));
             record.write(&format!(
                 "answered {}: status {}, {} events, complete: {}",
@@ -260,7 +265,9 @@
         !answer.is_complete && run.contains(&format!("runs {attempt}"))
     };
     let lost = answers.iter().filter(is_lost).count();
-    record.write(&format!("LOST: {lost} requests of kept connections were passed on and not answered"));
+    record.write(&format!(
+        "LOST: {lost} requests of kept connections were passed on and not answered"
+    ));
     match lost {
         0 if answers.iter().all(|(_, answer)| answer.is_complete) => HELD,
         0..=3 => NOT_RUN,
@@ -289,12 +296,12 @@
     let store = Store::start();
     store.put("config", "main", &configuration());
     let link = Link::start(store.address);
-    let old = ["i-a1", "i-a2", "i-a3"].map(|id| {
-        Replica::start(&folder.0, id, "ibis-writers", &["events=42", "interval=70"])
-    });
+    let old = ["i-a1", "i-a2", "i-a3"]
+        .map(|id| Replica::start(&folder.0, id, "ibis-writers", &["events=42", "interval=70"]));
     // Bad: three of ten answers are failures.
     let bad = ["events=42", "interval=70", "failing=30"];
-    let new = ["i-b1", "i-b2", "i-b3"].map(|id| Replica::start(&folder.0, id, "ibis-writers", &bad));
+    let new =
+        ["i-b1", "i-b2", "i-b3"].map(|id| Replica::start(&folder.0, id, "ibis-writers", &bad));
     for replica in &old {
         store.put("servers", &replica.id, &replica.spec("ready", "v1"));
     }
@@ -344,7 +351,8 @@
     // `stability_window_ms` is 3 s.
     thread::sleep(Duration::from_millis(4_500));
     let ordered_at = replica::unix_ms();
-    let order = format!("{{\"service\":\"ibis-writers\",\"target\":\"v2\",\"duration_s\":{ROLLOUT_S}}}");
+    let order =
+        format!("{{\"service\":\"ibis-writers\",\"target\":\"v2\",\"duration_s\":{ROLLOUT_S}}}");
     store.put("rollouts", "ibis-writers", &order);
     for replica in &new {
         store.put("servers", &replica.id, &replica.spec("ready", "v2"));
@@ -382,7 +390,9 @@
     for run in &runs {
         let before = last.insert(&run.session, run);
         let goes_on = before.is_some_and(|before| {
-            !before.is_new && run.unix_ms - before.unix_ms < 5_000 && before.unix_ms + 4_000 > ordered_at
+            !before.is_new
+                && run.unix_ms - before.unix_ms < 5_000
+                && before.unix_ms + 4_000 > ordered_at
         });
         moved += usize::from(goes_on && run.is_new && run.unix_ms < half);
     }
@@ -393,18 +403,20 @@
     if answers.lock().unwrap().len() < 300 {
         return NOT_RUN;
     }
-    if exposed as f64 > allowed || moved > 3 { BROKEN } else { HELD }
+    if exposed as f64 > allowed || moved > 3 {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 /// The run that a line of a replica's log tells of.
 fn run_of(line: &str, is_new: bool) -> Option<Run> {
     let words: Vec<&str> = line.split(' ').collect();
     match words.as_slice() {
-        [time, _, "runs", _, "session", session, ..] => Some(Run {
-            unix_ms: time.parse().ok()?,
-            session: (*session).to_owned(),
-            is_new,
-        }),
+        [time, _, "runs", _, "session", session, ..] => {
+            Some(Run { unix_ms: time.parse().ok()?, session: (*session).to_owned(), is_new })
+        }
         _ => None,
     }
 }
@@ -419,8 +431,8 @@
     store.put("config", "main", &configuration());
     let words: &[&str] = if has_trouble { &["late-503=45"] } else { &[] };
     let grey = Replica::start(&folder.0, "i-7f3a91c2", "fieldbook-app", words);
-    let sound = ["i-02d9e6b4", "i-11c0ffee"]
-        .map(|id| Replica::start(&folder.0, id, "fieldbook-app", &[]));
+    let sound =
+        ["i-02d9e6b4", "i-11c0ffee"].map(|id| Replica::start(&folder.0, id, "fieldbook-app", &[]));
     for replica in std::iter::once(&grey).chain(&sound) {
         store.put("servers", &replica.id, &replica.spec("ready", "v1"));
     }
@@ -435,7 +447,9 @@
         let address = entry.callers;
         callers.push(thread::spawn(move || {
             // A caller tries once more after a promise that the request has not run.
-            for attempt in [format!("{number:03}a1d07be2a35f6"), format!("{number:03}a2d07be2a35f6")] {
+            for attempt in
+                [format!("{number:03}a1d07be2a35f6"), format!("{number:03}a2d07be2a35f6")]
+            {
                 let request = callers::submission(&attempt, 1_500);
                 record.write(&format!("submission {number} sent as {attempt}"));
                 let answer = callers::send(address, &request, Duration::from_secs(2));
@@ -471,7 +485,8 @@
     }
     let twice = (0..SUBMISSIONS)
         .filter(|number| {
-            has_run(&format!("{number:03}a1d07be2a35f6")) && has_run(&format!("{number:03}a2d07be2a35f6"))
+            has_run(&format!("{number:03}a1d07be2a35f6"))
+                && has_run(&format!("{number:03}a2d07be2a35f6"))
         })
         .count();
     record.write(&format!("{twice} submissions were booked twice, as their callers came again"));
@@ -481,3 +496,55 @@
         _ => BROKEN,
     }
 }
+
+/// Long submissions of the case.
+const LONG_SUBMISSIONS: usize = 12;
+
+/// A replica answers a long submission with success before it has read it whole, and reads on. The rest of
+/// the body must reach it.
+fn early_answer(record: &Arc<Record>, folder: &Folder, has_trouble: bool) -> i32 {
+    let store = Store::start();
+    store.put("config", "main", &configuration());
+    let words: &[&str] = if has_trouble { &["early"] } else { &[] };
+    let replica = Replica::start(&folder.0, "i-7f3a91c2", "fieldbook-app", words);
+    store.put("servers", &replica.id, &replica.spec("ready", "v1"));
+    let entry = Entry::start_alone(&folder.0, store.address);
+    if !entry.wait_ready(Duration::from_secs(10)) {
+        return NOT_RUN;
+    }
+    let mut accepted = Vec::new();
+    for number in 0..LONG_SUBMISSIONS {
+        let attempt = format!("{number:02}41d07be2a35f68");
+        let request = callers::large_submission(&attempt, LARGEST_BODY);
+        record.write(&format!("sent {attempt}, {LARGEST_BODY} bytes"));
+        let answer = callers::send(entry.callers, &request, Duration::from_secs(6));
+        record.write(&format!(
+            "answered {attempt}: status {}, seal {}, complete: {}",
+            answer.status(),
+            answer.seal(),
+            answer.is_complete
+        ));
+        if answer.status() == 200 && answer.is_complete {
+            accepted.push(attempt);
+        }
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    record.append("the replica", &replica.log);
+    record.append("log of the entry", &entry.log);
+    let log = std::fs::read_to_string(&replica.log).unwrap_or_default();
+    let whole = |attempt: &str| {
+        let got = format!("got {LARGEST_BODY} of {LARGEST_BODY} bytes of {attempt}, as sent: true");
+        log.contains(&got) || log.contains(&format!("has ended {attempt}"))
+    };
+    let cut: Vec<&String> = accepted.iter().filter(|attempt| !whole(attempt)).collect();
+    for attempt in &cut {
+        record.write(&format!(
+            "UNASKED: {attempt} was answered 200, and its replica did not get its whole body"
+        ));
+    }
+    match (accepted.is_empty(), cut.is_empty()) {
+        (true, _) => NOT_RUN,
+        (_, true) => HELD,
+        _ => BROKEN,
+    }
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -75,6 +75,15 @@
         Ok(self.unread.drain(..length).collect())
     }
 
+    /// Takes at most `length` bytes, as soon as there are any; none at the end of the connection.
+    pub fn up_to(&mut self, length: usize) -> Result<Vec<u8>> {
+        if self.unread.is_empty() {
+            self.fill()?;
+        }
+        let count = self.unread.len().min(length);
+        Ok(self.unread.drain(..count).collect())
+    }
+
     fn line(&mut self) -> Result<String> {
         loop {
             if let Some(end) = self.unread.windows(2).position(|bytes| bytes == b"\r\n") {
--- a/review/standin/link.rs
+++ b/review/standin/link.rs
@@ -21,14 +21,17 @@
         let address = listener.local_addr().expect("the listener has an address");
         let opened = Arc::new(AtomicU64::new(0));
         let silent_below = Arc::new(AtomicU64::new(0));
-        let link = Self { address, opened: Arc::clone(&opened), silent_below: Arc::clone(&silent_below) };
+        let link =
+            Self { address, opened: Arc::clone(&opened), silent_below: Arc::clone(&silent_below) };
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let number = opened.fetch_add(1, Ordering::SeqCst);
                 let Ok(far) = TcpStream::connect(to) else { continue };
                 near.set_nodelay(true).ok();
                 far.set_nodelay(true).ok();
-                let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { continue };
+                let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
+                    continue;
+                };
                 let silent = Arc::clone(&silent_below);
                 thread::spawn(move || pass(near_copy, far_copy, number, &silent));
                 let silent = Arc::clone(&silent_below);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -20,7 +20,10 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         [_, "replica", address, id, rest @ ..] => replica::serve(address, id, rest),
-        [_, case, record] => exit(cases::run(case, record)),
+        [_, case, record] => {
+            // A stand-in or an entry that cannot start: the case could not run.
+            exit(std::panic::catch_unwind(|| cases::run(case, record)).unwrap_or(cases::NOT_RUN))
+        }
         _ => {
             eprintln!("usage: standin CASE RECORD");
             exit(2);
--- a/review/standin/processes.rs
+++ b/review/standin/processes.rs
@@ -121,7 +121,13 @@
 impl Entry {
     /// Starts an entry on a loopback address of its own, as the deploy file says, with the settings of
     /// a small deployment.
-    pub fn start(folder: &Path, number: u8, seeds: &[u8], ports: [u16; 5], store: SocketAddr) -> Self {
+    pub fn start(
+        folder: &Path,
+        number: u8,
+        seeds: &[u8],
+        ports: [u16; 5],
+        store: SocketAddr,
+    ) -> Self {
         let host = |number: u8| format!("127.77.{}.{number}", std::process::id() % 250);
         let ip = host(number);
         let [front, ready, control, first, last] = ports;
@@ -225,10 +231,9 @@
     pub fn spec(&self, state: &str, version: &str) -> String {
         let Self { service, address, slots, .. } = self;
         let models = if service == "ibis-writers" {
-            ["m0", "m1", "m2"].map(|name| {
-                format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}")
-            })
-            .join(",")
+            ["m0", "m1", "m2"]
+                .map(|name| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}"))
+                .join(",")
         } else {
             String::new()
         };
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -3,7 +3,8 @@
 //! `standin replica ADDRESS ID WORDS...`, where the words change how it answers:
 //! `unframed` (answers have neither a length nor chunks and end with their connection), `events=N`
 //! (events of a stream), `interval=MS` (time before each event), `failing=PERCENT` (requests that are
-//! answered 500), `late-503=PERCENT` (requests that are run and then answered 503 without `Not-Run`).
+//! answered 500), `early` (a long record is answered
+//! before it has been read whole, and read on after that), `late-503=PERCENT` (requests that are run and then answered 503 without `Not-Run`).
 //! It prints a line for each request that it runs, and one when the run has ended.
 
 use crate::http::{Head, Reader};
@@ -44,6 +45,7 @@
         let value = words.iter().find_map(|word| word.strip_prefix(name));
         value.and_then(|value| value.parse::<u64>().ok())
     };
+    let is_early = words.contains(&"early");
     let manner = Manner {
         is_unframed: words.contains(&"unframed"),
         events: number("events=").unwrap_or(EVENTS),
@@ -57,6 +59,12 @@
             stream.set_nodelay(true).ok();
             let mut reader = Reader::new(stream);
             while let Ok(Some(head)) = reader.head() {
+                if is_early && head.target().starts_with("/records/") {
+                    if answer_early(&mut reader, &head, &id).is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 if reader.request_body(&head).is_err() {
                     return;
                 }
@@ -123,7 +131,8 @@
         (false, false) => ("text/plain", ""),
     };
     let whole: usize = lines(&attempt).iter().map(String::len).sum();
-    let length = if framing.is_empty() { format!("Content-Length: {whole}\r\n") } else { String::new() };
+    let length =
+        if framing.is_empty() { format!("Content-Length: {whole}\r\n") } else { String::new() };
     write!(
         stream,
         "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {id}.{attempt}\r\nConfidence: 95\r\n\
@@ -151,3 +160,47 @@
     println!("{} {id} has ended {attempt}", unix_ms());
     Ok(!is_unframed)
 }
+
+/// Bytes of a long record that are read before it is answered.
+const READ_BEFORE_ANSWER: usize = 4 << 10;
+/// Time until the rest is read.
+const TIME_BEFORE_REST: Duration = Duration::from_millis(300);
+
+/// Answers a record with success once its beginning has been read, keeps the connection, and reads on.
+fn answer_early(reader: &mut Reader, head: &Head, id: &str) -> std::io::Result<()> {
+    let attempt = head.header("Attempt-Id").unwrap_or("").to_owned();
+    let length: usize =
+        head.header("Content-Length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    println!("{} {id} runs {attempt}, {length} bytes", unix_ms());
+    let first = length.min(READ_BEFORE_ANSWER);
+    let mut body = reader.exactly(first)?;
+    let text = format!("record {attempt} accepted\n");
+    write!(
+        reader.stream,
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {id}.{attempt}\r\n\
+         Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{text}",
+        text.len()
+    )?;
+    thread::sleep(TIME_BEFORE_REST);
+    while body.len() < length {
+        match reader.up_to(length - body.len()) {
+            Ok(bytes) if !bytes.is_empty() => body.extend(bytes),
+            ended => {
+                let how = if ended.is_ok() { "closed" } else { "reset" };
+                println!(
+                    "{} {id} got {} of {length} bytes of {attempt}, {how}",
+                    unix_ms(),
+                    body.len()
+                );
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+    let is_same = body.iter().all(|byte| *byte == b'n');
+    println!(
+        "{} {id} got {} of {length} bytes of {attempt}, as sent: {is_same}",
+        unix_ms(),
+        body.len()
+    );
+    Ok(())
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -81,7 +81,9 @@
 
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.shared.state.lock().unwrap();
-        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else { return };
+        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
         state.revision += 1;
         let revision = state.revision;
         let text = encode(name, &object);
@@ -143,9 +145,12 @@
         let until = Instant::now() + wait;
         let mut state = self.shared.state.lock().unwrap();
         loop {
-            let new = state.events.iter().filter(|event| event.kind == kind && event.revision > from);
+            let new =
+                state.events.iter().filter(|event| event.kind == kind && event.revision > from);
             let new: Vec<String> = new
-                .map(|event| format!("{{\"removed\":{},\"object\":{}}}", event.removed, event.object))
+                .map(|event| {
+                    format!("{{\"removed\":{},\"object\":{}}}", event.removed, event.object)
+                })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !new.is_empty() || left.is_zero() {
@@ -170,7 +175,12 @@
             object.status = status;
             let (revision, text) = (object.revision, encode(name, &object));
             state.objects.insert(key, object.clone());
-            state.events.push(Event { revision, kind: kind.to_owned(), object: text, removed: false });
+            state.events.push(Event {
+                revision,
+                kind: kind.to_owned(),
+                object: text,
+                removed: false,
+            });
             self.shared.changed.notify_all();
         }
         (200, encode(name, &object))
