Report what unexplained crashes have in common; tests of crashes without answers

Cause: not settled; this commit changes no decision.

Change: attempts are recorded with the time for which it is unknown whether they crash their replica. Once a second `crashes: unexplained` names the suspects that most crashes have in common, their share of what is in progress, and the share of answers.

The share that is still used for proven parts is counted as before.

--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -12,13 +12,17 @@
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{ErrorKind, Millis};
-use ibissail_direct::{PartHash, QuarantineChange, QuarantineSource, Suspect, retry_after_pause};
+use ibissail_direct::{
+    Coverage, PartHash, QuarantineChange, QuarantineSource, Suspect, retry_after_pause,
+};
 use rand::Rng;
 use slog::warn;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Interval of the decisions on quarantines.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// Reviews from one report of unexplained crashes to the next.
+const REVIEWS_PER_REPORT: u32 = 10;
 
 impl Shared {
     /// Error response if the request or a part of its prompt is quarantined. It has a retry time, the
@@ -95,9 +99,31 @@
         !changes.is_empty()
     }
 
+    /// Logs what the crashes that nothing quarantined explains have in common.
+    fn log_unexplained(&self, now: Millis) {
+        let state = self.state();
+        if state.quarantine.is_idle() {
+            return;
+        }
+        let Some(report) = state.quarantine.report_unexplained(now) else { return };
+        let describe = |coverage: &Coverage| {
+            let name = match coverage.suspect {
+                Suspect::Part(part) => part_name(&state.part_names, part),
+                Suspect::Request(content) => format!("request {content}"),
+            };
+            let Coverage { crashes, of, requests, share, chance, .. } = coverage;
+            format!(
+                "{name}:{crashes}/{of},requests={requests},share={share:.2},chance={chance:.1e}"
+            )
+        };
+        let suspects: Vec<String> = report.suspects.iter().map(describe).collect();
+        warn!(self.log, "crashes: unexplained"; "crashes" => report.crashes,
+            "answered" => format!("{:.2}", report.answered_share),
+            "suspects" => suspects.join(" "));
+    }
+
     fn log_change(&self, change: &QuarantineChange, names: &BTreeMap<PartHash, String>) {
-        // Only entries that have sent requests with a part know its id.
-        let name = |part: &PartHash| names.get(part).cloned().unwrap_or_else(|| part.to_string());
+        let name = |part: &PartHash| part_name(names, *part);
         match change {
             QuarantineChange::Quarantined(suspect, source) => {
                 let (by, crashes, requests) = match source {
@@ -123,10 +149,20 @@
     }
 }
 
+/// Name of a part for the log. Only entries that have sent requests with a part know its id.
+fn part_name(names: &BTreeMap<PartHash, String>, part: PartHash) -> String {
+    names.get(&part).cloned().unwrap_or_else(|| part.to_string())
+}
+
 /// Decides on quarantines, and tells the peers of changes at once.
 pub(super) async fn review_quarantines(shared: Arc<Shared>) {
+    let mut reviews = 0_u32;
     loop {
         task::sleep(REVIEW_INTERVAL).await;
+        reviews = reviews.wrapping_add(1);
+        if reviews.is_multiple_of(REVIEWS_PER_REPORT) {
+            shared.log_unexplained(since_boot());
+        }
         if shared.review_quarantines(since_boot()) {
             shared.spread_evidence().await;
         }
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -17,8 +17,8 @@
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{
-    LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState, RequestHash, RunHash,
-    SuspectAttempt, Unavailability,
+    AttemptNumber, LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState, RequestHash, RunHash,
+    SuspectAttempt, Unavailability, stable_hash,
 };
 use slog::info;
 use std::{net::SocketAddr, sync::Arc};
@@ -46,6 +46,7 @@
     are_parts_proven: bool,
     /// Whether it has been decided what the attempt is evidence for.
     is_settled: bool,
+    attempt: AttemptNumber,
 }
 
 impl Trial {
@@ -59,7 +60,9 @@
         let ids = request.params.prompt.shared_parts().iter();
         let names = ids.zip(&parts).map(|(part, hash)| logged_part(&part.id, *hash));
         let now = since_boot();
-        shared.state().quarantine.record_attempt(&parts);
+        let service = stable_hash(&[request.service.as_str()]);
+        let attempt =
+            shared.state().quarantine.begin_attempt(service, request.content, &parts, now);
         let lost = LostRun {
             run: RunHash::new(&replica.id, replica.started_unix_ms),
             request: RequestHash::new(&request.params.id),
@@ -79,6 +82,7 @@
             events: 0,
             is_request_proven: false,
             is_settled: false,
+            attempt,
         }
     }
 
@@ -108,11 +112,18 @@
     /// Records that the replica has not run the request, or will not be heard on it.
     pub(super) fn dismiss(&mut self) {
         self.is_settled = true;
+        self.settle_attempt();
+    }
+
+    /// Records that the attempt is no longer in progress for what it is evidence for.
+    fn settle_attempt(&self) {
+        self.shared.state().quarantine.settle_attempt(self.attempt, since_boot());
     }
 
     /// Records that the answer has gone on for a while or is complete.
     pub(super) fn succeed(&mut self) {
         self.succeed_request();
+        self.settle_attempt();
         if self.are_parts_proven {
             return;
         }
@@ -161,6 +172,7 @@
     /// Has the replica checked; `is_complete` says whether the response is complete if it runs.
     fn check(&mut self, is_complete: bool) {
         self.is_settled = true;
+        self.settle_attempt();
         let Some(suspect) = self.suspect() else {
             self.log_no_evidence("the answer has gone on");
             return;
@@ -214,6 +226,7 @@
 impl Drop for Trial {
     /// An attempt that was neither answered nor broken off by its replica has been given up.
     fn drop(&mut self) {
+        self.settle_attempt();
         if self.is_settled {
             return;
         }
--- a/crates/daemon/tests/crashing_prompts.rs
+++ b/crates/daemon/tests/crashing_prompts.rs
@@ -12,6 +12,7 @@
     SentBeforeCrash::{self, Event, Head, Nothing, PartOfEvent},
     StreamCrash,
     StreamFraming::{self, Chunked, UntilClose},
+    StreamTimes,
 };
 use std::{net::SocketAddr, thread, time::Duration};
 
@@ -48,7 +49,9 @@
 /// sound requests are served.
 fn assert_kept_from_replicas(test: &str, crashes: &[StreamCrash]) {
     let fleet = EntryFixture::start_fleet(test, &configuration());
-    let replicas = CrashingReplicas::start(&fleet[0].store, "writers", CRASHING_PART, 8, crashes);
+    let (store, parts) = (&fleet[0].store, [CRASHING_PART]);
+    let times = StreamTimes::default();
+    let replicas = CrashingReplicas::start(store, "writers", &parts, 8, crashes, times);
     EntryFixture::wait_for_fleet(&fleet);
     let entries: [SocketAddr; 3] = fleet.each_ref().map(|entry| entry.callers);
     let sound = Traffic::start(&entries, SOUND_INTERVAL, |number| {
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -15,6 +15,7 @@
 };
 use std::{
     fs::{self, File},
+    iter,
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -151,6 +152,14 @@
         [first, second, third]
     }
 
+    /// Starts a store with a configuration, and this many entries.
+    pub fn start_entries(test: &str, configuration: &ConfigurationSpec, count: usize) -> Vec<Self> {
+        let first = Self::start(&format!("{test}_0"), configuration);
+        let peers = (1..count).map(|number| first.start_peer(&format!("{test}_{number}")));
+        let peers: Vec<Self> = peers.collect();
+        iter::once(first).chain(peers).collect()
+    }
+
     /// Waits until the entries are ready, for which they need replicas, and know each other.
     pub fn wait_for_fleet(fleet: &[Self]) {
         for entry in fleet {
--- a/crates/direct/src/crashes/coverage.rs
+++ b/crates/direct/src/crashes/coverage.rs
@@ -1,31 +1,4 @@
-//! Whether a part of prompts is in more crashes than its share of the attempts explains.
-
-use crate::PartHash;
-use std::collections::VecDeque;
-
-/// Most attempts whose parts are remembered.
-const MAX_ATTEMPTS: usize = 512;
-
-/// The parts of the latest attempts of this entry.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct RecentAttempts {
-    parts: VecDeque<Vec<PartHash>>,
-}
-
-impl RecentAttempts {
-    pub(crate) fn record(&mut self, parts: &[PartHash]) {
-        if self.parts.len() >= MAX_ATTEMPTS {
-            self.parts.pop_front();
-        }
-        self.parts.push_back(parts.to_vec());
-    }
-
-    /// Share of the attempts that have a part, from 0 to 1; a half if hardly any are known.
-    pub(crate) fn share_with(&self, part: PartHash) -> f64 {
-        let count = self.parts.iter().filter(|parts| parts.contains(&part)).count();
-        (count + 1) as f64 / (self.parts.len() + 2) as f64
-    }
-}
+//! Whether a suspect is in more crashes than its share of the requests explains.
 
 /// Number of crashes, and in how many of them a part is expected by chance.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -42,6 +15,11 @@
         self.expected += 1.0 - (1.0 - share).powi(attempts);
     }
 
+    /// Number of the crashes.
+    pub(crate) fn count(&self) -> usize {
+        self.count
+    }
+
     /// Bound of the probability that at least this many of the crashes have the part by chance, by
     /// Chernoff's inequality.
     pub(crate) fn chance_of(&self, observed: usize) -> f64 {
--- a/crates/direct/src/crashes/lost_runs.rs
+++ b/crates/direct/src/crashes/lost_runs.rs
@@ -128,6 +128,10 @@
         self.records.is_empty()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &LostRun> {
+        self.records.values().map(|record| &record.lost)
+    }
+
     pub(crate) fn contents(&self) -> impl Iterator<Item = ContentHash> {
         self.contents.keys().copied()
     }
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -1,21 +1,25 @@
 //! Requests, and parts of prompts, that crash replicas: evidence, its exchange, and quarantine.
 
 mod answer_outcomes;
+mod attempts;
 mod blame;
 mod coverage;
 mod evidence;
 mod exchange;
 mod given_up;
 mod lost_runs;
+mod outage;
 mod quarantine;
 mod records;
 mod redundancy;
 mod request_blame;
 mod suspects;
 
+pub use attempts::AttemptNumber;
 pub use evidence::{CrashEvidence, SuspectRequest, ToldCrash};
 pub use given_up::{GIVEN_UP_TTL, GivenUpAttempts, SuspectAttempt};
 pub use lost_runs::{LostRun, ToldRun};
+pub use outage::{Coverage, UnexplainedCrashes};
 pub use quarantine::{
     BLAME_TIME, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME, PROOF_EVENTS, PROOF_TIME,
     QUARANTINE_TIME, QuarantineChange, QuarantineSource,
--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -10,8 +10,9 @@
     ContentHash, LostRun, PartHash, RequestHash, RunHash, Suspect,
     crashes::{
         answer_outcomes::AnswerOutcomes,
+        attempts::{AttemptNumber, RecentAttempts},
         blame::{Blame, History, most_blamed},
-        coverage::{ExpectedCrashes, RecentAttempts},
+        coverage::ExpectedCrashes,
         lost_runs::LostRuns,
         records::{Crash, CrashRecords},
         redundancy::redundant_part,
@@ -88,8 +89,8 @@
     sound_parts: SoundRecords<PartHash>,
     sound_requests: SoundRecords<ContentHash>,
     /// Answers of this entry on prompts.
-    outcomes: AnswerOutcomes,
-    attempts: RecentAttempts,
+    pub(crate) outcomes: AnswerOutcomes,
+    pub(crate) attempts: RecentAttempts,
     /// All answers of this entry.
     pub(crate) request_outcomes: AnswerOutcomes,
     pub(crate) quarantines: BTreeMap<Suspect, Quarantine>,
@@ -98,11 +99,22 @@
 }
 
 impl CrashQuarantine {
-    /// Records that a request with these parts is sent to a replica.
-    pub fn record_attempt(&mut self, parts: &[PartHash]) {
-        if !parts.is_empty() {
-            self.attempts.record(parts);
-        }
+    /// Records that a request is sent to a replica of the service with this hash.
+    pub fn begin_attempt(
+        &mut self,
+        service: u64,
+        content: ContentHash,
+        parts: &[PartHash],
+        now: Millis,
+    ) -> AttemptNumber {
+        let parts = parts.iter().copied().map(Suspect::Part);
+        let suspects = parts.chain([Suspect::Request(content)]).collect();
+        self.attempts.begin(service, suspects, now)
+    }
+
+    /// Records when an attempt was first known to crash its replica or not to.
+    pub fn settle_attempt(&mut self, attempt: AttemptNumber, at: Millis) {
+        self.attempts.settle(attempt, at);
     }
 
     /// Records that a replica has crashed before its answer to a request had proven these parts
@@ -345,7 +357,7 @@
 
     /// Probability of a chance that a part is in as many of the crashes from its first to its last.
     fn coverage_chance(&self, part: PartHash, blame: &Blame, explained: &BTreeSet<RunHash>) -> f64 {
-        let share = self.attempts.share_with(part);
+        let share = self.attempts.count_share_of(Suspect::Part(part));
         let mut crashes = ExpectedCrashes::default();
         let is_counted = |(run, crash): &(RunHash, &Crash)| {
             (blame.earliest..=blame.latest).contains(&crash.at) && !explained.contains(run)
@@ -369,7 +381,7 @@
     }
 
     /// The request, of those that ask for the same, that stands for all of them.
-    fn first_repeat(&self, run: RunHash, request: RequestHash) -> RequestHash {
+    pub(crate) fn first_repeat(&self, run: RunHash, request: RequestHash) -> RequestHash {
         let content = self.lost_runs.content_of(run, request);
         let repeats = content.map(|content| self.lost_runs.with(content));
         repeats.into_iter().flatten().map(|lost| lost.request).min().unwrap_or(request)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -67,10 +67,11 @@
 pub use confirmation::{Confirmation, Confirmed, EpochConfirmation, EpochConfirmed, ReadSchedule};
 pub use controller::{RolloutController, RolloutReport};
 pub use crashes::{
-    BLAME_TIME, ContentHash, CrashEvidence, CrashQuarantine, FIRST_REQUEST_QUARANTINE_TIME,
-    GIVEN_UP_TTL, GivenUpAttempts, LostRun, MAX_TRACKED_PARTS, PROOF_EVENTS, PROOF_TIME, PartHash,
-    QUARANTINE_TIME, QuarantineChange, QuarantineSource, RequestHash, RunHash, Suspect,
-    SuspectAttempt, SuspectRequest, ToldCrash, ToldRun,
+    AttemptNumber, BLAME_TIME, ContentHash, Coverage, CrashEvidence, CrashQuarantine,
+    FIRST_REQUEST_QUARANTINE_TIME, GIVEN_UP_TTL, GivenUpAttempts, LostRun, MAX_TRACKED_PARTS,
+    PROOF_EVENTS, PROOF_TIME, PartHash, QUARANTINE_TIME, QuarantineChange, QuarantineSource,
+    RequestHash, RunHash, Suspect, SuspectAttempt, SuspectRequest, ToldCrash, ToldRun,
+    UnexplainedCrashes,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
--- a/crates/direct/tests/prompt_crashes.rs
+++ b/crates/direct/tests/prompt_crashes.rs
@@ -9,7 +9,8 @@
 
 use ibissail_core::Millis;
 use ibissail_direct::{
-    CrashEvidence, CrashQuarantine, PROOF_EVENTS, PROOF_TIME, PartHash, RequestHash, RunHash,
+    AttemptNumber, ContentHash, CrashEvidence, CrashQuarantine, PROOF_EVENTS, PROOF_TIME, PartHash,
+    RequestHash, RunHash,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
@@ -113,6 +114,7 @@
     /// When the replica crashes because of it.
     crash_at: Option<u64>,
     is_proven: bool,
+    number: AttemptNumber,
 }
 
 #[derive(Debug)]
@@ -223,7 +225,8 @@
             return;
         }
         request.attempts += 1;
-        self.entries[request.entry].record_attempt(&request.parts);
+        let content = ContentHash(request.id.into());
+        let number = self.entries[request.entry].begin_attempt(0, content, &request.parts, now);
         let replica = up[self.rng.random_range(0..up.len())];
         let head_at = self.now + self.rng.random_range(40..self.conditions.longest_wait);
         let length = self.rng.random_range(300..4_000);
@@ -243,9 +246,16 @@
             proving_event_after: first_event_after + event_interval * (PROOF_EVENTS - 1),
             crash_at,
             is_proven: false,
+            number,
         });
     }
 
+    fn settle(&mut self, attempt: &Attempt) {
+        let entry = attempt.request.entry;
+        let now = self.clock(entry);
+        self.entries[entry].settle_attempt(attempt.number, now);
+    }
+
     /// When a replica crashes on a request that it has just been sent.
     fn crash_time(&mut self, head_at: u64, first_event_after: u64) -> u64 {
         let moments = [CrashMoment::BeforeHead, CrashMoment::AfterHead, CrashMoment::AfterEvent];
@@ -271,6 +281,7 @@
             .partition(|attempt: &Attempt| attempt.replica == replica);
         self.attempts = left;
         for attempt in broken {
+            self.settle(&attempt);
             if !attempt.is_proven {
                 let confirmed_at = self.now + self.rng.random_range(50..150);
                 let entry = attempt.request.entry;
@@ -306,6 +317,7 @@
             let is_lost = attempt.head_at <= now
                 && self.rng.random_bool(self.conditions.lost_answers * STEP as f64 / 2_000.0);
             if is_lost {
+                self.settle(&attempt);
                 self.attempt(attempt.request);
                 continue;
             }
@@ -314,6 +326,7 @@
             let is_old = attempt.head_at + PROOF_TIME.0 <= now && has_events;
             if attempt.crash_at.is_none() && !attempt.is_proven && (has_ended || is_old) {
                 attempt.is_proven = true;
+                self.settle(&attempt);
                 let entry = attempt.request.entry;
                 let (began, now) =
                     (Millis(self.clocks[entry] + attempt.head_at), self.clock(entry));
