Tell requests with different prompts apart

Cause: the identity of a request held its caller, method, host, path and body, not its prompt.

Change: the shared parts of the prompt belong to the identity. The last part does not: a caller that sends a request again may begin another session.

--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -16,8 +16,8 @@
 use futures_lite::{FutureExt, future};
 use ibissail_core::{ErrorKind, Millis, OrganisationId, ServiceId};
 use ibissail_direct::{
-    AllowedRegions, ContentHash, Organisation, OrganisationKey, RequestKind, Route, RoutingTable,
-    retry_after, retry_elsewhere, stable_hash,
+    AllowedRegions, ContentHash, Organisation, OrganisationKey, PartHash, RequestKind, Route,
+    RoutingTable, retry_after, retry_elsewhere, stable_hash,
 };
 use ibissail_http1::{Connection, RequestHead};
 use ibissail_platform::{CallerRequest, decode_caller_request, invalid_request_reason};
@@ -381,7 +381,8 @@
     }
 }
 
-/// Hashes what a request asks for. Its caller is the organisation, or the key on a route that needs
+/// Hashes what a request asks for. The last part of its prompt is left out, as a caller that sends
+/// it again may begin another session. Its caller is the organisation, or the key on a route that needs
 /// none.
 fn content_hash(
     organisation: Option<&OrganisationId>,
@@ -392,6 +393,7 @@
     let key = params.key.as_ref().map(|key| key.0.as_str());
     let caller = organisation.map(OrganisationId::as_str).or(key).unwrap_or_default();
     ContentHash::new(caller, &head.method, &params.host, &head.target, body)
+        .with_prompt(&PartHash::shared(&params.prompt))
 }
 
 /// Selects a service by the weights of the route and a hash of the request's id, so that the same
--- a/crates/direct/src/crashes/suspects.rs
+++ b/crates/direct/src/crashes/suspects.rs
@@ -74,6 +74,27 @@
     pub fn new(caller: &str, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
         Self(stable_hash_with_bytes(&[caller, method, host, target], body))
     }
+
+    /// Adds the shared parts of the prompt, which a body that is sent again may not hold.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_direct::{ContentHash, PartHash};
+    /// let request = ContentHash::new("editors", "POST", "guides.example", "/drafts/1", b"");
+    /// assert_ne!(request.with_prompt(&[PartHash::new("5c1e07a2")]), request);
+    /// assert_eq!(request.with_prompt(&[]), request);
+    /// ```
+    #[must_use]
+    pub fn with_prompt(self, parts: &[PartHash]) -> Self {
+        let mix = |content: Self, part: &PartHash| {
+            Self(stable_hash_with_bytes(
+                &[],
+                &[content.0.to_be_bytes(), part.0.to_be_bytes()].concat(),
+            ))
+        };
+        parts.iter().fold(self, mix)
+    }
 }
 
 impl RunHash {
