Prove prompts by short responses only if their replica outlives them

Cause: the end of a response proved the parts of its prompt sound at once. A replica that ended 60 ms after a complete response of 180 ms was proof for the part that had ended it. And an attempt that an entry had given up counted only if that entry itself saw the end of the replica.

Change: a response that is complete within 0.4 s of its head proves its parts a second later, unless its replica has ended. Crashes that peers tell are held against the entry's own attempts that ended shortly before, which are kept for three seconds.

Responses of plain requests prove them at once, as before.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -364,7 +364,7 @@
         match relaying.await {
             StreamOutcome::Complete => {
                 self.log_close_delimited(&upstream);
-                upstream.exchange.trial.succeed();
+                upstream.exchange.trial.complete();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.splitter.event_count());
                 let status = upstream.response.status;
@@ -447,7 +447,7 @@
             match head.framing {
                 _ if response.status >= 300 => exchange.trial.succeed_request(),
                 Framing::UntilClose => exchange.trial.end_with_connection(),
-                Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.succeed(),
+                Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.complete(),
             }
         }
         drop(exchange);
--- a/crates/daemon/src/direct/crash_checks.rs
+++ b/crates/daemon/src/direct/crash_checks.rs
@@ -1,13 +1,13 @@
 //! Checks whether replicas have ended, and takes the attempts there as evidence.
 
-use super::{Shared, progress::SelectedReplica};
+use super::{Shared, progress::SelectedReplica, state::State};
 use crate::{
     clock::since_boot,
     crash_check::{CrashCheckResult, check_for_crash},
 };
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
-use ibissail_direct::{PartHash, RequestHash, RunHash, SuspectAttempt};
+use ibissail_direct::{CrashEvidence, PartHash, RequestHash, RunHash, SuspectAttempt, ToldRun};
 use slog::info;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -134,25 +134,49 @@
     /// Ends the check and records the crash; returns the attempts that may have caused it, if that is
     /// new.
     fn record_crash(&self) -> Option<Vec<SuspectAttempt>> {
-        let now = since_boot();
         let mut state = self.shared.state();
         let WaitingAttempts(waiting) = state.pending_checks.remove(&self.run)?;
-        let mut attempts = state.given_up.take(self.run, self.broken_at);
+        let mut attempts = state.take_given_up(self.run, self.broken_at);
+        attempts.extend(waiting.into_values().map(|checked| checked.suspect));
+        state.hold_against(self.run, &attempts, since_boot()).then_some(attempts)
+    }
+}
+
+impl State {
+    /// Takes the attempts that ended shortly before a run of a replica did.
+    fn take_given_up(&mut self, run: RunHash, ended_at: Millis) -> Vec<SuspectAttempt> {
+        let mut attempts = self.given_up.take(run, ended_at);
         for attempt in &mut attempts {
-            attempt.lost.ended_at = self.broken_at;
+            attempt.lost.ended_at = ended_at;
         }
-        attempts.extend(waiting.into_values().map(|checked| checked.suspect));
+        attempts
+    }
+
+    /// Holds the end of a run against these attempts; returns whether that is new.
+    fn hold_against(&mut self, run: RunHash, attempts: &[SuspectAttempt], now: Millis) -> bool {
         let mut is_new = false;
-        for SuspectAttempt { lost, is_request_suspect, parts: named } in &attempts {
+        for SuspectAttempt { lost, is_request_suspect, parts: named } in attempts {
             let parts: Vec<PartHash> = named.iter().map(|(part, _)| *part).collect();
-            is_new |= state.quarantine.record_crash(self.run, lost.request, &parts, now);
-            is_new |= *is_request_suspect && state.quarantine.record_lost_run(*lost, now);
-            if state.part_names.len() + named.len() > MAX_NAMES {
-                state.part_names.clear();
+            is_new |= self.quarantine.record_crash(run, lost.request, &parts, now);
+            is_new |= *is_request_suspect && self.quarantine.record_lost_run(*lost, now);
+            if self.part_names.len() + named.len() > MAX_NAMES {
+                self.part_names.clear();
             }
-            state.part_names.extend(named.iter().cloned());
+            self.part_names.extend(named.iter().cloned());
+        }
+        is_new
+    }
+
+    /// Holds crashes that a peer has told against the attempts that this entry had given up, or that
+    /// were complete, shortly before.
+    pub(super) fn hold_told_crashes(&mut self, evidence: &CrashEvidence, now: Millis) {
+        let crashes = evidence.crashes.iter().map(|(run, age, _)| (*run, *age));
+        let lost_runs = evidence.lost_runs.iter().map(|ToldRun(run, _, _, _, age)| (*run, *age));
+        let told: BTreeMap<RunHash, Millis> = lost_runs.chain(crashes).collect();
+        for (run, age) in told {
+            let attempts = self.take_given_up(run, now.since(age));
+            self.hold_against(run, &attempts, now);
         }
-        is_new.then_some(attempts)
     }
 }
 
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -110,6 +110,7 @@
         self.apply_told_evacuations(&mut state, notice, now);
         if let Some(crashes) = &notice.crashes {
             state.quarantine.merge(crashes, now);
+            state.hold_told_crashes(crashes, now);
         }
         state.peers.merge_fleet_sample(&notice.fleet, now);
         for told in &notice.canary_results {
--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -85,6 +85,9 @@
     /// Reviews the quarantines; returns whether any has changed.
     pub(super) fn review_quarantines(&self, now: Millis) -> bool {
         let mut state = self.state();
+        for response in state.given_up.take_outlived(now) {
+            state.quarantine.record_sound(&response.parts, response.began_at, now);
+        }
         if state.quarantine.is_idle() {
             return false;
         }
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -17,8 +17,8 @@
 use async_std::task;
 use ibissail_core::{InstanceId, Millis};
 use ibissail_direct::{
-    AttemptNumber, LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState, RequestHash, RunHash,
-    SuspectAttempt, Unavailability, stable_hash,
+    AttemptNumber, GIVEN_UP_TTL, LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState,
+    RequestHash, RunHash, ShortResponse, SuspectAttempt, Unavailability, stable_hash,
 };
 use slog::info;
 use std::{net::SocketAddr, sync::Arc};
@@ -120,8 +120,8 @@
         self.shared.state().quarantine.settle_attempt(self.attempt, since_boot());
     }
 
-    /// Records that the answer has gone on for a while or is complete.
-    pub(super) fn succeed(&mut self) {
+    /// Records that the answer has gone on for a while.
+    fn succeed(&mut self) {
         self.succeed_request();
         self.settle_attempt();
         if self.are_parts_proven {
@@ -133,6 +133,24 @@
         self.shared.state().quarantine.record_sound(&self.parts, began_at, now);
     }
 
+    /// Records that the response is complete. After a short one the replica may still end because of
+    /// the prompt, so that it proves the parts only a while later.
+    pub(super) fn complete(&mut self) {
+        let now = since_boot();
+        if self.are_parts_proven || self.answering_since(now) >= PROOF_TIME {
+            self.succeed();
+            return;
+        }
+        self.succeed_request();
+        self.is_settled = true;
+        let began_at = self.head_at.unwrap_or(self.lost.began_at);
+        let response = ShortResponse { parts: self.parts.clone(), began_at };
+        let Some(attempt) = self.suspect() else { return };
+        let mut state = self.shared.state();
+        state.quarantine.settle_attempt(self.attempt, now.saturating_add(GIVEN_UP_TTL));
+        state.given_up.add_short(attempt, response);
+    }
+
     /// Records that the replica has run the request to an end without answering on its prompt.
     pub(super) fn succeed_request(&mut self) {
         if self.is_request_proven {
--- a/crates/direct/src/crashes/mod.rs
+++ b/crates/direct/src/crashes/mod.rs
@@ -17,7 +17,7 @@
 
 pub use attempts::AttemptNumber;
 pub use evidence::{CrashEvidence, SuspectRequest, ToldCrash};
-pub use given_up::{GIVEN_UP_TTL, GivenUpAttempts, SuspectAttempt};
+pub use given_up::{GIVEN_UP_TTL, GivenUpAttempts, ShortResponse, SuspectAttempt};
 pub use lost_runs::{LostRun, ToldRun};
 pub use outage::{Coverage, UnexplainedCrashes};
 pub use quarantine::{
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -70,8 +70,8 @@
     AttemptNumber, BLAME_TIME, ContentHash, Coverage, CrashEvidence, CrashQuarantine,
     FIRST_REQUEST_QUARANTINE_TIME, GIVEN_UP_TTL, GivenUpAttempts, LostRun, MAX_TRACKED_PARTS,
     PROOF_EVENTS, PROOF_TIME, PartHash, QUARANTINE_TIME, QuarantineChange, QuarantineSource,
-    RequestHash, RunHash, Suspect, SuspectAttempt, SuspectRequest, ToldCrash, ToldRun,
-    UnexplainedCrashes,
+    RequestHash, RunHash, ShortResponse, Suspect, SuspectAttempt, SuspectRequest, ToldCrash,
+    ToldRun, UnexplainedCrashes,
 };
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
