Tell requests apart by their whole prompt

Cause: with the shared parts alone, requests that differ only in the last part of their prompt were one request.

Change: all parts belong to the identity.

--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -381,8 +381,7 @@
     }
 }
 
-/// Hashes what a request asks for. The last part of its prompt is left out, as a caller that sends
-/// it again may begin another session. Its caller is the organisation, or the key on a route that needs
+/// Hashes what a request asks for. Its caller is the organisation, or the key on a route that needs
 /// none.
 fn content_hash(
     organisation: Option<&OrganisationId>,
@@ -392,8 +391,9 @@
 ) -> ContentHash {
     let key = params.key.as_ref().map(|key| key.0.as_str());
     let caller = organisation.map(OrganisationId::as_str).or(key).unwrap_or_default();
-    ContentHash::new(caller, &head.method, &params.host, &head.target, body)
-        .with_prompt(&PartHash::shared(&params.prompt))
+    let parts: Vec<PartHash> =
+        params.prompt.parts.iter().map(|part| PartHash::new(&part.id)).collect();
+    ContentHash::new(caller, &head.method, &params.host, &head.target, body).with_prompt(&parts)
 }
 
 /// Selects a service by the weights of the route and a hash of the request's id, so that the same
--- a/crates/direct/src/crashes/suspects.rs
+++ b/crates/direct/src/crashes/suspects.rs
@@ -75,7 +75,7 @@
         Self(stable_hash_with_bytes(&[caller, method, host, target], body))
     }
 
-    /// Adds the shared parts of the prompt, which a body that is sent again may not hold.
+    /// Adds the parts of the prompt, which the body may not hold.
     ///
     /// # Examples
     ///
