Blame tentatively refused parts by what was known when their refusal began

Cause: the decision by answers left tentatively refused parts out, because what is refused is not proven sound. A part that it would have quarantined a moment later was probed in its place, at the price of one more crash.

Change: it judges them by the crashes and answers up to the refusal.

--- a/crates/direct/src/crashes/quarantine.rs
+++ b/crates/direct/src/crashes/quarantine.rs
@@ -280,7 +280,9 @@
         let mut changes: Vec<_> =
             probed.chain(confirmed.map(QuarantineChange::Confirmed)).collect();
         self.release_redundant(now);
-        while let Some((part, blame)) = most_blamed(&self.blames(now)) {
+        while let Some((part, blame)) =
+            most_blamed(&self.blames(now)).or_else(|| self.most_blamed_tentative(now))
+        {
             changes.push(self.quarantine(Suspect::Part(part), &blame, QUARANTINE_TIME, now));
         }
         while let Some((content, history, blame)) = self.most_blamed_request(now) {
@@ -359,18 +361,40 @@
 
     /// Blames of all parts for the settled crashes that nothing quarantined explains.
     pub(crate) fn blames(&self, now: Millis) -> BTreeMap<PartHash, (History, Blame)> {
-        let explained = self.explained_runs(now);
+        self.blames_until(now, &self.explained_runs(now), now)
+    }
+
+    /// The tentatively quarantined part that is to blame by what was known when its quarantine began:
+    /// what is refused is not proven sound, which says nothing about it.
+    fn most_blamed_tentative(&self, now: Millis) -> Option<(PartHash, Blame)> {
+        let parts: Vec<PartHash> = self.quarantined_parts(now).collect();
+        let (tentative, confirmed): (Vec<PartHash>, Vec<PartHash>) =
+            parts.into_iter().partition(|part| self.is_tentative(*part, now));
+        let explained = self.runs_explained_by(&confirmed.into_iter().collect(), now);
+        tentative.into_iter().find_map(|part| {
+            let since = self.quarantines.get(&Suspect::Part(part))?.since;
+            let blamed = most_blamed(&self.blames_until(since, &explained, now));
+            blamed.filter(|(blamed, _)| *blamed == part)
+        })
+    }
+
+    /// Blames of all parts for the settled crashes up to a time that are not explained, by the answers
+    /// up to that time.
+    fn blames_until(
+        &self,
+        until: Millis,
+        explained: &BTreeSet<RunHash>,
+        now: Millis,
+    ) -> BTreeMap<PartHash, (History, Blame)> {
         let mut blames: BTreeMap<PartHash, (History, Blame)> = BTreeMap::new();
         for (run, crash) in self.crashes.iter() {
             let age = now.since(crash.at);
-            if age < SETTLING_TIME || explained.contains(&run) {
+            if age < SETTLING_TIME || explained.contains(&run) || crash.at > until {
                 continue;
             }
             for (request, part) in self.suspects(crash) {
                 let history = self.history(Suspect::Part(part));
-                let is_early = history == History::Proven && age < PROVEN_SETTLING_TIME;
-                // What is refused is not proven sound, which says nothing about it.
-                if is_early || self.is_tentative(part, now) {
+                if history == History::Proven && age < PROVEN_SETTLING_TIME {
                     continue;
                 }
                 let (_, blame) = blames.entry(part).or_insert_with(|| {
@@ -396,9 +420,10 @@
         }
         for (part, (history, blame)) in &mut blames {
             if *history == History::Proven {
-                blame.coverage_chance = self.coverage_chance(*part, blame, &explained);
+                blame.coverage_chance = self.coverage_chance(*part, blame, explained);
             }
-            let (from, to) = (blame.earliest, blame.latest.saturating_add(BLAME_TIME));
+            let from = blame.earliest;
+            let to = blame.latest.saturating_add(BLAME_TIME).min(until);
             blame.proven_share = self.outcomes.proven_share(from, to);
             if *history == History::Unproven && self.outcomes.are_mostly_known(from, to) {
                 *history = History::Unknown;
@@ -448,8 +473,12 @@
 
     /// The runs of replicas whose end something quarantined explains.
     pub(crate) fn explained_runs(&self, now: Millis) -> BTreeSet<RunHash> {
-        let parts: BTreeSet<PartHash> = self.quarantined_parts(now).collect();
-        let by_part = self.crashes.iter().filter(|(_, crash)| crash.has_any_part(&parts));
+        self.runs_explained_by(&self.quarantined_parts(now).collect(), now)
+    }
+
+    /// The runs whose end one of these parts, or a quarantined request, explains.
+    fn runs_explained_by(&self, parts: &BTreeSet<PartHash>, now: Millis) -> BTreeSet<RunHash> {
+        let by_part = self.crashes.iter().filter(|(_, crash)| crash.has_any_part(parts));
         let by_part = by_part.map(|(run, _)| run);
         let requests = self.lost_runs.contents();
         let requests =
