Take short responses as proof among crashes only if their replica is heard later

Cause: by reading, a response of 180 ms proved its part when no entry had sent anything to its replica in the second after which it ended, so that nobody knew of the end.

Change: while crashes are remembered, the replica must have sent bytes 0.2 s after the response or later.

--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -7,13 +7,15 @@
     progress::Progress,
     request::{AdmittedRequest, RETRY_AFTER_SPREAD},
     response::ErrorReply,
+    state::State,
     trials::logged_part,
 };
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{ErrorKind, Millis};
 use ibissail_direct::{
-    Coverage, PartHash, QuarantineChange, QuarantineSource, RequestHash, Suspect, retry_after_pause,
+    Coverage, PartHash, QuarantineChange, QuarantineSource, RequestHash, ShortResponse, Suspect,
+    retry_after_pause,
 };
 use rand::Rng;
 use slog::{info, warn};
@@ -21,9 +23,20 @@
 
 /// Interval of the decisions on quarantines.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a short response from which bytes of its replica show that it has not ended with it.
+const HEARD_AFTER: Millis = Millis(200);
 /// Reviews from one report of unexplained crashes to the next.
 const REVIEWS_PER_REPORT: u32 = 10;
 
+impl State {
+    /// Whether the replica has sent bytes since a while after its response. Nobody may have noticed
+    /// its end while few requests are sent to it.
+    fn is_heard_after(&self, response: &ShortResponse) -> bool {
+        let heard_at = self.loads.get(&response.replica).map(|load| load.last_byte_at);
+        heard_at.is_some_and(|at| at >= response.ended_at.saturating_add(HEARD_AFTER))
+    }
+}
+
 impl Shared {
     /// Error response if the request or a part of its prompt is quarantined. It has a retry time, the
     /// rest of the quarantine, only if the request cannot have run.
@@ -95,7 +108,9 @@
     pub(super) fn review_quarantines(&self, now: Millis) -> bool {
         let mut state = self.state();
         for response in state.given_up.take_outlived(now) {
-            state.quarantine.record_sound(&response.parts, response.began_at, now);
+            if state.quarantine.is_idle() || state.is_heard_after(&response) {
+                state.quarantine.record_sound(&response.parts, response.began_at, now);
+            }
         }
         if state.quarantine.is_idle() {
             return false;
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -144,7 +144,8 @@
         self.succeed_request();
         self.is_settled = true;
         let began_at = self.head_at.unwrap_or(self.lost.began_at);
-        let response = ShortResponse { parts: self.parts.clone(), began_at };
+        let (replica, parts) = (self.replica.clone(), self.parts.clone());
+        let response = ShortResponse { replica, parts, began_at, ended_at: now };
         let Some(attempt) = self.suspect() else { return };
         let mut state = self.shared.state();
         state.quarantine.settle_attempt(self.attempt, now.saturating_add(GIVEN_UP_TTL));
--- a/crates/direct/src/crashes/given_up.rs
+++ b/crates/direct/src/crashes/given_up.rs
@@ -1,7 +1,7 @@
 //! Attempts that were given up before it was known whether they crash their replicas.
 
 use crate::{LostRun, PartHash, RunHash};
-use ibissail_core::Millis;
+use ibissail_core::{InstanceId, Millis};
 use std::collections::VecDeque;
 
 /// Time from the end of an attempt after which a crash of its replica is not held against it.
@@ -25,10 +25,14 @@
 /// A complete response that ended too soon to prove the parts of its prompt sound.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShortResponse {
+    /// The replica.
+    pub replica: InstanceId,
     /// The parts of the prompt.
     pub parts: Vec<PartHash>,
     /// When the replica began to answer.
     pub began_at: Millis,
+    /// When the response was complete.
+    pub ended_at: Millis,
 }
 
 #[derive(Debug, Clone)]
@@ -127,7 +131,12 @@
     /// let part = PartHash(4);
     /// let attempt =
     ///     SuspectAttempt { lost, is_request_suspect: false, parts: vec![(part, "4".to_owned())] };
-    /// let response = ShortResponse { parts: vec![part], began_at: Millis(600) };
+    /// let response = ShortResponse {
+    ///     replica: "writers-1".parse().expect("a name"),
+    ///     parts: vec![part],
+    ///     began_at: Millis(600),
+    ///     ended_at: Millis(900),
+    /// };
     /// let mut given_up = GivenUpAttempts::default();
     /// given_up.add_short(attempt, response.clone());
     /// assert_eq!(given_up.take_outlived(Millis(1_000)), []);
