Send the rest of a request after its response is complete

A replica may respond before it has read a long body and read on later.

Cause: the task that writes the rest of a request behind an early head was owned by the exchange, and the exchange was dropped as soon as the response was complete, in receive_buffered and at the end of a stream alike; so was the connection. early_heads did not meet it, because its replica ends the response only after the body.

Change: the rest outlives the exchange (unsent.rs), whatever the status and framing of the response. It is written in the background, then the connection is shut down for writing and read until the replica closes it: a close with unread bytes would reset it and lose what is in flight. It is bounded in time (10 s for a block, 60 s in all) and in memory (an eighth of the process); beyond that the caller's connection takes its next request only after the rest. A planned stop waits for it within the grace time. A rejected request has not run and is not sent on.

Ruled out: the handling of early heads as such.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -369,7 +369,7 @@
                 self.record_output(progress.splitter.event_count());
                 let status = upstream.response.status;
                 // The replica is released before a slow caller has read the response.
-                drop(upstream);
+                upstream.exchange.finish(progress);
                 let flushed = match &mut progress.outbox {
                     Some(outbox) => outbox.flush().await,
                     None => Ok(()),
@@ -435,6 +435,7 @@
         if is_failure {
             self.shared.record_failure(&self.replica().id);
             if request.route.kind.is_repeatable() {
+                exchange.finish(progress);
                 progress.avoids_canary = true;
                 progress.upstream_failure = Some((head, body));
                 return NextStep::Retry("failed");
@@ -450,7 +451,7 @@
                 Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.complete(),
             }
         }
-        drop(exchange);
+        exchange.finish(progress);
         progress.first_byte_at = Some(since_boot());
         self.shared.record_first_event(request, progress);
         match write_complete(connection, &head, &body, request.after_response).await {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -101,6 +101,12 @@
     pub(crate) evacuated_zones: Gauge,
     /// Requests that were running in a zone when its evacuation became known.
     pub(crate) evacuation_requests: Counter,
+    /// Requests that are still being sent after their responses.
+    pub(crate) unsent_requests: Gauge,
+    /// Memory that they hold, in bytes.
+    pub(crate) unsent_bytes: Gauge,
+    /// Requests whose rest was not sent after their responses.
+    pub(crate) cut_requests: Counter,
     /// Live peers.
     pub(crate) peers: Gauge,
     /// Estimated number of live entries, including those that are not known as peers.
@@ -138,6 +144,9 @@
             replicas: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuation_requests: Counter::default(),
+            unsent_requests: Gauge::default(),
+            unsent_bytes: Gauge::default(),
+            cut_requests: Counter::default(),
             peers: Gauge::default(),
             entries: Gauge::default(),
         };
@@ -163,6 +172,7 @@
             metrics.total_time.clone(),
         );
         metrics.register_load(&mut registry);
+        metrics.register_unsent(&mut registry);
         registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
         let failures = metrics.store_failures.clone();
         registry.register("store_failures", "Calls to the store that failed", failures);
@@ -213,6 +223,15 @@
         registry.register("reporting_replicas", "Replicas with a recent load report", reporting);
     }
 
+    fn register_unsent(&self, registry: &mut Registry) {
+        let requests = self.unsent_requests.clone();
+        registry.register("unsent_requests", "Requests sent on after their responses", requests);
+        let bytes = self.unsent_bytes.clone();
+        registry.register("unsent_bytes", "Memory of requests sent on after responses", bytes);
+        let cut = self.cut_requests.clone();
+        registry.register("cut_requests", "Requests not sent whole after their responses", cut);
+    }
+
     /// Records an expected and an observed time to the first event.
     pub(crate) fn observe_expectation(&self, expected: Duration, observed: Duration) {
         self.expectation_errors.observe(expected.as_secs_f64() - observed.as_secs_f64());
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -32,6 +32,7 @@
 mod spreading;
 mod state;
 mod trials;
+mod unsent;
 mod upstream;
 mod watch;
 mod zones;
@@ -219,11 +220,12 @@
     }
 }
 
-/// Waits until the load balancer opens no new connections and none is open, or until `deadline`.
-/// The shutdown must have started.
+/// Waits until the load balancer opens no new connections, none is open and all requests are sent
+/// whole, or until `deadline`. The shutdown must have started.
 async fn wait_until_idle(shared: &Shared, deadline: Millis) {
     while since_boot() < deadline {
-        let is_idle = shared.open_connections.load(Ordering::Relaxed) == 0;
+        let is_idle =
+            shared.open_connections.load(Ordering::Relaxed) == 0 && shared.unsent_requests() == 0;
         if is_idle && shared.may_close_idle() {
             return;
         }
@@ -248,6 +250,7 @@
     wait_until_idle(shared, deadline.saturating_add(LAST_RESPONSES_TIME)).await;
     let open = shared.open_connections.load(Ordering::Relaxed);
     info!(shared.log, "entry: stopped"; "open_connections" => open,
+        "unsent_requests" => shared.unsent_requests(),
         "after_ms" => since_boot().since(started).0);
     // Another thread writes the logs; give it time to finish.
     task::sleep(STOP_CHECK_INTERVAL).await;
--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -1,6 +1,6 @@
 //! The progress of a request over its attempts, and where an attempt is made.
 
-use super::{outbox::Outbox, response::ErrorReply};
+use super::{outbox::Outbox, response::ErrorReply, unsent::RequestRest};
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, Tokens, VersionId, ZoneId};
 use ibissail_http1::{EventSplitter, ResponseHead};
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -54,6 +54,8 @@
     /// A replica's error response, which the caller receives if no other replica serves the
     /// request.
     pub(super) upstream_failure: Option<(ResponseHead, Vec<u8>)>,
+    /// Rests of requests that its attempts have sent in part, and that nobody else sends.
+    pub(super) unsent: Vec<RequestRest>,
 }
 
 impl Progress {
@@ -94,6 +96,7 @@
             has_reserved_retry: false,
             replaced: None,
             upstream_failure: None,
+            unsent: Vec::new(),
         }
     }
 }
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -78,6 +78,10 @@
         RequestOutcome::Truncated(_) | RequestOutcome::CallerGone => AfterResponse::Close,
     };
     shared.record_outcome(&request, &progress, &outcome);
+    for rest in progress.unsent {
+        // Rare, so that the future of every request need not have room for it.
+        Box::pin(rest.send()).await;
+    }
     after_response
 }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -15,6 +15,7 @@
     CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
     Health, LearnedWork, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex, ReplicaLoads,
     ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable, Shedding,
+    UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -104,6 +105,8 @@
     /// What is buffered for callers that read slowly, and their connections.
     pub(super) caller_buffers: CallerBuffers,
     pub(super) buffered_callers: BufferedCallers,
+    /// Memory of requests that are still being sent after their responses.
+    pub(super) unsent: UnsentBudget,
     /// Whether callers are expected to compete for too little capacity.
     expects_overload: bool,
     /// Whether the option forces the control of load.
@@ -152,6 +155,7 @@
             models: ModelSelector::default(),
             caller_buffers: CallerBuffers::new(settings.memory),
             buffered_callers: BufferedCallers::new(),
+            unsent: UnsentBudget::new(settings.memory),
             expects_overload: settings.expects_overload,
             shedding: settings.shedding,
             budgets: BTreeMap::new(),
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -1,9 +1,14 @@
 //! Sends a request to a replica: opens a connection, writes the request, waits for the response
 //! head.
 
-use super::{Shared, progress::SelectedReplica, request::AdmittedRequest, trials::Trial};
+use super::{
+    Shared,
+    progress::{Progress, SelectedReplica},
+    request::AdmittedRequest,
+    trials::Trial,
+    unsent::RequestRest,
+};
 use crate::clock::since_boot;
-use async_global_executor::Task;
 use async_std::{net::TcpStream, task};
 use derive_more::Display;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
@@ -223,8 +228,8 @@
     head_count: usize,
     /// Unread body of a response to another request.
     skipped_body: Option<BodyReader>,
-    /// Writes the rest of the request behind a head that has arrived early; ends when it is dropped.
-    rest_writer: Option<Task<()>>,
+    /// The rest of the request, if the head has arrived before all was sent.
+    rest: Option<Box<RequestRest>>,
     pub(super) trial: Box<Trial>,
 }
 
@@ -316,7 +321,7 @@
             written: 0,
             head_count: 0,
             skipped_body: None,
-            rest_writer: None,
+            rest: None,
             trial: Box::new(Trial::new(shared, request, replica)),
         })
     }
@@ -344,21 +349,27 @@
             Err(error) => return Err(SendError::Stalled(error)),
         };
         load_guard.record_bytes();
-        self.write_behind_head();
+        self.write_behind_head(id);
         Ok(head)
     }
 
     /// Goes on writing a request whose response has begun before all was sent.
-    fn write_behind_head(&mut self) {
+    fn write_behind_head(&mut self, id: &str) {
         if self.written == self.bytes.len() {
             return;
         }
         let rest = self.bytes.split_off(self.written);
-        let mut stream = self.connection.stream().clone();
-        self.rest_writer = Some(async_global_executor::spawn(async move {
-            // After a failed write there may still be a response to read.
-            let _written = stream.write_all(&rest).await;
-        }));
+        let stream = self.connection.stream().clone();
+        let LoadGuard { shared, replica, .. } = &self.load_guard;
+        self.rest = Some(Box::new(RequestRest::start(shared, id, replica, stream, rest)));
+    }
+
+    /// Releases the replica after its complete response. The rest of a request that was not sent
+    /// whole follows.
+    pub(crate) fn finish(self, progress: &mut Progress) {
+        if let Some(rest) = self.rest {
+            progress.unsent.extend(rest.send_in_background());
+        }
     }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -45,6 +45,7 @@
 mod spreading;
 mod stream_pace;
 mod table;
+mod unsent;
 mod verdict;
 mod versions;
 mod zones;
@@ -102,6 +103,7 @@
 pub use spreading::watches_replicas;
 pub use stream_pace::{StreamPace, is_pace_class, pace_class};
 pub use table::RoutingTable;
+pub use unsent::UnsentBudget;
 pub use verdict::{Slowdown, Verdict, compare_versions, is_suspect, pace_slowdown, slowdown};
 pub use versions::VersionFilter;
 pub use zones::{
