Use new versions only once the list of rollouts is known after them

The open connections to the store had gone silent, and no entry read the order for 14 s.

Cause: rollouts were watched and not polled; a silent watch is noticed after 21.5 s. A version without a rollout counted as unmanaged 3 s after its first sight, however old the list of rollouts was. What peers reported of an unknown rollout was ignored, and a third version was used at once beside two others or beside the target of a rollout.

Change: a version that appears beside others is used after 3 s, once the list is known as of a time after its first sight (SeenVersions). The list is polled by one entry for all, on the schedule of the replicas, while it decides where requests go (RolloutList); differing digests and reports of unknown rollouts or later states lead to a read. Entries that start wait for their first listing of rollouts too.

Ruled out: late lists of replicas; they were known within 2 s.

--- a/crates/daemon/src/direct/epochs.rs
+++ b/crates/daemon/src/direct/epochs.rs
@@ -25,8 +25,8 @@
 impl State {
     /// Takes note of the epoch of a response or of a peer.
     ///
-    /// After a restore the lists of replicas and of evacuations are no longer known to be current, so
-    /// that they are read at once. The configuration stays as confirmed: its age limits how long it counts.
+    /// After a restore the lists of replicas, rollouts and evacuations are no longer known to be
+    /// current, so that they are read at once. The configuration stays as confirmed: its age limits how long it counts.
     fn observe_epoch(&mut self, epoch: Option<Epoch>, now: Millis) -> EpochChange {
         let Some(epoch) = epoch else { return EpochChange::None };
         match self.epoch {
@@ -35,6 +35,7 @@
                 self.epoch = Some(epoch);
                 self.restored_at = Some(now);
                 self.replicas_confirmed_at = None;
+                self.rollout_list.reset_confirmation();
                 if let Some(evacuations) = &mut self.zones.evacuations {
                     evacuations.mark_outdated();
                 }
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -59,6 +59,8 @@
     Replicas(u64),
     /// Digest of the list of evacuated zones.
     Evacuations(u64),
+    /// Digest of the list of rollouts.
+    Rollouts(u64),
 }
 
 impl ReadResult {
@@ -70,6 +72,7 @@
                 Self::Configuration { revision, .. } => Confirmed::Configuration(revision.revision),
                 Self::Replicas(digest) => Confirmed::Replicas(digest),
                 Self::Evacuations(digest) => Confirmed::Evacuations(digest),
+                Self::Rollouts(digest) => Confirmed::Rollouts(digest),
             };
             return Message::Confirmation(Confirmation { to, asked, confirmed });
         };
@@ -77,6 +80,7 @@
             Self::Configuration { version, .. } => EpochConfirmed::Configuration(version),
             Self::Replicas(digest) => EpochConfirmed::Replicas(digest),
             Self::Evacuations(digest) => EpochConfirmed::Evacuations(digest),
+            Self::Rollouts(digest) => EpochConfirmed::Rollouts(digest),
         };
         Message::EpochConfirmation(EpochConfirmation { to, asked, epoch, confirmed })
     }
@@ -118,6 +122,7 @@
         match rmp_serde::from_slice::<Message>(bytes) {
             Ok(Message::Report(report)) => {
                 let (vm, address) = (report.vm.clone(), report.address);
+                self.hear_rollouts(&report);
                 if self.state().peers.store_report(report, since_boot()) {
                     info!(self.log, "peers: discovered"; "vm" => %vm, "address" => %address);
                     return Some(address);
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -16,17 +16,15 @@
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
 use ibissail_direct::{
-    Candidate, CountedRequests, Demand, FleetView, PromptDemand, Replica, TrafficSplit,
-    VersionFilter, WorkRates, canary_replica_count, expected_first_event, expected_wait, is_full,
-    select_candidate, stable_hash, urgency_reserve,
+    Candidate, CountedRequests, Demand, FleetView, PromptDemand, Replica, RolloutState,
+    TrafficSplit, VersionContext, VersionFilter, WorkRates, canary_replica_count,
+    expected_first_event, expected_wait, is_full, select_candidate, stable_hash, urgency_reserve,
 };
 use slog::debug;
 use std::collections::BTreeMap;
 
 /// Time after which a canary moves on to other replicas of its version.
 const CANARY_ROTATION_INTERVAL: Millis = Millis(1_000);
-/// Time after which a new version without a rollout is used like the others.
-const UNMANAGED_VERSION_DELAY: Millis = Millis(3_000);
 /// At least one in this many replicas stays a candidate whatever the failures: half of the replicas
 /// carry the usual daily load.
 pub(super) const MIN_CANDIDATES_DIVISOR: usize = 2;
@@ -82,7 +80,7 @@
             self.metrics.cold_withheld.inc();
         }
         // What the limits of the old version's replicas leave must not move to a new version.
-        let is_old_limited = matches!(versions, VersionFilter::Except(_))
+        let is_old_limited = matches!(versions, VersionFilter::Except(_) | VersionFilter::Among(_))
             && candidates.is_empty()
             && state.is_limited(&query, &versions);
         let may_change = progress.pinned_version.is_none() && progress.attempts_sent == 0;
@@ -208,22 +206,19 @@
             return VersionFilter::for_continuation(version, controller, baseline);
         }
         let Some(rollout) = self.rollouts.get(&request.service) else {
-            return self.versions_without_rollout(&request.service, now);
+            return self.settled_versions(&request.service, None, now);
         };
         let split = rollout.controller.current_split(now);
-        if !rollout.controller.rollout.state.is_final() {
-            let goes_to_target =
-                !progress.avoids_canary && self.selects_target(&split, request, progress, now);
-            return if goes_to_target {
-                VersionFilter::Only(split.target)
-            } else {
-                VersionFilter::Except(split.target)
-            };
-        }
-        if split.share < 1.0 {
-            return VersionFilter::Except(split.target);
+        let is_final = rollout.controller.rollout.state.is_final();
+        let goes_to_target = !is_final
+            && !progress.avoids_canary
+            && self.selects_target(&split, request, progress, now);
+        if goes_to_target {
+            return VersionFilter::Only(split.target);
         }
-        self.versions_without_rollout(&request.service, now)
+        let has_succeeded = is_final && split.share >= 1.0;
+        let excluded = (!has_succeeded).then_some(&split.target);
+        self.settled_versions(&request.service, excluded, now)
     }
 
     /// Whether a request goes to the target version of an active rollout.
@@ -273,34 +268,40 @@
         candidates.truncate(replica_count);
     }
 
-    /// Versions of a service without an active rollout. A version that has just appeared may belong
-    /// to a rollout that this entry has not received yet, so the baseline is used at first.
-    fn versions_without_rollout(&mut self, service: &ServiceId, now: Millis) -> VersionFilter {
-        let mut seen: Vec<VersionId> = Vec::new();
+    /// Versions of a service that may be used without a rollout; never `excluded`, the target of one.
+    fn settled_versions(
+        &mut self,
+        service: &ServiceId,
+        excluded: Option<&VersionId>,
+        now: Millis,
+    ) -> VersionFilter {
+        let mut listed: Vec<&VersionId> = Vec::new();
         for replica in self.replicas.ready(service, now) {
-            if !seen.contains(&replica.version) {
-                seen.push(replica.version.clone());
+            if Some(&replica.version) != excluded && !listed.contains(&&replica.version) {
+                listed.push(&replica.version);
             }
         }
-        match (seen.as_slice(), self.baselines.get(service).cloned()) {
-            ([], _) => VersionFilter::All,
-            ([only], baseline) => {
-                if baseline.as_ref() != Some(only) {
-                    self.baselines.insert(service.clone(), only.clone());
-                }
-                self.mixed_since.remove(service);
-                VersionFilter::All
-            }
-            (_, Some(baseline)) if seen.contains(&baseline) => {
-                let since = *self.mixed_since.entry(service.clone()).or_insert(now);
-                if now.since(since) < UNMANAGED_VERSION_DELAY {
-                    VersionFilter::Only(baseline)
-                } else {
-                    VersionFilter::All
-                }
-            }
-            _ => VersionFilter::All,
+        if let [only] = listed.as_slice()
+            && self.baselines.get(service) != Some(*only)
+        {
+            self.baselines.insert(service.clone(), (*only).clone());
         }
+        let is_mixed = listed.len() > 1;
+        if !is_mixed {
+            self.seen_versions.remove(service);
+            return excluded.cloned().map_or(VersionFilter::All, VersionFilter::Except);
+        }
+        let announced = self.rollout_list.announced(service);
+        let context = VersionContext {
+            baseline: self.baselines.get(service),
+            excluded,
+            announced: announced
+                .filter(|(_, state)| *state != RolloutState::Succeeded)
+                .map(|(target, _)| target),
+            rollouts_confirmed_at: self.rollout_list.confirmed_at(),
+            now,
+        };
+        self.seen_versions.entry(service.clone()).or_default().settled(&listed, context)
     }
 
     /// Versions for a request when no replica of its preferred version is available.
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -196,7 +196,10 @@
 
     fn has_initial_state(&self) -> bool {
         let state = self.state();
-        state.table.is_some() && !state.replicas.is_empty() && state.knows_evacuations(since_boot())
+        state.table.is_some()
+            && !state.replicas.is_empty()
+            && state.rollout_list.confirmed_at().is_some()
+            && state.knows_evacuations(since_boot())
     }
 }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -14,8 +14,8 @@
 use ibissail_direct::{
     CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
     Health, LearnedWork, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex, ReplicaLoads,
-    ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RoutingTable, Shedding,
-    UnsentBudget,
+    ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList, RoutingTable,
+    SeenVersions, Shedding, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -87,8 +87,12 @@
     pub(crate) baselines: BTreeMap<ServiceId, VersionId>,
     /// Versions that earlier rollouts of a service have rejected, and whose replicas are still listed.
     pub(crate) rejected: BTreeMap<ServiceId, BTreeSet<VersionId>>,
-    /// When replicas of several versions of a service were first seen without a rollout.
-    pub(crate) mixed_since: BTreeMap<ServiceId, Millis>,
+    /// The rollouts that the store lists, and as of when that is known.
+    pub(super) rollout_list: RolloutList,
+    /// Since when the rollouts decide where requests go; `None` if they do not.
+    pub(super) rollouts_matter_since: Option<Millis>,
+    /// When the versions of each service were first seen.
+    pub(super) seen_versions: BTreeMap<ServiceId, SeenVersions>,
     pub(crate) sessions: BTreeMap<String, SessionVersion>,
     /// When the caller refused last for each service, because its replicas are limited, may return.
     pub(super) returns: BTreeMap<ServiceId, Millis>,
@@ -147,7 +151,9 @@
             rollouts: BTreeMap::new(),
             baselines: BTreeMap::new(),
             rejected: BTreeMap::new(),
-            mixed_since: BTreeMap::new(),
+            rollout_list: RolloutList::default(),
+            rollouts_matter_since: None,
+            seen_versions: BTreeMap::new(),
             sessions: BTreeMap::new(),
             returns: BTreeMap::new(),
             gates: BTreeMap::new(),
--- a/crates/daemon/src/direct/watch.rs
+++ b/crates/daemon/src/direct/watch.rs
@@ -7,9 +7,7 @@
 use crate::clock::since_boot;
 use async_std::task;
 use ibissail_core::{Millis, StoreRevision};
-use ibissail_direct::{
-    Backoff, Configuration, ReplicaChange, ReplicaRecord, Rollout, RolloutChange, RoutingTable,
-};
+use ibissail_direct::{Backoff, Configuration, ReplicaChange, ReplicaRecord, RoutingTable};
 use ibissail_platform::{Change, Listing, StoreClient};
 use slog::{info, warn};
 use std::{
@@ -129,23 +127,6 @@
             info!(self.log, "replicas: restarted"; "replica" => %id);
         }
     }
-
-    /// Applies rollouts unless their revisions are known already or older.
-    pub(super) fn apply_rollouts(&self, rollouts: Vec<Rollout>) {
-        let now = since_boot();
-        let mut state = self.state();
-        for rollout in rollouts {
-            let service = rollout.service.clone();
-            let change = state.compare_rollout(&rollout);
-            if change == RolloutChange::Outdated {
-                continue;
-            }
-            info!(self.log, "rollout: received"; "service" => %service, "target" => %rollout.target,
-                "state" => %rollout.state, "revision" => %rollout.revision,
-                "duration_ms" => rollout.duration.0, "change" => format!("{change:?}"));
-            state.apply_rollout(rollout, change, now);
-        }
-    }
 }
 
 /// The records among the changes of a watch.
@@ -250,6 +231,7 @@
     let mut is_reachable = true;
     let mut backoff = Backoff::default();
     loop {
+        let sent_at = since_boot();
         let listing = store.list_rollouts().await;
         let listing = shared.record_store_call("list orders", &store, &mut is_reachable, listing);
         let Ok(listing) = listing else {
@@ -257,29 +239,15 @@
             continue;
         };
         backoff.reset();
-        for (name, error) in &listing.unreadable {
-            warn!(shared.log, "rollout: invalid"; "name" => name, "error" => error);
-        }
-        shared.apply_rollouts(listing.items.into_iter().map(|(rollout, _)| rollout).collect());
         let mut from = listing.revision;
+        let _digest = shared.apply_rollout_listing(listing, sent_at, "listing");
         loop {
             let watching = store.watch_rollouts(from, WATCH_TIMEOUT);
             let Some(watched) = shared.watch_until_restored(from, watching).await else { break };
             let watched =
                 shared.record_store_call("watch orders", &store, &mut is_reachable, watched);
             let Ok((changes, seen)) = watched else { break };
-            let written = changes.into_iter().filter_map(|change| match change {
-                Change::Written(rollout, _) => Some(rollout),
-                Change::Removed(name) => {
-                    info!(shared.log, "rollout: removal ignored"; "name" => name);
-                    None
-                }
-                Change::Unreadable(name, error) => {
-                    warn!(shared.log, "rollout: invalid"; "name" => name, "error" => error);
-                    None
-                }
-            });
-            shared.apply_rollouts(written.collect());
+            shared.apply_rollout_changes(changes, seen);
             from = seen;
         }
         shared.wait_for_store(&mut backoff).await;
--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -19,6 +19,8 @@
     Replicas(u64),
     /// Digest of the list of evacuated zones; entries of earlier builds ignore the message.
     Evacuations(u64),
+    /// Digest of the list of rollouts; entries of earlier builds ignore the message.
+    Rollouts(u64),
 }
 
 /// Response to an entry's question.
@@ -41,6 +43,8 @@
     Replicas(u64),
     /// Digest of the list of evacuated zones; entries of earlier builds ignore the message.
     Evacuations(u64),
+    /// Digest of the list of rollouts; entries of earlier builds ignore the message.
+    Rollouts(u64),
 }
 
 /// Response to an entry's question by an entry that knows the epoch of the store. It confirms
--- a/crates/direct/src/replicas.rs
+++ b/crates/direct/src/replicas.rs
@@ -302,6 +302,16 @@
         })
     }
 
+    /// Whether some service has replicas of several versions.
+    #[must_use]
+    pub fn has_mixed_versions(&self) -> bool {
+        let mut versions: BTreeMap<&ServiceId, &VersionId> = BTreeMap::new();
+        self.known.values().any(|known| {
+            let Replica { service, version, .. } = &known.replica;
+            *versions.entry(service).or_insert(version) != version
+        })
+    }
+
     /// Number of replicas in the set.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/direct/src/versions.rs
+++ b/crates/direct/src/versions.rs
@@ -2,6 +2,7 @@
 
 use crate::{Rollout, RolloutController, RolloutState};
 use ibissail_core::VersionId;
+use std::collections::BTreeSet;
 
 /// The versions that a request may go to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -12,6 +13,8 @@
     Only(VersionId),
     /// Any version but this one.
     Except(VersionId),
+    /// One of these versions.
+    Among(BTreeSet<VersionId>),
 }
 
 impl VersionFilter {
@@ -31,6 +34,7 @@
             Self::All => true,
             Self::Only(only) => version == only,
             Self::Except(excepted) => version != excepted,
+            Self::Among(versions) => versions.contains(version),
         }
     }
 
