Poll the settings beside their watches

A withdrawal was not known to any entry or sidecar 10 s after their open connections to the platform had gone silent.

Cause: a process that watches the settings did not poll them.

Change: all processes poll, at the rate of one read a second for the whole fleet as before; watchers were left out of it.

--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -81,6 +81,7 @@
         });
         task::spawn(peers::refresh_list(Arc::clone(&node)));
         task::spawn(watching::follow_platform(Arc::clone(&node)));
+        task::spawn(watching::poll_platform(Arc::clone(&node)));
         task::spawn(gossip::run(Arc::clone(&node)));
         task::spawn(promotion::run(Arc::clone(&node)));
         node
--- a/crates/daemon/src/node/watching.rs
+++ b/crates/daemon/src/node/watching.rs
@@ -1,4 +1,7 @@
-//! Reads settings from the platform: a few processes per zone watch, the others poll rarely.
+//! Reads settings from the platform: a few processes per zone watch, and all poll rarely.
+//!
+//! A watch delivers changes at once, but a silent one does not prove that nothing has changed. What
+//! one process reads spreads to the others.
 
 use crate::node::Node;
 use async_std::task;
@@ -15,26 +18,49 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which the process checks whether it has received a VM list.
 const LIST_WAIT_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which a polling process checks whether it has become a watcher.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Mean time between two reads of the settings by all polling processes together.
+/// Interval at which a process checks whether it has become a watcher, and whether it polls.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Mean time between two polls of the settings by all processes together.
 const FLEET_READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reads the settings once, then watches or polls them until the process stops.
+/// Reads the settings once, then watches them while this process is a watcher.
 pub(crate) async fn follow_platform(node: Arc<Node>) {
     while !node.is_stopping() {
         let result = match node.settings.is_platform_read() {
             false => read_all(&node).await.map(drop),
             true if should_watch(&node) => watch(&node).await,
-            true => poll(&node).await,
+            true => {
+                task::sleep(check_delay(&node)).await;
+                Ok(())
+            }
         };
-        if let Err(error) = result {
-            debug!(node.log, "settings: platform read failed"; "error" => %error);
-            task::sleep(RETRY_DELAY).await;
+        retry_later(&node, result).await;
+    }
+}
+
+/// Polls the settings until the process stops, whether or not it is a watcher.
+pub(crate) async fn poll_platform(node: Arc<Node>) {
+    while !node.is_stopping() {
+        task::sleep(check_delay(&node)).await;
+        if node.settings.is_platform_read() && !node.peers.vm_list().is_empty() {
+            let result = poll(&node).await;
+            retry_later(&node, result).await;
         }
     }
 }
 
+/// Time until the next check.
+fn check_delay(node: &Node) -> Duration {
+    if node.peers.vm_list().is_empty() { LIST_WAIT_INTERVAL } else { CHECK_INTERVAL }
+}
+
+async fn retry_later(node: &Node, result: Result<(), PlatformError>) {
+    if let Err(error) = result {
+        debug!(node.log, "settings: platform read failed"; "error" => %error);
+        task::sleep(RETRY_DELAY).await;
+    }
+}
+
 fn should_watch(node: &Node) -> bool {
     let zone_vms = node.peers.zone_vms(&node.local);
     // Without a VM list the watchers of the zone cannot be determined.
@@ -62,13 +88,8 @@
 
 /// Reads all settings with a probability that keeps the read rate of the whole fleet constant.
 async fn poll(node: &Arc<Node>) -> Result<(), PlatformError> {
-    if node.peers.vm_list().is_empty() {
-        task::sleep(LIST_WAIT_INTERVAL).await;
-        return Ok(());
-    }
-    task::sleep(ROLE_CHECK_INTERVAL).await;
     let fleet_size = u32::try_from(node.peers.len().max(1)).unwrap_or(u32::MAX);
-    let reads_per_check = ROLE_CHECK_INTERVAL.as_secs_f64() / FLEET_READ_INTERVAL.as_secs_f64();
+    let reads_per_check = CHECK_INTERVAL.as_secs_f64() / FLEET_READ_INTERVAL.as_secs_f64();
     if rand::rng().random_bool((reads_per_check / f64::from(fleet_size)).min(1.0)) {
         read_all(node).await?;
     }
