Include the fault proxy in the tests of direct entries

Clippy found the methods that silent_orders does not use dead: the proxy was a module of its own there. It is one of direct/mod.rs now, whose parts may be unused. Measured: clippy is clean on the whole workspace.

--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -1,6 +1,8 @@
 //! Runs a direct entry as a process, with stand-ins for the users' platform.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+#[path = "../common/fault_proxy.rs"]
+pub mod fault_proxy;
 pub mod relay;
 pub mod traffic;
 #[path = "../common/wait.rs"]
--- a/crates/daemon/tests/silent_orders.rs
+++ b/crates/daemon/tests/silent_orders.rs
@@ -1,12 +1,8 @@
 //! An order for a rollout whose watch has gone silent is still known before its replicas are used.
 
-#[path = "common/fault_proxy.rs"]
-mod fault_proxy;
-
 mod direct;
 
-use direct::{EntryFixture, traffic::Traffic, wait_until};
-use fault_proxy::FaultProxy;
+use direct::{EntryFixture, fault_proxy::FaultProxy, traffic::Traffic, wait_until};
 use ibissail_platform_standin::{
     Behaviour, CallerRequest, ConfigurationSpec, ReplicaStandin, RouteSpec, StoreStandin,
     session_header,
