--- a/crates/daemon/tests/early_answers.rs
+++ b/crates/daemon/tests/early_answers.rs
@@ -6,7 +6,7 @@
 use ibissail_platform_standin::{
     BODY_BYTE, CallerRequest, CallerResponse, ConfigurationSpec, EarlyBehaviour, EarlyReplica,
     EarlyResponse, KeptConnection, KeptResponse, ReceivedBody, RestReading, RouteSpec,
-    StoreStandin,
+    StoreStandin, send_raw,
 };
 use std::{
     thread,
@@ -144,6 +144,18 @@
     assert_all_whole("early_extra", "/records/1", 200, behaviour);
 }
 
+/// Guards against a body that is cut where its caller has sent it in chunks.
+#[test]
+fn rest_of_a_body_in_chunks_follows() {
+    let (fixture, replica) = start("early_chunks", behaviour(OK, PAUSE));
+    for number in 0..REQUESTS {
+        let id = format!("id-{number}");
+        let response = send_raw(fixture.callers, &request("/records/1", &id).to_chunks());
+        assert_success(&response);
+        assert_whole(&replica, &id);
+    }
+}
+
 /// Guards against a body that is cut by the next request of its caller, or mixed with it.
 #[test]
 fn next_request_on_the_connection_cuts_no_body() {
