Apply a listing of rollouts before it counts as current

Cause: a listing was recorded as current before its rollouts were applied, under two locks, so that another thread could use a new version in between; and an entry for which rollouts no longer matter still read once more, as the reader had stopped to confirm. Both found by reading.

Change: one lock for both, and the wait for a poll ends when rollouts no longer matter. The reads of rollouts are a module of their own (rollout_reads.rs).

--- a/crates/daemon/src/direct/epochs.rs
+++ b/crates/daemon/src/direct/epochs.rs
@@ -26,7 +26,8 @@
     /// Takes note of the epoch of a response or of a peer.
     ///
     /// After a restore the lists of replicas, rollouts and evacuations are no longer known to be
-    /// current, so that they are read at once. The configuration stays as confirmed: its age limits how long it counts.
+    /// current, so that they are read at once. The configuration stays as confirmed: its age limits
+    /// how long it counts.
     fn observe_epoch(&mut self, epoch: Option<Epoch>, now: Millis) -> EpochChange {
         let Some(epoch) = epoch else { return EpochChange::None };
         match self.epoch {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -25,6 +25,7 @@
 mod request;
 mod response;
 mod retry;
+mod rollout_reads;
 mod rollouts;
 mod selection;
 mod serve;
@@ -166,7 +167,7 @@
         task::spawn(polling::poll_replicas(Arc::clone(&shared)));
         task::spawn(zones::poll_evacuations(Arc::clone(&shared)));
         task::spawn(watch::watch_rollouts(Arc::clone(&shared)));
-        task::spawn(polling::poll_rollouts(Arc::clone(&shared)));
+        task::spawn(rollout_reads::poll_rollouts(Arc::clone(&shared)));
         task::spawn(rollouts::run_rollouts(Arc::clone(&shared)));
         task::spawn(messages::exchange_messages(Arc::clone(&shared)));
         task::spawn(cold::spread_cold_news(Arc::clone(&shared)));
--- a/crates/daemon/src/direct/polling.rs
+++ b/crates/daemon/src/direct/polling.rs
@@ -24,15 +24,9 @@
 /// Polls of the replicas: a draining replica must get no new requests after two seconds.
 const REPLICA_POLLS: ReadSchedule =
     ReadSchedule { reader_interval: Millis(1_200), fallback_age: Millis(1_750) };
-/// Polls of the rollouts, while they decide where requests go: an order that a watch has not delivered
-/// must be known before the replicas of its version are used.
-const ROLLOUT_POLLS: ReadSchedule =
-    ReadSchedule { reader_interval: Millis(1_200), fallback_age: Millis(1_750) };
-/// Interval of the checks whether rollouts decide where requests go.
-const ROLLOUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest interval between checks whether a poll is due. A message from a peer may make one due at
 /// any time, by showing that the configuration is outdated.
-const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Pause after a read that returned an earlier configuration than a known one, which a restored
 /// store does until the operators have written theirs again.
@@ -226,51 +220,3 @@
         }
     }
 }
-
-/// Polls the list of rollouts while it decides where requests go, because a watch may miss changes.
-pub(super) async fn poll_rollouts(shared: Arc<Shared>) {
-    let mut store = StoreClient::new(shared.settings.store);
-    let mut is_reachable = true;
-    let mut backoff = Backoff::default();
-    let mut polled_at = None;
-    loop {
-        let needed_since = shared.wait_until_rollouts_matter().await;
-        let requests = shared.wait_until_due(ROLLOUT_POLLS, polled_at, |state| PollState {
-            // The reader, which polls at once, is given time to confirm.
-            confirmed_at: state.rollout_list.confirmed_at().max(Some(needed_since)),
-            is_forced: state.rollout_list.needs_read(since_boot()),
-        });
-        let requests = requests.await;
-        let sent_at = since_boot();
-        let listing = store.list_rollouts().await;
-        let listing = shared.record_store_call("list orders", &store, &mut is_reachable, listing);
-        match listing {
-            Ok(listing) => {
-                let digest = shared.apply_rollout_listing(listing, sent_at, "poll");
-                polled_at = Some(sent_at);
-                backoff.reset();
-                match digest {
-                    Some(digest) => {
-                        let confirmed = ReadResult::Rollouts(digest);
-                        shared.confirm(requests, confirmed, store.epoch()).await;
-                    }
-                    None => task::sleep(DUE_CHECK_INTERVAL).await,
-                }
-            }
-            Err(_logged) => shared.wait_for_store(&mut backoff).await,
-        }
-    }
-}
-
-impl Shared {
-    /// Waits until rollouts decide where requests go; returns since when they do.
-    async fn wait_until_rollouts_matter(&self) -> Millis {
-        loop {
-            let now = since_boot();
-            if let Some(since) = self.state().rollouts_matter_since(now) {
-                return since;
-            }
-            task::sleep(ROLLOUT_CHECK_INTERVAL).await;
-        }
-    }
-}
--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -1,17 +1,14 @@
 //! Carries out rollouts, which move a service to another version.
 
-use super::{
-    Shared, State,
-    peers::{Report, ToldCanaryResult},
-};
+use super::{Shared, State, peers::ToldCanaryResult};
 use crate::clock::{since_boot, unix_millis};
 use async_std::task;
-use ibissail_core::{Count, InstanceId, Millis, ServiceId, StoreRevision, VersionId};
+use ibissail_core::{Count, InstanceId, Millis, ServiceId, VersionId};
 use ibissail_direct::{
     ExtraCanaryRequests, Replica, Rollout, RolloutChange, RolloutController, RolloutRecords,
     RolloutState, Sample, SharedEvidence,
 };
-use ibissail_platform::{Change, Listing, StoreClient, StoreError};
+use ibissail_platform::{StoreClient, StoreError};
 use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
 
@@ -106,18 +103,6 @@
         }
     }
 
-    /// Since when the rollouts decide where requests go; `None` if they do not: no rollout is active,
-    /// no service has replicas of several versions, and peers report none that is unknown here.
-    pub(super) fn rollouts_matter_since(&mut self, now: Millis) -> Option<Millis> {
-        let is_active = |progress: &RolloutProgress| !progress.controller.rollout.state.is_final();
-        let matter = self.rollouts.values().any(is_active)
-            || self.rollout_list.has_announcements()
-            || self.replicas.has_mixed_versions();
-        let since = matter.then(|| self.rollouts_matter_since.unwrap_or(now));
-        self.rollouts_matter_since = since;
-        since
-    }
-
     /// Remembers that the rollout before has rejected its version, whose replicas leave some seconds
     /// later. A new rollout to a version gives it another chance.
     fn remember_rejection(&mut self, before: Option<Rollout>, target: &VersionId) {
@@ -243,90 +228,6 @@
 }
 
 impl Shared {
-    /// Applies a listing of the rollouts; returns its digest, or `None` if a newer one is known.
-    pub(super) fn apply_rollout_listing(
-        &self,
-        listing: Listing<Rollout>,
-        sent_at: Millis,
-        source: &'static str,
-    ) -> Option<u64> {
-        for (name, error) in &listing.unreadable {
-            warn!(self.log, "rollout: invalid"; "name" => name, "error" => error);
-        }
-        let readable = listing.items.iter();
-        let readable =
-            readable.map(|(rollout, at)| (rollout.service.to_string(), Some(at.revision)));
-        let unreadable = listing.unreadable.iter().map(|(name, _)| (name.clone(), None));
-        let objects = readable.chain(unreadable).collect();
-        let is_newest = self.state().rollout_list.apply_listing(objects, listing.revision, sent_at);
-        self.apply_rollouts(listing.items.into_iter().map(|(rollout, _)| rollout), source);
-        is_newest.then(|| self.state().rollout_list.digest())
-    }
-
-    /// Applies changes that a watch has delivered, up to a position.
-    pub(super) fn apply_rollout_changes(
-        &self,
-        changes: Vec<Change<Rollout>>,
-        up_to: StoreRevision,
-    ) {
-        let mut written = Vec::new();
-        for change in changes {
-            let list = &mut self.state().rollout_list;
-            match change {
-                Change::Written(rollout, at) => {
-                    list.apply_written(rollout.service.as_str(), Some(at.revision));
-                    written.push(rollout);
-                }
-                Change::Removed(name) => {
-                    list.apply_removed(&name);
-                    info!(self.log, "rollout: removal ignored"; "name" => name);
-                }
-                Change::Unreadable(name, error) => {
-                    list.apply_written(&name, None);
-                    warn!(self.log, "rollout: invalid"; "name" => name, "error" => error);
-                }
-            }
-        }
-        self.state().rollout_list.advance_to(up_to);
-        self.apply_rollouts(written, "watch");
-    }
-
-    /// Applies rollouts unless their revisions are known already or older.
-    fn apply_rollouts<I>(&self, rollouts: I, source: &'static str)
-    where
-        I: IntoIterator<Item = Rollout>,
-    {
-        let now = since_boot();
-        let mut state = self.state();
-        for rollout in rollouts {
-            let service = rollout.service.clone();
-            let change = state.compare_rollout(&rollout);
-            if change == RolloutChange::Outdated {
-                continue;
-            }
-            info!(self.log, "rollout: received"; "service" => %service, "target" => %rollout.target,
-                "state" => %rollout.state, "revision" => %rollout.revision, "source" => source,
-                "duration_ms" => rollout.duration.0, "change" => format!("{change:?}"));
-            state.apply_rollout(rollout, change, now);
-        }
-    }
-
-    /// Takes note of what a peer reports of rollouts. One that this entry does not know, or knows in
-    /// an earlier state, is a reason to read.
-    pub(super) fn hear_rollouts(&self, report: &Report) {
-        let now = since_boot();
-        let mut state = self.state();
-        let State { rollouts, rollout_list, .. } = &mut *state;
-        for told in &report.rollouts {
-            let known = rollouts.get(&told.service).map(|known| &known.controller.rollout);
-            if rollout_list.hear(told, known, now) {
-                info!(self.log, "rollout: reported by a peer"; "service" => %told.service,
-                    "target" => %told.target, "state" => %told.state, "peer" => %report.vm,
-                    "known_target" => known.map_or("none", |known| known.target.as_str()));
-            }
-        }
-    }
-
     /// The rollout with the status that this entry should write now; `None` if no write is due.
     fn due_status_write(&self, service: &ServiceId, now: Millis) -> Option<Rollout> {
         let mut state = self.state();
