Soak: long bodies with early responses, silent connections to the store

Callers send bodies of 6 MiB to a replica that responds before it has read them, and each body whose caller got a success must arrive whole unless its entry was killed meanwhile; the open connections to the store go silent now and then.

--- a/crates/daemon/tests/direct_soak.rs
+++ b/crates/daemon/tests/direct_soak.rs
@@ -5,10 +5,11 @@
 
 mod direct;
 
-use direct::EntryFixture;
+use direct::{EntryFixture, fault_proxy::FaultProxy};
 use ibissail_platform_standin::{
-    Behaviour, CallerRequest, CallerResponse, ConfigurationSpec, ReplicaStandin, RouteSpec,
-    StoreFault, StreamEnding, send_request,
+    BODY_BYTE, Behaviour, CallerRequest, CallerResponse, ConfigurationSpec, EarlyBehaviour,
+    EarlyReplica, EarlyResponse, ReplicaStandin, RestReading, RouteSpec, StoreFault, StoreStandin,
+    StreamEnding, send_request,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -32,6 +33,10 @@
 const KEY_AGE_LIMIT: Duration = Duration::from_secs(2);
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
+/// Length of a body that its replica responds to before it has read it.
+const LONG_BODY_BYTES: usize = 6 << 20;
+/// Time in which the rest of such a body reaches its replica.
+const REST_TIME: Duration = Duration::from_secs(3);
 
 /// A request of a caller and its response.
 #[derive(Debug)]
@@ -53,6 +58,10 @@
             RouteSpec::new("/look/", "safe", "records"),
             drafts,
             members,
+            RouteSpec {
+                request_timeout_ms: 3_000,
+                ..RouteSpec::new("/bodies/", "unsafe", "bodies")
+            },
         ],
         organisations: vec![("huts".into(), keys.iter().map(|key| (*key).into()).collect())],
     }
@@ -100,8 +109,52 @@
     }
 }
 
-/// Injects one fault and removes it again.
-fn inject_fault(rng: &mut StdRng, fixture: &mut EntryFixture, replicas: &[ReplicaStandin]) {
+/// Spawns a caller that sends long bodies until `stop` is set and records the responses.
+fn spawn_long_bodies(
+    entry: SocketAddr,
+    seed: u64,
+    stop: &Arc<AtomicBool>,
+    exchanges: &Arc<Mutex<Vec<Exchange>>>,
+) {
+    let (stop, exchanges) = (Arc::clone(stop), Arc::clone(exchanges));
+    thread::spawn(move || {
+        for number in 0.. {
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+            let mut request =
+                CallerRequest::new("POST", "/bodies/1", &format!("{seed}-b-{number}"));
+            request.deadline_ms = 3_000;
+            request.body = vec![BODY_BYTE; LONG_BODY_BYTES];
+            let sent_at = Instant::now();
+            let response = send_request(entry, &request);
+            request.body.clear();
+            exchanges.lock().expect("no panic").push(Exchange { request, sent_at, response });
+            thread::sleep(Duration::from_millis(300));
+        }
+    });
+}
+
+/// Asserts that each body whose caller got a success has reached its replica, unless the entry was
+/// killed meanwhile.
+fn check_bodies(seed: u64, exchanges: &[Exchange], replica: &EarlyReplica, kills: &[Instant]) {
+    let received = replica.received();
+    for Exchange { request, sent_at, response } in exchanges {
+        let is_excused = kills.iter().any(|at| *at > *sent_at && *at < *sent_at + 2 * REST_TIME);
+        if response.status == 200 && response.is_complete && !is_excused {
+            let body = received.get(&request.id).copied().unwrap_or_default();
+            assert!(body.is_whole, "seed {seed}: {} got {body:?}", request.id);
+        }
+    }
+}
+
+/// Injects one fault and removes it again; returns when the entry was killed, if it was.
+fn inject_fault(
+    rng: &mut StdRng,
+    fixture: &mut EntryFixture,
+    proxy: &FaultProxy,
+    replicas: &[ReplicaStandin],
+) -> Option<Instant> {
     let pause = Duration::from_millis(rng.random_range(100..900));
     let healthy_behaviour = |replica: &ReplicaStandin| {
         if replica.id().starts_with('w') {
@@ -110,7 +163,7 @@
             Behaviour::Respond(200, Duration::from_millis(5))
         }
     };
-    match rng.random_range(0..8) {
+    match rng.random_range(0..9) {
         0 => {
             fixture.signal("-STOP");
             thread::sleep(pause);
@@ -118,8 +171,10 @@
         }
         1 => {
             fixture.kill();
+            let killed_at = Instant::now();
             thread::sleep(pause / 4);
             fixture.start_entry();
+            return Some(killed_at);
         }
         2 => {
             fixture.signal("-TERM");
@@ -139,6 +194,7 @@
             fixture.store.set_fault(StoreFault::None);
         }
         5 => fixture.store.compact(),
+        6 => proxy.stall(),
         _ => {
             let replica = &replicas[rng.random_range(0..replicas.len())];
             let faults = [
@@ -154,6 +210,7 @@
             replica.set_behaviour(healthy_behaviour(replica));
         }
     }
+    None
 }
 
 /// The runs of each request id over all replicas.
@@ -207,7 +264,16 @@
 
 fn run_seed(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fixture = EntryFixture::start(&format!("soak{seed}"), &configuration(1, &["key-1"]));
+    let store = StoreStandin::start();
+    configuration(1, &["key-1"]).apply_with_body_limit(&store, LONG_BODY_BYTES as u64);
+    let proxy = FaultProxy::start(store.address());
+    let mut fixture = EntryFixture::without_entry(&format!("soak{seed}"), store);
+    let store = fixture.store.address().to_string();
+    fixture.edit_settings(&store, &proxy.address.to_string());
+    let rest = RestReading::After(Duration::from_millis(300));
+    let early = EarlyBehaviour { read_first: 4 << 10, response: EarlyResponse::Status(200), rest };
+    let early = EarlyReplica::start(&fixture.store, "b-0", "bodies", early);
+    fixture.start_entry();
     let mut replicas = Vec::new();
     for number in 0..3 {
         let ok_response = Behaviour::Respond(200, Duration::from_millis(5));
@@ -218,19 +284,24 @@
     fixture.wait_ready();
     let (stop, exchanges) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     spawn_callers(fixture.callers, seed, &stop, &exchanges);
+    let bodies = Arc::new(Mutex::new(Vec::new()));
+    spawn_long_bodies(fixture.callers, seed, &stop, &bodies);
     let started = Instant::now();
     let mut revoked_at = None;
+    let mut kills = Vec::new();
     while started.elapsed() < RUN_TIME {
-        inject_fault(&mut rng, &mut fixture, &replicas);
+        kills.extend(inject_fault(&mut rng, &mut fixture, &proxy, &replicas));
         if revoked_at.is_none() && started.elapsed() > RUN_TIME / 3 {
-            configuration(2, &["key-2"]).apply(&fixture.store);
+            let revoked = configuration(2, &["key-2"]);
+            revoked.apply_with_body_limit(&fixture.store, LONG_BODY_BYTES as u64);
             revoked_at = Some(Instant::now());
         }
         thread::sleep(Duration::from_millis(rng.random_range(0..300)));
     }
     stop.store(true, Ordering::Relaxed);
-    // Late runs of refused requests must be counted too.
-    thread::sleep(Duration::from_millis(800));
+    // Late runs of refused requests, and the rests of bodies, must be counted too.
+    thread::sleep(REST_TIME);
+    check_bodies(seed, &bodies.lock().expect("no panic"), &early, &kills);
     let exchanges = exchanges.lock().expect("no panic");
     check_invariants(seed, &exchanges, &replicas, revoked_at.expect("the key was revoked"));
 }
