Send requests in parallel until a new version has been tried

The requests before it are sent 12 at a time now; the checks and the time of the rollout are unchanged.

--- a/crates/daemon/tests/replaced_version.rs
+++ b/crates/daemon/tests/replaced_version.rs
@@ -4,15 +4,16 @@
 
 use direct::{EntryFixture, wait_until};
 use ibissail_platform_standin::{
-    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StreamEnding,
+    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StreamEnding, send_request,
 };
 use std::{thread, time::Duration};
 
 /// Events of the stream that outlasts the rollout.
 const EVENTS: u64 = 30;
-/// Time of the rollout, in which a busy machine too brings the new version enough requests before
-/// all go to it.
 const ROLLOUT_SECONDS: f64 = 8.0;
+/// Requests sent at the same time, so that a busy machine too brings the new version enough of them
+/// before all go to it.
+const PARALLEL_REQUESTS: u32 = 12;
 
 fn configuration() -> ConfigurationSpec {
     let mut route = RouteSpec::new("/drafts/", "resumable", "writers");
@@ -49,8 +50,14 @@
     let mut number = 0;
     while new.run_count() < 8 {
         assert_eq!(fixture.rollout_state("writers").replace("running", ""), "", "too few requests");
-        number += 1;
-        fixture.send(&draft(&format!("short-{number}")));
+        thread::scope(|scope| {
+            for _ in 0..PARALLEL_REQUESTS {
+                number += 1;
+                let request = draft(&format!("short-{number}"));
+                let entry = fixture.callers;
+                scope.spawn(move || send_request(entry, &request));
+            }
+        });
         thread::sleep(Duration::from_millis(10));
     }
     // Its replica stops with it, in the middle of an event and without draining.
