Leave the old version once a peer has told of the success

What callers saw: a stream that had no response yet when its version was replaced ended with 502 outcome_unknown, "no replica is available", although the replicas of the new version were ready.

Cause: an entry adopts the final state of a rollout from the report of a peer when it evaluates its rollouts, every 250 ms. Only states that were read from the store made the target the baseline of the service. A success of a rollout that the entry has not read at all did not end the baseline either.

Change: adopting a success sets the baseline, as reading it does; a success that peers report counts as the baseline until the list of rollouts is read. The adoption, which was not logged, has a line of its own.

Measured: success_is_known_to_an_entry_without_the_store (new) fails before, 56 requests at the old version later than 0.5 s after the success, and passes. Seven test files on rollouts and the store pass (52 tests). announced_success_ends_the_baseline is new in settled_versions, whose announced_version_waits now names the state that is announced.

--- a/crates/daemon/src/direct/rollouts.rs
+++ b/crates/daemon/src/direct/rollouts.rs
@@ -96,10 +96,15 @@
                 self.rollouts.insert(service.clone(), RolloutProgress { records, ..progress });
             }
         }
-        if let Some(known) = self.rollouts.get(&service)
-            && known.controller.rollout.state == RolloutState::Succeeded
-        {
-            self.baselines.insert(service, known.controller.rollout.target.clone());
+        self.apply_success(&service);
+    }
+
+    /// Makes the target of a service's rollout its baseline if the rollout has succeeded.
+    fn apply_success(&mut self, service: &ServiceId) {
+        let Some(known) = self.rollouts.get(service) else { return };
+        let Rollout { target, state, .. } = &known.controller.rollout;
+        if *state == RolloutState::Succeeded {
+            self.baselines.insert(service.clone(), target.clone());
         }
     }
 
@@ -249,6 +254,14 @@
         let progress = state.rollouts.get_mut(service)?;
         let controller = &mut progress.controller;
         let decided = controller.decide(peers, replicas, now);
+        let adopted = controller.rollout.state;
+        if adopted.is_final() && !is_final {
+            info!(self.log, "rollout: adopted from a peer"; "service" => %service,
+                "target" => %target, "state" => %adopted);
+            state.apply_success(service);
+        }
+        let progress = state.rollouts.get_mut(service)?;
+        let controller = &progress.controller;
         let lost = progress.is_state_lost.then_some(controller.rollout.state);
         let Some(desired_state) = decided.or(lost) else {
             progress.desired_state = None;
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -16,9 +16,9 @@
 use crate::clock::since_boot;
 use ibissail_core::{ByteSize, Millis, ModelId, ServiceId, Tokens, VersionId, ZoneId};
 use ibissail_direct::{
-    Candidate, CountedRequests, Demand, FleetView, PromptDemand, Replica, RolloutState,
-    TrafficSplit, VersionContext, VersionFilter, WorkRates, canary_replica_count,
-    expected_first_event, expected_wait, is_full, select_candidate, stable_hash, urgency_reserve,
+    Candidate, CountedRequests, Demand, FleetView, PromptDemand, Replica, TrafficSplit,
+    VersionContext, VersionFilter, WorkRates, canary_replica_count, expected_first_event,
+    expected_wait, is_full, select_candidate, stable_hash, urgency_reserve,
 };
 use slog::debug;
 use std::collections::BTreeMap;
@@ -291,13 +291,10 @@
             self.seen_versions.remove(service);
             return excluded.cloned().map_or(VersionFilter::All, VersionFilter::Except);
         }
-        let announced = self.rollout_list.announced(service);
         let context = VersionContext {
             baseline: self.baselines.get(service),
             excluded,
-            announced: announced
-                .filter(|(_, state)| *state != RolloutState::Succeeded)
-                .map(|(target, _)| target),
+            announced: self.rollout_list.announced(service),
             rollouts_confirmed_at: self.rollout_list.confirmed_at(),
             now,
         };
--- a/crates/daemon/tests/silent_orders.rs
+++ b/crates/daemon/tests/silent_orders.rs
@@ -103,6 +103,15 @@
     runs.map(|run| (run.received_at, run.id.parse().expect("ids are numbers"))).collect()
 }
 
+/// Requests that an ended version has received later than the entries may learn of its end.
+fn runs_after_end(old: &[ReplicaStandin], ended: Instant) -> usize {
+    let late = |replica: &ReplicaStandin| {
+        let runs = replica.received_requests().into_iter();
+        runs.filter(|run| run.received_at > ended + Duration::from_millis(500)).count()
+    };
+    old.iter().map(late).sum()
+}
+
 /// Requests that ran on the new version after one on the old version in their session.
 fn moved_sessions(old: &[ReplicaStandin], new: &[ReplicaStandin], end: Instant) -> Vec<usize> {
     let mut runs = Vec::new();
@@ -206,11 +215,26 @@
     let succeeded = Instant::now();
     thread::sleep(STABILITY_WINDOW);
     let exchanges = traffic.stop();
-    let late = |replica: &ReplicaStandin| {
-        let runs = replica.received_requests().into_iter();
-        runs.filter(|run| run.received_at > succeeded + Duration::from_millis(500)).count()
-    };
-    assert_eq!(fleet.old.iter().map(late).sum::<usize>(), 0, "the old version has ended");
+    assert_eq!(runs_after_end(&fleet.old, succeeded), 0, "the old version has ended");
+    let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
+    assert_eq!(served, exchanges.len(), "all requests are served");
+}
+
+/// Guards against an entry that stays on the old version after its peers have told of the success.
+#[test]
+fn success_is_known_to_an_entry_without_the_store() {
+    let fleet = Fleet::start("silent_success");
+    let traffic = fleet.traffic();
+    let (ordered, _new) = fleet.order("v2");
+    thread::sleep((ordered + ROLLOUT.mul_f64(0.85)).saturating_duration_since(Instant::now()));
+    fleet.proxies[2].close();
+    let entry = &fleet.entries[0];
+    wait_until("the rollout succeeds", || entry.rollout_state("records") == "succeeded");
+    let succeeded = Instant::now();
+    fleet.old.iter().for_each(|replica| entry.store.remove("servers", replica.id()));
+    thread::sleep(STABILITY_WINDOW * 2);
+    let exchanges = traffic.stop();
+    assert_eq!(runs_after_end(&fleet.old, succeeded), 0, "the old version has ended");
     let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
     assert_eq!(served, exchanges.len(), "all requests are served");
 }
--- a/crates/direct/src/settled_versions.rs
+++ b/crates/direct/src/settled_versions.rs
@@ -3,7 +3,7 @@
 //! The replicas of a new version may be seen before the rollout that they belong to. Until the list
 //! of rollouts has been read after them, the service stays on the versions that it ran before.
 
-use crate::VersionFilter;
+use crate::{RolloutState, VersionFilter};
 use ibissail_core::{Millis, VersionId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,8 +23,8 @@
     pub baseline: Option<&'a VersionId>,
     /// The target of a rollout that is known; it is never among the settled versions.
     pub excluded: Option<&'a VersionId>,
-    /// The target of a rollout that peers report, and that this entry has not read.
-    pub announced: Option<&'a VersionId>,
+    /// The target and state of a rollout that peers report, and that this entry has not read.
+    pub announced: Option<(&'a VersionId, RolloutState)>,
     /// Time as of which the list of rollouts was last known to be current.
     pub rollouts_confirmed_at: Option<Millis>,
     /// The present time.
@@ -73,7 +73,13 @@
             self.first_seen.entry((*version).clone()).or_insert(now);
         }
         let earliest = self.first_seen.values().min().copied().unwrap_or(now);
-        let baseline = baseline.filter(|baseline| listed.contains(baseline));
+        let (replacement, unread) = match announced {
+            Some((target, RolloutState::Succeeded)) => (Some(target), None),
+            Some((target, _)) => (None, Some(target)),
+            None => (None, None),
+        };
+        let is_listed = |version: &&VersionId| listed.contains(version);
+        let baseline = replacement.filter(is_listed).or(baseline.filter(is_listed));
         let is_settled = |version: &VersionId| {
             if Some(version) == baseline {
                 return true;
@@ -83,7 +89,7 @@
             let is_original = baseline.is_none() && since == earliest;
             let is_looked_up = now.since(since) >= UNMANAGED_VERSION_DELAY
                 && rollouts_confirmed_at.is_some_and(|confirmed| confirmed >= since);
-            Some(version) != announced && (is_original || is_looked_up)
+            Some(version) != unread && (is_original || is_looked_up)
         };
         let settled: BTreeSet<VersionId> =
             listed.iter().filter(|version| is_settled(version)).map(|v| (*v).clone()).collect();
--- a/crates/direct/tests/settled_versions.rs
+++ b/crates/direct/tests/settled_versions.rs
@@ -1,7 +1,7 @@
 //! Which versions of a service are used without a rollout.
 
 use ibissail_core::{Millis, VersionId};
-use ibissail_direct::{SeenVersions, VersionContext, VersionFilter};
+use ibissail_direct::{RolloutState, SeenVersions, VersionContext, VersionFilter};
 
 fn version(name: &str) -> VersionId {
     name.parse().unwrap()
@@ -12,7 +12,7 @@
 struct Known {
     baseline: Option<VersionId>,
     excluded: Option<VersionId>,
-    announced: Option<VersionId>,
+    announced: Option<(VersionId, RolloutState)>,
     confirmed_at: Option<Millis>,
 }
 
@@ -26,7 +26,7 @@
         let context = VersionContext {
             baseline: self.baseline.as_ref(),
             excluded: self.excluded.as_ref(),
-            announced: self.announced.as_ref(),
+            announced: self.announced.as_ref().map(|(target, state)| (target, *state)),
             rollouts_confirmed_at: self.confirmed_at,
             now: Millis(now),
         };
@@ -98,8 +98,24 @@
     let mut seen = SeenVersions::default();
     known.confirmed_at = Some(Millis(5_000));
     known.settled(&mut seen, &["v1", "v2"], 1_000);
-    known.announced = Some(version("v2"));
-    assert_eq!(known.settled(&mut seen, &["v1", "v2"], 9_000), among(&["v1"]));
+    for state in [RolloutState::Pending, RolloutState::Running, RolloutState::RolledBack] {
+        known.announced = Some((version("v2"), state));
+        assert_eq!(known.settled(&mut seen, &["v1", "v2"], 9_000), among(&["v1"]));
+    }
+}
+
+/// Guards against an entry that stays on an ended version because it has not read the success that its
+/// peers report.
+#[test]
+fn announced_success_ends_the_baseline() {
+    let mut known = Known::with_baseline("v1");
+    let mut seen = SeenVersions::default();
+    known.settled(&mut seen, &["v1", "v2"], 1_000);
+    known.announced = Some((version("v2"), RolloutState::Succeeded));
+    assert_eq!(known.settled(&mut seen, &["v1", "v2"], 1_100), among(&["v2"]));
+    assert_eq!(known.settled(&mut seen, &["v1", "v2"], 60_000), among(&["v2"]));
+    known.excluded = Some(version("v2"));
+    assert_eq!(known.settled(&mut seen, &["v0", "v1", "v2"], 60_000), among(&["v1"]));
 }
 
 /// Guards against requests that nobody serves: an entry that starts beside several versions cannot tell
@@ -113,7 +129,8 @@
     assert_eq!(known.settled(&mut seen, &["v3"], 9_500), VersionFilter::All);
     let known = Known::with_baseline("v0");
     assert_eq!(known.settled(&mut seen, &["v1", "v2"], 9_600), VersionFilter::All);
-    let known = Known { announced: Some(version("v3")), ..Known::default() };
+    let known =
+        Known { announced: Some((version("v3"), RolloutState::Running)), ..Known::default() };
     assert_eq!(known.settled(&mut SeenVersions::default(), &["v3"], 1), VersionFilter::All);
 }
 
