Tests: share the end of a rollout among the tests of silent orders

Two tests of silent_orders ran a rollout to its success with the same lines, and three counted served responses with the same ones.

--- a/crates/daemon/tests/silent_orders.rs
+++ b/crates/daemon/tests/silent_orders.rs
@@ -1,8 +1,14 @@
-//! An order for a rollout whose watch has gone silent is still known before its replicas are used.
+//! An order for a rollout whose watch has gone silent is still known before its replicas are used, and
+//! its success before requests meet the ended version.
 
 mod direct;
 
-use direct::{EntryFixture, fault_proxy::FaultProxy, traffic::Traffic, wait_until};
+use direct::{
+    EntryFixture,
+    fault_proxy::FaultProxy,
+    traffic::{Exchange, Traffic},
+    wait_until,
+};
 use ibissail_platform_standin::{
     Behaviour, CallerRequest, ConfigurationSpec, ReplicaStandin, RouteSpec, StoreStandin,
     session_header,
@@ -75,6 +81,17 @@
         (Instant::now(), start_version(&self.entries[0], version))
     }
 
+    /// Runs a rollout to its success, with a fault shortly before; returns when it succeeded, and the
+    /// replicas of its version.
+    fn succeed(&self, fault: fn(&Self)) -> (Instant, Vec<ReplicaStandin>) {
+        let (ordered, new) = self.order("v2");
+        thread::sleep((ordered + ROLLOUT.mul_f64(0.85)).saturating_duration_since(Instant::now()));
+        fault(self);
+        let entry = &self.entries[0];
+        wait_until("the rollout succeeds", || entry.rollout_state("records") == "succeeded");
+        (Instant::now(), new)
+    }
+
     /// Fails unless the sessions stay on the old version in the first half of a rollout.
     fn assert_sessions_stay(&self, ordered: Instant, new: &[ReplicaStandin]) {
         let half = ordered + ROLLOUT / 2;
@@ -128,6 +145,11 @@
     moved.map(|(_, id, _)| id).collect()
 }
 
+fn assert_all_served(exchanges: &[Exchange]) {
+    let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
+    assert_eq!(served, exchanges.len(), "all requests are served");
+}
+
 /// Orders a rollout some time after a silence and fails if sessions move early.
 fn play_silence(test: &str, silence: fn(&Fleet), pause: Duration) {
     let fleet = Fleet::start(test);
@@ -139,8 +161,7 @@
     thread::sleep(ROLLOUT / 2);
     let exchanges = traffic.stop();
     fleet.assert_sessions_stay(ordered, &new);
-    let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
-    assert_eq!(served, exchanges.len(), "all requests are served");
+    assert_all_served(&exchanges);
 }
 
 /// Guards against an order that is not read while the watch is silent.
@@ -207,17 +228,11 @@
 fn end_of_a_rollout_in_a_silence_is_known() {
     let fleet = Fleet::start("silent_end");
     let traffic = fleet.traffic();
-    let (ordered, _new) = fleet.order("v2");
-    thread::sleep((ordered + ROLLOUT.mul_f64(0.85)).saturating_duration_since(Instant::now()));
-    fleet.silence();
-    let entry = &fleet.entries[0];
-    wait_until("the rollout succeeds", || entry.rollout_state("records") == "succeeded");
-    let succeeded = Instant::now();
+    let (succeeded, _new) = fleet.succeed(Fleet::silence);
     thread::sleep(STABILITY_WINDOW);
     let exchanges = traffic.stop();
     assert_eq!(runs_after_end(&fleet.old, succeeded), 0, "the old version has ended");
-    let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
-    assert_eq!(served, exchanges.len(), "all requests are served");
+    assert_all_served(&exchanges);
 }
 
 /// Guards against an entry that stays on the old version after its peers have told of the success.
@@ -225,18 +240,13 @@
 fn success_is_known_to_an_entry_without_the_store() {
     let fleet = Fleet::start("silent_success");
     let traffic = fleet.traffic();
-    let (ordered, _new) = fleet.order("v2");
-    thread::sleep((ordered + ROLLOUT.mul_f64(0.85)).saturating_duration_since(Instant::now()));
-    fleet.proxies[2].close();
-    let entry = &fleet.entries[0];
-    wait_until("the rollout succeeds", || entry.rollout_state("records") == "succeeded");
-    let succeeded = Instant::now();
-    fleet.old.iter().for_each(|replica| entry.store.remove("servers", replica.id()));
+    let (succeeded, _new) = fleet.succeed(|fleet| fleet.proxies[2].close());
+    let store = &fleet.entries[0].store;
+    fleet.old.iter().for_each(|replica| store.remove("servers", replica.id()));
     thread::sleep(STABILITY_WINDOW * 2);
     let exchanges = traffic.stop();
     assert_eq!(runs_after_end(&fleet.old, succeeded), 0, "the old version has ended");
-    let served = exchanges.iter().filter(|exchange| exchange.is_served()).count();
-    assert_eq!(served, exchanges.len(), "all requests are served");
+    assert_all_served(&exchanges);
 }
 
 /// Guards against reads of the rollouts where nothing depends on them: calls to the store are priced.
