--- a/crates/direct/src/settled_versions.rs
+++ b/crates/direct/src/settled_versions.rs
@@ -23,7 +23,8 @@
     pub baseline: Option<&'a VersionId>,
     /// The target of a rollout that is known; it is never among the settled versions.
     pub excluded: Option<&'a VersionId>,
-    /// The target and state of a rollout that peers report, and that this entry has not read.
+    /// The target and state of a rollout that peers report, and that this entry has not read. One that
+    /// has succeeded replaces the baseline; another is not used yet.
     pub announced: Option<(&'a VersionId, RolloutState)>,
     /// Time as of which the list of rollouts was last known to be current.
     pub rollouts_confirmed_at: Option<Millis>,
