--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -348,6 +348,7 @@
                 "organisation" => organisation, "outcome" => label, "detail" => detail,
                 "attempts" => attempts, "took_ms" => took.0, "first_ms" => first,
                 "events" => progress.position.event_count(),
+                "last_event_id" => progress.position.last_id(),
                 "configuration" => request.configuration_version, "age_ms" => age);
         } else {
             warn!(self.log, "request: failed"; "id" => &request.params.id,
@@ -355,6 +356,7 @@
                 "organisation" => organisation, "outcome" => label, "detail" => detail,
                 "attempts" => attempts, "took_ms" => took.0, "first_ms" => first,
                 "events" => progress.position.event_count(),
+                "last_event_id" => progress.position.last_id(),
                 "configuration" => request.configuration_version, "age_ms" => age);
         }
     }
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -103,7 +103,7 @@
 /// Counts an attempt in the load of its replica until it is dropped.
 #[derive(Debug)]
 pub(crate) struct LoadGuard {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     service: ServiceId,
     pub(crate) replica: InstanceId,
     pending_prefill: Tokens,
