Break a stream off at bytes that are no event of it

Callers of a stream got events that no run had made, in a response that ended as complete: a replica sent other bytes between, before or behind its events, and the entry took whatever stands before a blank line for an event. It checked lines only for another response's head, and compared ids only in the first event of a resumed response. Behind such bytes a sound stream could not be resumed either, an id that nobody had sent became its position, and pace, trial and crash evidence counted them.

An event now has exactly one id, decimal digits above those of the event before, has data, and consists of fields of the format; one that the platform names may come first. Anything else fails the attempt behind the last whole event, which is delivered: a request that may be repeated goes on elsewhere, another is broken off or, if nothing was delivered, answered with 502 outcome_unknown.

Sound streams with comments, several data lines, values without a space, CRLF line ends, a leading version line and quoted heads arrive whole, as before.

Three tests expected the old rule. The bound of events and comments repeated one id and now counts them up. A successor's state was shown by an event without an id; an event that a resumed response may not begin with shows it as well. Streams without ids were delivered once and not resumed; they are now not delivered.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -5,14 +5,10 @@
     progress::Progress,
     request::AdmittedRequest,
     response::{LAST_CHUNK, encode_chunk, forwarded_head},
-    upstream::{Exchange, LoadGuard, StallLimits, UpstreamResponse},
+    upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::{Connection, Framing, StreamPosition};
-use slog::info;
-
-/// Most bytes of events in a log line, enough to tell what they begin like.
-const MAX_LOGGED_EVENT_BYTES: usize = 32;
+use ibissail_http1::{Connection, Framing};
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -37,20 +33,6 @@
     }
 }
 
-/// Logs the start of bytes that contain an event without an id, behind events up to this position.
-fn log_odd_events(
-    request: &AdmittedRequest,
-    exchange: &Exchange,
-    events: &[u8],
-    earlier: StreamPosition,
-) {
-    let LoadGuard { shared, replica, .. } = &exchange.load_guard;
-    let start = &events[..events.len().min(MAX_LOGGED_EVENT_BYTES)];
-    info!(shared.log, "attempt: event without an id"; "id" => &request.params.id,
-        "replica" => %replica, "last_event_id" => earlier.last_id(), "bytes" => events.len(),
-        "start" => %start.escape_ascii());
-}
-
 /// Relays the stream of one replica, preceded by the head of the response unless the caller has
 /// received one already.
 pub(super) async fn relay_stream(
@@ -63,6 +45,9 @@
 ) -> StreamOutcome {
     let mut last_event_at = since_boot();
     loop {
+        if let Some(error) = upstream.splitter.take_error() {
+            return StreamOutcome::Broken(error.to_string());
+        }
         let earlier = progress.position;
         let exchange = &mut upstream.exchange;
         let next = async {
@@ -107,11 +92,8 @@
             let position = upstream.splitter.position();
             progress.position = position;
             let event_count = position.event_count() - earlier.event_count();
-            if position.content_count() - earlier.content_count() > event_count {
-                log_odd_events(request, exchange, &events, earlier);
-            }
-            exchange.trial.record_events(position.content_count() - earlier.content_count());
-            pace.record_events(position.event_count() - earlier.event_count());
+            exchange.trial.record_events(event_count);
+            pace.record_events(event_count);
             bytes = encode_chunk(&events);
         } else if upstream.splitter.has_partial_event() {
             return StreamOutcome::Broken("the stream ended inside an event".to_owned());
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -20,7 +20,8 @@
     ResponseHead, StreamPosition, dial, parse_response,
 };
 use ibissail_platform::{
-    ReplicaResponse, UpstreamHeaders, decode_replica_response, encode_upstream_head,
+    EVENT_VERSION_FIELD, ReplicaResponse, UpstreamHeaders, decode_replica_response,
+    encode_upstream_head,
 };
 use std::{borrow::Cow, fmt, future::Future, io::ErrorKind, sync::Arc, time::Duration};
 
@@ -103,7 +104,7 @@
 /// Counts an attempt in the load of its replica until it is dropped.
 #[derive(Debug)]
 pub(crate) struct LoadGuard {
-    pub(super) shared: Arc<Shared>,
+    shared: Arc<Shared>,
     service: ServiceId,
     pub(crate) replica: InstanceId,
     pending_prefill: Tokens,
@@ -274,14 +275,14 @@
     ) -> Self {
         exchange.trial.record_head();
         let body = BodyReader::new(head.framing);
-        let splitter = Box::new(EventSplitter::new(position));
+        let splitter = EventSplitter::new(position).with_first_field(EVENT_VERSION_FIELD);
         let memory = ResponseMemory::new(&exchange.load_guard.shared, exchange.connection.stream());
         Self {
             exchange,
             head,
             response,
             body,
-            splitter,
+            splitter: Box::new(splitter),
             received: BlockBuffer::default(),
             memory,
             read_error: None,
--- a/crates/daemon/tests/joined_events.rs
+++ b/crates/daemon/tests/joined_events.rs
@@ -110,7 +110,8 @@
 /// Guards against a sound silent stream that is cut because a successor began and broke off.
 #[test]
 fn successor_does_not_change_how_a_silent_stream_may_go_on() {
-    const REST: &str = "data: last\n\n";
+    // A response that goes on with a stream may not begin so far behind it.
+    const REST: &str = "id: 7\ndata: last\n\n";
     let has_broken_off = AtomicBool::new(false);
     let response = send("going_on", "resumable", &[], move |exchange| {
         exchange.send_stream_head();
--- a/crates/daemon/tests/stream_successors.rs
+++ b/crates/daemon/tests/stream_successors.rs
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn stream_without_ids_is_not_resumed() {
+fn stream_without_ids_is_not_delivered() {
     let response = send("no_ids", "", |exchange| {
         exchange.send_stream_head();
         exchange.send_chunk("data: word\n\n");
@@ -177,8 +177,8 @@
             exchange.end_stream();
         }
     });
-    assert!(response.status == 200 && !response.is_complete, "{response:?}");
-    assert_eq!(response.body.matches("data: word").count(), 1, "{response:?}");
+    assert_eq!(response.error_kind(), "outcome_unknown", "{response:?}");
+    assert!(!response.body.contains("data: word"), "{response:?}");
 }
 
 #[test]
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -1,21 +1,21 @@
-//! Splits a stream of server-sent events into complete events.
+//! Splits a stream of server-sent events with increasing ids into complete events.
 
-use crate::{EventLineCheck, HttpError};
+use crate::{EventLine, EventLineCheck, HttpError, event_line::parse_digits};
 
 /// Longest event, and most bytes of comments and blank lines between two events, in bytes. An event
 /// holds some ten tokens.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
-/// What an event consists of.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-enum EventContent {
-    /// Nothing but comments.
-    #[default]
-    None,
-    /// Fields other than an id.
-    WithoutId,
-    /// Fields with an id.
-    WithId,
+/// Most bytes of a line in an error message, enough to tell what it is.
+const MAX_SHOWN_BYTES: usize = 32;
+
+/// The fields of an event read so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct EventFields {
+    /// Whether there is anything but comments and times to connect again.
+    has_begun: bool,
+    id: Option<u64>,
+    has_data: bool,
 }
 
 /// How far a caller has received a stream, whichever responses its events came from.
@@ -24,12 +24,7 @@
     last_id: Option<u64>,
     /// Largest difference between two ids that follow each other, and between the first and 0.
     largest_step: u64,
-    /// Number of ids.
     event_count: u64,
-    /// Number of events that are no mere comments.
-    content_count: u64,
-    /// Whether an event without an id has followed the last id.
-    has_content_after_last: bool,
 }
 
 /// Buffers bytes of one response that is a stream, and returns complete events only.
@@ -39,9 +34,13 @@
     position: StreamPosition,
     /// Whether the next event is the first of a response that goes on with a stream.
     is_resumed: bool,
+    /// Name of the field that may come first in an event, beside those of the format.
+    first_field: &'static str,
     /// Bytes of comments and blank lines since the last field of an event.
     comment_bytes: usize,
     line_check: EventLineCheck,
+    /// The error of what follows the events that have been returned.
+    error: Option<HttpError>,
 }
 
 /// Reads the lines of complete events.
@@ -49,10 +48,10 @@
 struct EventLines {
     position: StreamPosition,
     is_resumed: bool,
+    first_field: &'static str,
     comment_bytes: usize,
     line_check: EventLineCheck,
-    /// What has been read of the current event.
-    content: EventContent,
+    event: EventFields,
 }
 
 impl StreamPosition {
@@ -68,34 +67,29 @@
         self.last_id
     }
 
-    /// Whether the stream may continue from another source: no event without an id has followed the
-    /// last id.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let mut splitter = ibissail_http1::EventSplitter::default();
-    /// splitter.push(b"id: 1\ndata: a\n\n: comment\n\n")?;
-    /// assert!(splitter.position().can_resume());
-    /// splitter.push(b"data: b\n\n")?;
-    /// assert!(!splitter.position().can_resume());
-    /// # Ok::<(), ibissail_http1::HttpError>(())
-    /// ```
-    #[must_use]
-    pub fn can_resume(&self) -> bool {
-        !self.has_content_after_last
-    }
-
-    /// Number of `id:` lines in complete events, which counts events when each has one id.
+    /// Number of complete events, without mere comments.
     #[must_use]
     pub fn event_count(&self) -> u64 {
         self.event_count
     }
 
-    /// Number of complete events that are no mere comments, whether or not they have an id.
-    #[must_use]
-    pub fn content_count(&self) -> u64 {
-        self.content_count
+    /// Moves behind the next event; fails if it does not follow. The first event of a response that
+    /// goes on with a stream may be no further away than events were before.
+    fn advance(&mut self, id: u64, is_resumed: bool) -> Result<(), HttpError> {
+        let last = self.last_id.unwrap_or_default();
+        let step = id.saturating_sub(last);
+        let is_earlier = self.last_id.is_some() && step == 0;
+        // Before the first step the distance between ids is unknown.
+        let has_gap = is_resumed && self.largest_step > 0 && step > self.largest_step;
+        if is_earlier || has_gap {
+            return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
+        }
+        if !is_resumed {
+            self.largest_step = self.largest_step.max(step);
+        }
+        self.last_id = Some(id);
+        self.event_count += 1;
+        Ok(())
     }
 }
 
@@ -107,54 +101,50 @@
             _ => self.comment_bytes = 0,
         }
         self.line_check.check(line)?;
-        if matches!(line, b"\n" | b"\r\n") {
-            return self.end_event();
+        let event = &mut self.event;
+        match EventLine::parse(line) {
+            EventLine::Blank => return self.end_event(),
+            EventLine::Comment => return Ok(()),
+            EventLine::Retry(time) if parse_digits(time).is_some() => return Ok(()),
+            EventLine::Data(_) => event.has_data = true,
+            EventLine::Type => {}
+            EventLine::Id(value) => match parse_digits(value) {
+                Some(id) if event.id.is_none() => event.id = Some(id),
+                _ => return Err(no_field(line)),
+            },
+            EventLine::Other { name, value }
+                if !event.has_begun
+                    && name == self.first_field.as_bytes()
+                    && parse_digits(value).is_some() => {}
+            EventLine::Retry(_) | EventLine::Other { .. } => return Err(no_field(line)),
         }
-        let is_comment = line.starts_with(b":") || line.starts_with(b"retry:");
-        if !is_comment && self.content == EventContent::None {
-            self.content = EventContent::WithoutId;
-        }
-        let Some(value) = line.strip_prefix(b"id:") else { return Ok(()) };
-        self.position.event_count += 1;
-        let text = std::str::from_utf8(value).unwrap_or_default();
-        text.trim().parse().map_or(Ok(()), |id| self.record_id(id))
-    }
-
-    fn record_id(&mut self, id: u64) -> Result<(), HttpError> {
-        let StreamPosition { last_id, largest_step, .. } = self.position;
-        let last = last_id.unwrap_or_default();
-        let step = id.saturating_sub(last);
-        if self.is_resumed {
-            // Before the first step the distance between ids is unknown.
-            let has_gap = largest_step > 0 && step > largest_step;
-            if step == 0 || has_gap {
-                let error = format!("event {id} does not follow event {last}");
-                return Err(HttpError::Malformed(error));
-            }
-        } else {
-            self.position.largest_step = largest_step.max(step);
-        }
-        self.position.last_id = Some(id);
-        self.content = EventContent::WithId;
-        self.is_resumed = false;
+        event.has_begun = true;
         Ok(())
     }
 
     fn end_event(&mut self) -> Result<(), HttpError> {
-        match std::mem::take(&mut self.content) {
-            EventContent::None => return Ok(()),
-            EventContent::WithoutId if self.is_resumed => {
-                let error = "a resumed stream goes on without an id".to_owned();
-                return Err(HttpError::Malformed(error));
-            }
-            EventContent::WithoutId => self.position.has_content_after_last = true,
-            EventContent::WithId => self.position.has_content_after_last = false,
+        let event = std::mem::take(&mut self.event);
+        if !event.has_begun {
+            return Ok(());
         }
-        self.position.content_count += 1;
+        let Some(id) = event.id.filter(|_| event.has_data) else {
+            let missing = if event.has_data { "id" } else { "data" };
+            let last = self.position.last_id.unwrap_or_default();
+            let error = format!("the event behind event {last} has no {missing}");
+            return Err(HttpError::Malformed(error));
+        };
+        self.position.advance(id, self.is_resumed)?;
+        self.is_resumed = false;
         Ok(())
     }
 }
 
+/// The error of a line that is no field of an event.
+fn no_field(line: &[u8]) -> HttpError {
+    let start = line[..line.len().min(MAX_SHOWN_BYTES)].escape_ascii();
+    HttpError::Malformed(format!("`{start}` is no field of an event"))
+}
+
 impl EventSplitter {
     /// Creates a splitter for a response that goes on with a stream at this position.
     ///
@@ -170,14 +160,29 @@
         Self { position, is_resumed: position.last_id.is_some(), ..Self::default() }
     }
 
-    /// Appends bytes and returns all buffered events that are now complete, or nothing.
+    /// Accepts a field with this name and a number as the first line of an event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut splitter = ibissail_http1::EventSplitter::default().with_first_field("epoch");
+    /// assert!(splitter.push(b"epoch: 4\nid: 1\ndata: a\n\n").is_ok());
+    /// ```
+    #[must_use]
+    pub fn with_first_field(self, first_field: &'static str) -> Self {
+        Self { first_field, ..self }
+    }
+
+    /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
+    /// one id, which is a number above that of the event before, and data.
     ///
     /// # Errors
     ///
     /// `EventTooLarge` when an event, or the comments before it, are longer than 64 KiB; `Malformed`
-    /// when a resumed stream does not go on with the next event, or when a response head begins
-    /// inside the stream, at the start of a line or behind one that was cut. None of the events that
-    /// the bytes complete counts then.
+    /// when complete lines are no event, when an event does not follow the one before, or when a
+    /// response head begins inside the stream, at the start of a line or behind one that was cut.
+    /// Events before such bytes are returned first, and the error then stands in
+    /// [`EventSplitter::take_error`].
     ///
     /// # Examples
     ///
@@ -186,6 +191,8 @@
     /// assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda")?, b"id: 1\ndata: a\n\n");
     /// assert_eq!(splitter.position().last_id(), Some(1));
     /// assert!(splitter.has_partial_event());
+    /// assert!(splitter.push(b"ta: b\n\ndata: without an id\n\n").is_ok());
+    /// assert!(splitter.take_error().is_some());
     /// # Ok::<(), ibissail_http1::HttpError>(())
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, HttpError> {
@@ -195,14 +202,26 @@
         self.pending.extend_from_slice(bytes);
         let end = last_event_end(&self.pending, search_start).unwrap_or(0);
         let rest = self.pending.split_off(end);
-        let complete = std::mem::replace(&mut self.pending, rest);
-        self.record_lines(&complete)?;
+        let mut complete = std::mem::replace(&mut self.pending, rest);
+        if let Err((sound_bytes, error)) = self.record_lines(&complete) {
+            if sound_bytes == 0 {
+                return Err(error);
+            }
+            complete.truncate(sound_bytes);
+            self.error = Some(error);
+        }
         if self.pending.len().max(self.comment_bytes) > MAX_EVENT_BYTES {
             return Err(HttpError::EventTooLarge);
         }
         Ok(complete)
     }
 
+    /// Takes the error of the bytes behind the events that [`EventSplitter::push`] has returned last.
+    /// The stream is broken off there.
+    pub fn take_error(&mut self) -> Option<HttpError> {
+        self.error.take()
+    }
+
     /// The position of the stream after the events that have been returned.
     #[must_use]
     pub fn position(&self) -> StreamPosition {
@@ -221,19 +240,29 @@
         self.pending.len()
     }
 
-    fn record_lines(&mut self, events: &[u8]) -> Result<(), HttpError> {
+    /// Records the lines of events; the error comes with the number of bytes before the event that
+    /// it concerns.
+    fn record_lines(&mut self, events: &[u8]) -> Result<(), (usize, HttpError)> {
         let mut lines = EventLines {
             position: self.position,
             is_resumed: self.is_resumed,
+            first_field: self.first_field,
             comment_bytes: self.comment_bytes,
             line_check: self.line_check,
-            content: EventContent::None,
+            event: EventFields::default(),
         };
-        let recorded =
-            events.split_inclusive(|b| *b == b'\n').try_for_each(|line| lines.record_line(line));
-        self.comment_bytes = lines.comment_bytes;
-        recorded?;
-        self.position = lines.position;
+        let mut length = 0;
+        let mut sound_bytes = 0;
+        for line in events.split_inclusive(|b| *b == b'\n') {
+            let recorded = lines.record_line(line);
+            self.comment_bytes = lines.comment_bytes;
+            recorded.map_err(|error| (sound_bytes, error))?;
+            length += line.len();
+            if EventLine::parse(line) == EventLine::Blank {
+                sound_bytes = length;
+                self.position = lines.position;
+            }
+        }
         self.is_resumed = lines.is_resumed;
         self.line_check = lines.line_check;
         Ok(())
--- a/crates/http1/src/event_line.rs
+++ b/crates/http1/src/event_line.rs
@@ -1,4 +1,4 @@
-//! Tells the lines of an event from the head of another response.
+//! Parses the lines of an event, and tells them from the head of another response.
 
 use crate::{HttpError, RESPONSE_HEAD_START};
 use memchr::memmem::find_iter;
@@ -6,6 +6,70 @@
 /// Names of the fields of an event; an empty one begins a comment.
 const FIELD_NAMES: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
 
+/// A line of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventLine<'a> {
+    /// The end of an event.
+    Blank,
+    /// A line that receivers ignore.
+    Comment,
+    /// A line of the data.
+    Data(&'a [u8]),
+    /// The type of the event.
+    Type,
+    /// The id of the event.
+    Id(&'a [u8]),
+    /// The time after which receivers connect again.
+    Retry(&'a [u8]),
+    /// No field of the format; the value is empty without a colon.
+    Other {
+        /// What stands before the first colon.
+        name: &'a [u8],
+        /// What follows it.
+        value: &'a [u8],
+    },
+}
+
+impl<'a> EventLine<'a> {
+    /// Parses a line, with or without its line end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_http1::EventLine;
+    /// assert_eq!(EventLine::parse(b"id:4\r\n"), EventLine::Id(b"4"));
+    /// assert_eq!(EventLine::parse(b"data"), EventLine::Data(b""));
+    /// assert_eq!(EventLine::parse(b"dat: a"), EventLine::Other { name: b"dat", value: b"a" });
+    /// ```
+    #[must_use]
+    pub fn parse(line: &'a [u8]) -> Self {
+        let line = line.strip_suffix(b"\n").unwrap_or(line);
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            return Self::Blank;
+        }
+        let (name, value) = match line.iter().position(|b| *b == b':') {
+            Some(colon) => (&line[..colon], &line[colon + 1..]),
+            None => (line, &line[line.len()..]),
+        };
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"" => Self::Comment,
+            b"data" => Self::Data(value),
+            b"event" => Self::Type,
+            b"id" => Self::Id(value),
+            b"retry" => Self::Retry(value),
+            _ => Self::Other { name, value },
+        }
+    }
+}
+
+/// Parses a number that consists of decimal digits only.
+pub(crate) fn parse_digits(text: &[u8]) -> Option<u64> {
+    let text = str::from_utf8(text).ok()?;
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// Checks the lines of a stream for another response, which may begin inside an event that was cut.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EventLineCheck {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,7 +17,7 @@
 pub use connection::{Connection, dial, is_closed_by_peer};
 pub use error::HttpError;
 pub use event::{EventSplitter, StreamPosition};
-pub use event_line::EventLineCheck;
+pub use event_line::{EventLine, EventLineCheck};
 pub use head::{
     Framing, Headers, RESPONSE_HEAD_START, RequestHead, ResponseHead, parse_request,
     parse_response, reason_phrase,
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -89,22 +89,38 @@
     assert!(matches!(error, HttpError::Malformed(_)), "{error}");
 }
 
-/// Bytes that a splitter takes, of this part without end, before it fails; `None` without a failure.
-fn bytes_until_failure(repeated: &str) -> Option<usize> {
+/// Bytes that a splitter takes, of parts without end, before it fails; `None` without a failure.
+fn bytes_until_failure<F>(part: F) -> Option<usize>
+where
+    F: Fn(usize) -> String,
+{
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\n").expect("a short event");
-    let part = repeated.repeat(1_000 / repeated.len());
-    (1..1_000).find(|_| splitter.push(part.as_bytes()).is_err()).map(|count| count * part.len())
+    let mut taken = 0;
+    (0..1_000).find_map(|number| {
+        let bytes = part(number);
+        taken += bytes.len();
+        let has_failed =
+            splitter.push(bytes.as_bytes()).is_err() || splitter.take_error().is_some();
+        has_failed.then_some(taken)
+    })
 }
 
 #[test]
 fn events_and_comments_are_bounded() {
     for repeated in ["x", "data: x\n", "data: x\r\n", "id: 2", ": x\n\n", ":\r\n\r\n", "\n"] {
-        let taken = bytes_until_failure(repeated).expect("a failure");
+        let part = repeated.repeat(1_000 / repeated.len());
+        let taken = bytes_until_failure(|_number| part.clone()).expect("a failure");
         assert!((64 << 10..66 << 10).contains(&taken), "{repeated:?}: {taken}");
     }
-    assert_eq!(bytes_until_failure("id: 2\ndata: x\n\n"), None);
-    assert_eq!(bytes_until_failure(": x\n\ndata: x\n\n"), None);
+    for comment in ["", ": x\n\n"] {
+        let part = |number: usize| {
+            let ids = number * 100 + 2..=number * 100 + 101;
+            let events: Vec<_> = ids.map(|id| format!("{comment}id: {id}\ndata: x\n\n")).collect();
+            events.concat()
+        };
+        assert_eq!(bytes_until_failure(part), None, "{comment:?}");
+    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/http1/tests/event_fields.rs
@@ -0,0 +1,82 @@
+//! An event of a stream has an id that rises, data, and nothing that is no field.
+
+use ibissail_http1::{EventSplitter, HttpError, StreamPosition};
+
+const SOUND: &str = "id: 3\ndata: a\n\nid: 4\ndata: b\n\n";
+
+/// Bytes that end like an event and are none, behind event 4.
+const FOREIGN: [&str; 18] = [
+    "garbage\n\n",
+    "\u{1}\n\n",
+    "{\"error\": 5}\n\n",
+    "<p>\n\n",
+    "data: x\n\n",
+    "event: x\ndata: x\n\n",
+    "id\ndata: x\n\n",
+    "id:\ndata: x\n\n",
+    "id: +5\ndata: x\n\n",
+    "id:  5\ndata: x\n\n",
+    "id: 99999999999999999999\ndata: x\n\n",
+    "id: 5\n\n",
+    "id: 5\nid: 6\ndata: x\n\n",
+    "id: 4\ndata: x\n\n",
+    "id: 2\ndata: x\n\n",
+    "retry: soon\n\n",
+    "id: 5\nepoch: 4\ndata: x\n\n",
+    "epoch: new\nid: 5\ndata: x\n\n",
+];
+
+/// What a splitter returns for a text that arrives in parts of this length, and how it ends.
+fn split(text: &str, part: usize) -> (Vec<u8>, Result<(), HttpError>) {
+    let mut splitter = EventSplitter::default().with_first_field("epoch");
+    let mut events = Vec::new();
+    for bytes in text.as_bytes().chunks(part) {
+        match splitter.push(bytes) {
+            Ok(complete) => events.extend(complete),
+            Err(error) => return (events, Err(error)),
+        }
+        if let Some(error) = splitter.take_error() {
+            return (events, Err(error));
+        }
+    }
+    (events, Ok(()))
+}
+
+#[test]
+fn foreign_bytes_end_a_stream() {
+    for foreign in FOREIGN {
+        for line_end in ["\n", "\r\n"] {
+            for part in [1, 7, 1_000] {
+                let sound = SOUND.replace('\n', line_end);
+                let text = [SOUND, foreign, "id: 7\ndata: c\n\n"].concat().replace('\n', line_end);
+                let (events, end) = split(&text, part);
+                assert!(matches!(end, Err(HttpError::Malformed(_))), "{foreign:?}: {end:?}");
+                assert_eq!(events, sound.into_bytes(), "{foreign:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn unusual_events_are_sound() {
+    for text in [
+        "id: 0\ndata: a\n\nid: 1\ndata: b\n\n",
+        "id:12\ndata:a\n\nid: 500\ndata\n\n",
+        "data: a\ndata: b\nevent: c\nid: 5\nretry: 6\n: d\n\n",
+        ": a\n\nretry: 5\n\nid: 1\ndata: b\n\n",
+        "epoch: 4\nid: 1\ndata: a\n\n: b\nepoch: 5\ndata: c\nid: 2\n\n",
+    ] {
+        for part in [1, 7, 1_000] {
+            let (events, end) = split(text, part);
+            assert_eq!((events.as_slice(), end), (text.as_bytes(), Ok(())), "{text:?}");
+        }
+    }
+}
+
+#[test]
+fn position_stays_at_the_last_event() {
+    let mut splitter = EventSplitter::new(StreamPosition::after(Some(3)));
+    assert_eq!(splitter.push(b"id: 4\ndata: a\n\ndata: b\n\n").expect("an event").len(), 15);
+    assert!(splitter.take_error().is_some());
+    assert_eq!((splitter.position().last_id(), splitter.position().event_count()), (Some(4), 1));
+}
