Compare the line ends of an event that quotes a response with its own lines

Callers got 502 for a sound stream: an event with CRLF line ends that quotes a status line was taken for another response's head if earlier events had LF line ends, which the format allows. The check compared the blank line that ends such an event with all lines of the stream. It now looks at the other lines of the same event first: one that ends with CRLF shows that the blank line is the event's own.

event_with_other_line_ends_may_quote_a_response failed before. The cut events of cut_events, whose last lines are a head without headers, still fail the stream.

--- a/crates/http1/src/event_line.rs
+++ b/crates/http1/src/event_line.rs
@@ -77,6 +77,8 @@
     has_bare_line_feeds: bool,
     /// Whether a field of the current event contains what looks like the first line of a response.
     has_status_line: bool,
+    /// Whether some other line of the current event has ended with a carriage return and a line feed.
+    has_crlf_line: bool,
 }
 
 impl EventLineCheck {
@@ -100,10 +102,12 @@
     /// ```
     pub fn check(&mut self, line: &[u8]) -> Result<(), HttpError> {
         let is_blank = matches!(line, b"\n" | b"\r\n");
+        let status_line = status_line_start(line);
         let is_head = if self.has_status_line {
-            let ends_differently = line == b"\r\n" && self.has_bare_line_feeds;
+            let ends_differently =
+                line == b"\r\n" && self.has_bare_line_feeds && !self.has_crlf_line;
             ends_differently || !is_blank && !FIELD_NAMES.contains(&field_name(line))
-        } else if let Some(start) = status_line_start(line) {
+        } else if let Some(start) = status_line {
             self.has_status_line = true;
             start <= field_name(line).len() || line.starts_with(b"id:")
         } else {
@@ -115,6 +119,8 @@
         if is_head {
             return Err(HttpError::Malformed("a response head inside a stream".to_owned()));
         }
+        self.has_crlf_line |= line.ends_with(b"\r\n") && status_line.is_none();
+        self.has_crlf_line &= !is_blank;
         self.has_status_line &= !is_blank;
         self.has_bare_line_feeds |= !line.ends_with(b"\r\n");
         Ok(())
--- a/crates/http1/tests/cut_events.rs
+++ b/crates/http1/tests/cut_events.rs
@@ -61,6 +61,8 @@
         "id: 3\ndata: {\"t\":\"HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\n\"}\n\n",
         "id: 3\ndata: HTTP/1.x and HTTP/1.\n\nid: 4\ndata: Content-Length: 1\n\n",
         ": HTTP/1.1 200 OK\n\nid: 3\ndata: x\n\n",
+        "id: 3\r\ndata: HTTP/1.1 200 OK\r\n\r\nid: 4\ndata: x\n\n",
+        "data: HTTP/1.1 200 OK\r\nid: 3\r\n\r\nid: 4\ndata: x\n\n",
     ] {
         for part in [1, 7, 1_000] {
             let events = split(text, part).expect("the events are sound");
