Take blank lines between events for complete

Callers of a sound stream saw it break off, or resumed for nothing: a blank line behind the last event that arrived by itself was held back as the start of another event. Blank lines where no event has begun are now returned as they arrive.

stream_may_end_with_blank_lines failed before.

--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -200,7 +200,8 @@
         // which may have been buffered earlier.
         let search_start = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending, search_start).unwrap_or(0);
+        let end = last_event_end(&self.pending, search_start)
+            .unwrap_or_else(|| blank_lines_end(&self.pending));
         let rest = self.pending.split_off(end);
         let mut complete = std::mem::replace(&mut self.pending, rest);
         if let Err((sound_bytes, error)) = self.record_lines(&complete) {
@@ -269,6 +270,12 @@
     }
 }
 
+/// Index after the blank lines that the bytes begin with, where no event has begun.
+fn blank_lines_end(bytes: &[u8]) -> usize {
+    let lines = bytes.split_inclusive(|b| *b == b'\n');
+    lines.take_while(|line| matches!(*line, b"\n" | b"\r\n")).map(<[u8]>::len).sum()
+}
+
 /// Index after the last blank line, searched from `search_start`; `None` when there is none.
 fn last_event_end(bytes: &[u8], search_start: usize) -> Option<usize> {
     let mut end = None;
