Return an event that is far ahead together with the next one

Callers lost events: an id far above the others that no run had sent became the position of the stream, so that the rest of the stream was refused, or the next replica went on behind it and had nothing to send. The stream then ended as complete. Any number above the last was believed at once.

An event that is further away from the one before than events of its response were is now returned with the next one, which shows that the stream goes on there. If another follows, the stream is broken off and goes on from the event before. At the end of a framed response it counts; a mere close of the connection proves nothing. Streams with even steps are not delayed.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -8,7 +8,7 @@
     upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::{Connection, Framing};
+use ibissail_http1::{Connection, EventSplitter, Framing, HttpError};
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -33,6 +33,37 @@
     }
 }
 
+/// The last event of a stream that ends with this framing, if it is still awaiting the next one.
+fn end_of_stream(splitter: &mut EventSplitter, framing: Framing) -> Result<Vec<u8>, HttpError> {
+    // Only framing tells that a stream may end behind an event that is far from the others.
+    if framing == Framing::UntilClose && splitter.has_awaiting_event() {
+        return Err(HttpError::Truncated);
+    }
+    splitter.finish()
+}
+
+/// Checks a stream at the end of its response; returns the outcome unless it is complete.
+async fn check_end(progress: &mut Progress, upstream: &UpstreamResponse) -> Option<StreamOutcome> {
+    let trial = &upstream.exchange.trial;
+    let framing = upstream.head.framing;
+    if trial.event_count() == 0 && may_not_be_empty(framing, progress.has_response_started()) {
+        return Some(StreamOutcome::Broken("the response ended without an event".to_owned()));
+    }
+    if framing != Framing::UntilClose {
+        return None;
+    }
+    let checking = trial.has_replica_ended();
+    let checked = match &mut progress.outbox {
+        Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
+        None => Ok(checking.await),
+    };
+    match checked {
+        Ok(false) => None,
+        Ok(true) => Some(StreamOutcome::Broken("the replica ended with the connection".to_owned())),
+        Err(_gone) => Some(StreamOutcome::CallerGone),
+    }
+}
+
 /// Relays the stream of one replica, preceded by the head of the response unless the caller has
 /// received one already.
 pub(super) async fn relay_stream(
@@ -73,48 +104,33 @@
             Ok(Err(error)) => return StreamOutcome::Broken(error.to_string()),
             Err(error) => return StreamOutcome::Stalled(error),
         };
-        let mut bytes = Vec::new();
         let is_end = data.is_none();
         let split = match data {
-            Some(data) => upstream.splitter.push(&data).map(Some),
-            None => Ok(None),
+            Some(data) => upstream.splitter.push(&data),
+            None => end_of_stream(&mut upstream.splitter, upstream.head.framing),
         };
-        let counted = upstream.memory.hold(upstream.splitter.partial_bytes());
+        let counted = upstream.memory.hold(upstream.splitter.buffered_bytes());
         let events = match counted.and(split) {
             Ok(events) => events,
             Err(error) => return StreamOutcome::Broken(error.to_string()),
         };
-        if let Some(events) = events {
+        if !is_end {
             exchange.load_guard.record_bytes();
             if events.is_empty() {
                 continue;
             }
+        }
+        let mut bytes = Vec::new();
+        if !events.is_empty() {
             let position = upstream.splitter.position();
             progress.position = position;
             let event_count = position.event_count() - earlier.event_count();
             exchange.trial.record_events(event_count);
             pace.record_events(event_count);
             bytes = encode_chunk(&events);
-        } else if upstream.splitter.has_partial_event() {
-            return StreamOutcome::Broken("the stream ended inside an event".to_owned());
-        } else if exchange.trial.event_count() == 0
-            && may_not_be_empty(upstream.head.framing, progress.has_response_started())
-        {
-            return StreamOutcome::Broken("the response ended without an event".to_owned());
-        } else if upstream.head.framing == Framing::UntilClose {
-            let checking = exchange.trial.has_replica_ended();
-            let checked = match &mut progress.outbox {
-                Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
-                None => Ok(checking.await),
-            };
-            match checked {
-                Ok(false) => {}
-                Ok(true) => {
-                    let error = "the replica ended with the connection";
-                    return StreamOutcome::Broken(error.to_owned());
-                }
-                Err(_gone) => return StreamOutcome::CallerGone,
-            }
+        }
+        if is_end && let Some(outcome) = check_end(progress, upstream).await {
+            return outcome;
         }
         if !progress.has_response_started() {
             let framing_header = "Transfer-Encoding: chunked\r\n";
--- a/crates/daemon/tests/unnumbered_events.rs
+++ b/crates/daemon/tests/unnumbered_events.rs
@@ -53,11 +53,9 @@
 
 impl SpoiledStream {
     fn send(&self, exchange: &mut ScriptedExchange) {
-        let parts = [
-            events_text(1..=self.after),
-            self.bytes.to_owned(),
-            events_text(self.after + 1..=EVENTS),
-        ];
+        let is_cut = !self.bytes.ends_with('\n');
+        let rest = if is_cut { String::new() } else { events_text(self.after + 1..=EVENTS) };
+        let parts = [events_text(1..=self.after), self.bytes.to_owned(), rest];
         send_parts(exchange, self.framing, &parts);
     }
 
@@ -237,3 +235,30 @@
         "id: 1\ndata: a\n\nid: 2\r\ndata: HTTP/1.1 200 OK\r\n\r\nid: 3\ndata: b\n\n";
     check_delivered("mixed", MIXED, 11);
 }
+
+/// Guards against an id that nobody sent, which becomes the position at which a stream goes on.
+#[test]
+fn event_that_leaps_ahead_does_not_hide_others() {
+    let mut streams = Vec::new();
+    for kind in ["resumable", "stream"] {
+        for framing in [StreamFraming::UntilClose, StreamFraming::Chunks] {
+            for (name, bytes) in [
+                ("leap", "id: 99\ndata: x\n\n"),
+                ("leap_to_last", "id: 8\ndata: word 8\n\n"),
+                ("leap_and_cut", "id: 99\ndata: x\n\nid: 5\nda"),
+                ("leap_to_last_and_cut", "id: 8\ndata: word 8\n\nid: 5\nda"),
+            ] {
+                streams.push(SpoiledStream { kind, framing, name, bytes, after: 4 });
+            }
+        }
+    }
+    check_all(streams);
+}
+
+/// Guards against sound ids that are refused because their steps differ.
+#[test]
+fn ids_may_rise_unevenly() {
+    let ids = [2, 3, 9, 30, 31];
+    let text: String = ids.map(|id| format!("id: {id}\ndata: word {id}\n\n")).concat();
+    check_delivered("uneven", &text, 11);
+}
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -30,28 +30,44 @@
 /// Buffers bytes of one response that is a stream, and returns complete events only.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
+    /// Bytes that have not been returned: a complete event that awaits the next one, and the start of
+    /// that.
     pending: Vec<u8>,
+    /// Length of the complete event.
+    awaiting_bytes: usize,
+    progress: SplitProgress,
+    /// Name of the field that may come first in an event, beside those of the format.
+    first_field: &'static str,
+    /// The error of what follows the events that have been returned.
+    error: Option<HttpError>,
+}
+
+/// What is known of a stream between two events.
+#[derive(Debug, Clone, Copy, Default)]
+struct SplitProgress {
     position: StreamPosition,
     /// Whether the next event is the first of a response that goes on with a stream.
     is_resumed: bool,
-    /// Name of the field that may come first in an event, beside those of the format.
-    first_field: &'static str,
     /// Bytes of comments and blank lines since the last field of an event.
     comment_bytes: usize,
     line_check: EventLineCheck,
-    /// The error of what follows the events that have been returned.
-    error: Option<HttpError>,
+}
+
+/// How far lines have been read, and what is known there.
+#[derive(Debug, Clone, Copy)]
+struct ReadEnd {
+    bytes: usize,
+    progress: SplitProgress,
 }
 
 /// Reads the lines of complete events.
 #[derive(Debug)]
 struct EventLines {
-    position: StreamPosition,
-    is_resumed: bool,
+    progress: SplitProgress,
     first_field: &'static str,
-    comment_bytes: usize,
-    line_check: EventLineCheck,
     event: EventFields,
+    /// Whether the last event is further away from the one before than events were before.
+    has_leapt: bool,
 }
 
 impl StreamPosition {
@@ -74,14 +90,15 @@
     }
 
     /// Moves behind the next event; fails if it does not follow. The first event of a response that
-    /// goes on with a stream may be no further away than events were before.
-    fn advance(&mut self, id: u64, is_resumed: bool) -> Result<(), HttpError> {
+    /// goes on with a stream may be no further away than events were before; whether another is, is
+    /// returned.
+    fn advance(&mut self, id: u64, is_resumed: bool) -> Result<bool, HttpError> {
         let last = self.last_id.unwrap_or_default();
         let step = id.saturating_sub(last);
         let is_earlier = self.last_id.is_some() && step == 0;
         // Before the first step the distance between ids is unknown.
-        let has_gap = is_resumed && self.largest_step > 0 && step > self.largest_step;
-        if is_earlier || has_gap {
+        let has_leapt = self.largest_step > 0 && step > self.largest_step;
+        if is_earlier || is_resumed && has_leapt {
             return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
         }
         if !is_resumed {
@@ -89,18 +106,43 @@
         }
         self.last_id = Some(id);
         self.event_count += 1;
-        Ok(())
+        Ok(has_leapt)
     }
 }
 
 impl EventLines {
+    /// Reads complete events. Returns where those end that count: the others are behind an error, or
+    /// are one that awaits the next.
+    fn read(&mut self, events: &[u8]) -> (ReadEnd, Result<(), HttpError>) {
+        let mut bytes = 0;
+        let mut counted = ReadEnd { bytes, progress: self.progress };
+        let mut end = counted;
+        for line in events.split_inclusive(|b| *b == b'\n') {
+            let has_begun = self.event.has_begun;
+            if let Err(error) = self.record_line(line) {
+                return (counted, Err(error));
+            }
+            bytes += line.len();
+            if EventLine::parse(line) == EventLine::Blank {
+                let earlier =
+                    std::mem::replace(&mut end, ReadEnd { bytes, progress: self.progress });
+                match (self.has_leapt, has_begun) {
+                    (false, _) => counted = end,
+                    (true, true) => counted = earlier,
+                    (true, false) => {}
+                }
+            }
+        }
+        (counted, Ok(()))
+    }
+
     /// Records a line of an event or a blank line; fails if it does not belong to the stream.
     fn record_line(&mut self, line: &[u8]) -> Result<(), HttpError> {
         match line.first() {
-            Some(b':' | b'\r' | b'\n') => self.comment_bytes += line.len(),
-            _ => self.comment_bytes = 0,
+            Some(b':' | b'\r' | b'\n') => self.progress.comment_bytes += line.len(),
+            _ => self.progress.comment_bytes = 0,
         }
-        self.line_check.check(line)?;
+        self.progress.line_check.check(line)?;
         let event = &mut self.event;
         match EventLine::parse(line) {
             EventLine::Blank => return self.end_event(),
@@ -129,12 +171,13 @@
         }
         let Some(id) = event.id.filter(|_| event.has_data) else {
             let missing = if event.has_data { "id" } else { "data" };
-            let last = self.position.last_id.unwrap_or_default();
+            let last = self.progress.position.last_id.unwrap_or_default();
             let error = format!("the event behind event {last} has no {missing}");
             return Err(HttpError::Malformed(error));
         };
-        self.position.advance(id, self.is_resumed)?;
-        self.is_resumed = false;
+        let SplitProgress { position, is_resumed, .. } = &mut self.progress;
+        self.has_leapt = position.advance(id, *is_resumed)?;
+        *is_resumed = false;
         Ok(())
     }
 }
@@ -157,7 +200,9 @@
     /// ```
     #[must_use]
     pub fn new(position: StreamPosition) -> Self {
-        Self { position, is_resumed: position.last_id.is_some(), ..Self::default() }
+        let is_resumed = position.last_id.is_some();
+        let progress = SplitProgress { position, is_resumed, ..SplitProgress::default() };
+        Self { progress, ..Self::default() }
     }
 
     /// Accepts a field with this name and a number as the first line of an event.
@@ -174,7 +219,8 @@
     }
 
     /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
-    /// one id, which is a number above that of the event before, and data.
+    /// one id, which is a number above that of the event before, and data. One that is further away
+    /// from that than events were before is returned with the next one.
     ///
     /// # Errors
     ///
@@ -198,23 +244,55 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, HttpError> {
         // The line end and blank line that end an event are up to four bytes (`\r\n\r\n`), three of
         // which may have been buffered earlier.
-        let search_start = self.pending.len().saturating_sub(3);
+        let search_start = self.pending.len().saturating_sub(3).max(self.awaiting_bytes);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending, search_start)
-            .unwrap_or_else(|| blank_lines_end(&self.pending));
-        let rest = self.pending.split_off(end);
-        let mut complete = std::mem::replace(&mut self.pending, rest);
-        if let Err((sound_bytes, error)) = self.record_lines(&complete) {
-            if sound_bytes == 0 {
+        let end = last_event_end(&self.pending, search_start).unwrap_or_else(|| {
+            self.awaiting_bytes + blank_lines_end(&self.pending[self.awaiting_bytes..])
+        });
+        let mut lines = self.lines();
+        let (sound, read) = lines.read(&self.pending[..end]);
+        if let Err(error) = read {
+            if sound.bytes == 0 {
                 return Err(error);
             }
-            complete.truncate(sound_bytes);
             self.error = Some(error);
         }
-        if self.pending.len().max(self.comment_bytes) > MAX_EVENT_BYTES {
+        let rest = self.pending.split_off(sound.bytes);
+        let events = std::mem::replace(&mut self.pending, rest);
+        self.awaiting_bytes = end - sound.bytes;
+        self.progress = sound.progress;
+        let partial_bytes = self.pending.len() - self.awaiting_bytes;
+        if partial_bytes.max(lines.progress.comment_bytes) > MAX_EVENT_BYTES {
             return Err(HttpError::EventTooLarge);
         }
-        Ok(complete)
+        Ok(events)
+    }
+
+    /// Returns the event that awaits the next one, at the end of a stream that has no other.
+    ///
+    /// # Errors
+    ///
+    /// `Truncated` when the stream has ended inside an event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut splitter = ibissail_http1::EventSplitter::default();
+    /// splitter.push(b"id: 1\ndata: a\n\n")?;
+    /// assert!(splitter.push(b"id: 7\ndata: b\n\n")?.is_empty());
+    /// assert_eq!(splitter.finish()?, b"id: 7\ndata: b\n\n");
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
+    pub fn finish(&mut self) -> Result<Vec<u8>, HttpError> {
+        if self.has_partial_event() {
+            return Err(HttpError::Truncated);
+        }
+        let events = std::mem::take(&mut self.pending);
+        self.awaiting_bytes = 0;
+        let mut lines = self.lines();
+        lines.read(&events).1?;
+        self.progress = lines.progress;
+        Ok(events)
     }
 
     /// Takes the error of the bytes behind the events that [`EventSplitter::push`] has returned last.
@@ -226,47 +304,40 @@
     /// The position of the stream after the events that have been returned.
     #[must_use]
     pub fn position(&self) -> StreamPosition {
-        self.position
+        self.progress.position
+    }
+
+    /// Whether a complete event awaits the next one.
+    #[must_use]
+    pub fn has_awaiting_event(&self) -> bool {
+        self.awaiting_bytes > 0
     }
 
     /// Whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+        self.partial_bytes() > 0
     }
 
     /// Number of buffered bytes of an incomplete event.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
+        self.pending.len() - self.awaiting_bytes
+    }
+
+    /// Number of buffered bytes, also of a complete event.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Records the lines of events; the error comes with the number of bytes before the event that
-    /// it concerns.
-    fn record_lines(&mut self, events: &[u8]) -> Result<(), (usize, HttpError)> {
-        let mut lines = EventLines {
-            position: self.position,
-            is_resumed: self.is_resumed,
+    fn lines(&self) -> EventLines {
+        EventLines {
+            progress: self.progress,
             first_field: self.first_field,
-            comment_bytes: self.comment_bytes,
-            line_check: self.line_check,
             event: EventFields::default(),
-        };
-        let mut length = 0;
-        let mut sound_bytes = 0;
-        for line in events.split_inclusive(|b| *b == b'\n') {
-            let recorded = lines.record_line(line);
-            self.comment_bytes = lines.comment_bytes;
-            recorded.map_err(|error| (sound_bytes, error))?;
-            length += line.len();
-            if EventLine::parse(line) == EventLine::Blank {
-                sound_bytes = length;
-                self.position = lines.position;
-            }
+            has_leapt: false,
         }
-        self.is_resumed = lines.is_resumed;
-        self.line_check = lines.line_check;
-        Ok(())
     }
 }
 
--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -39,7 +39,8 @@
             return (events, Err(error));
         }
     }
-    (events, Ok(()))
+    let end = splitter.finish().map(|last| events.extend(last));
+    (events, end)
 }
 
 #[test]
@@ -81,3 +82,20 @@
     assert!(splitter.take_error().is_some());
     assert_eq!((splitter.position().last_id(), splitter.position().event_count()), (Some(4), 1));
 }
+
+#[test]
+fn event_far_ahead_awaits_the_next() {
+    let mut splitter = EventSplitter::default();
+    let mut push = |text: &str| {
+        let events = splitter.push(text.as_bytes()).map(|events| events.len());
+        (events, splitter.position().last_id(), splitter.has_awaiting_event())
+    };
+    assert_eq!(push(SOUND), (Ok(30), Some(4), false));
+    assert_eq!(push("id: 9\ndata: c\n\n"), (Ok(0), Some(4), true));
+    assert_eq!(push(": comment\n\nid: 1"), (Ok(0), Some(4), true));
+    assert_eq!(push("6\ndata: d\n\n"), (Ok(26), Some(9), true));
+    assert_eq!(push("id: 18\ndata: e\n\n"), (Ok(32), Some(18), false));
+    assert_eq!(push("id: 99\ndata: f\n\n"), (Ok(0), Some(18), true));
+    let (events, last_id, _) = push("id: 19\ndata: e\n\n");
+    assert!(events.is_err() && last_id == Some(18), "{events:?}");
+}
