Return a first event that is far ahead together with the next one

Callers of a stream that may be resumed got an event that nobody had sent as the whole stream, complete: before the first step the distance between ids was unknown, so that any first id was believed and became the position, and the next replica had nothing to send behind it.

The first event is now measured from 0, or from the event after which a caller resumes, against the largest step of the service's last complete stream, 1 before one is known. A service whose ids begin or rise otherwise has the first event of a stream delayed to the second until one of its streams is complete.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -370,6 +370,8 @@
                 upstream.exchange.trial.complete();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.position.event_count());
+                let step = progress.position.largest_step();
+                self.shared.state().event_steps.record(&self.request.service, step);
                 let status = upstream.response.status;
                 // The replica is released before a slow caller has read the response.
                 upstream.exchange.finish(progress);
--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -77,8 +77,9 @@
         self.failed_connects = 0;
     }
 
-    /// Creates the progress of a request that resumes a stream after this event, if any.
-    pub(crate) fn new(resume_after: Option<u64>) -> Self {
+    /// Creates the progress of a request that resumes a stream after this event, if any. Events of such
+    /// streams are usually this far from each other.
+    pub(crate) fn new(resume_after: Option<u64>, usual_step: u64) -> Self {
         Self {
             attempts_sent: 0,
             may_have_run: false,
@@ -90,7 +91,7 @@
             first_byte_at: None,
             relayed_bytes: 0,
             outbox: None,
-            position: StreamPosition::after(resume_after),
+            position: StreamPosition::after(resume_after).with_usual_step(usual_step),
             attempt_log: Vec::new(),
             failed_connects: 0,
             has_reserved_retry: false,
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -13,10 +13,10 @@
 use crate::clock::since_boot;
 use ibissail_core::{Count, Epoch, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
-    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
-    Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex,
-    ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList,
-    RoutingTable, SeenVersions, Shedding, UnsentBudget,
+    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, EventSteps, Freshness,
+    GivenUpAttempts, Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens,
+    PrefixCacheIndex, ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits,
+    RolloutList, RoutingTable, SeenVersions, Shedding, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -74,6 +74,7 @@
     /// Whether a peer has read a newer configuration than this entry has.
     pub(super) is_configuration_outdated: bool,
     pub(crate) health: BTreeMap<InstanceId, Health>,
+    pub(super) event_steps: EventSteps,
     pub(crate) loads: BTreeMap<InstanceId, LocalLoad>,
     /// Loads that replicas have reported.
     pub(super) reported_loads: ReplicaLoads,
@@ -146,6 +147,7 @@
             replicas_confirmed_at: None,
             is_configuration_outdated: false,
             health: BTreeMap::new(),
+            event_steps: EventSteps::default(),
             loads: BTreeMap::new(),
             reported_loads: ReplicaLoads::default(),
             work: LearnedWork::default(),
@@ -208,6 +210,7 @@
         self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
         let listed: BTreeSet<(&ServiceId, &VersionId)> =
             replicas.iter().map(|replica| (&replica.service, &replica.version)).collect();
+        self.event_steps.retain(|service| listed.iter().any(|(listed, _)| *listed == service));
         for (service, versions) in &mut self.rejected {
             versions.retain(|version| listed.contains(&(service, version)));
         }
--- a/crates/daemon/tests/unnumbered_events.rs
+++ b/crates/daemon/tests/unnumbered_events.rs
@@ -248,7 +248,13 @@
                 ("leap_and_cut", "id: 99\ndata: x\n\nid: 5\nda"),
                 ("leap_to_last_and_cut", "id: 8\ndata: word 8\n\nid: 5\nda"),
             ] {
-                streams.push(SpoiledStream { kind, framing, name, bytes, after: 4 });
+                streams.extend([0, 4].map(|after| SpoiledStream {
+                    kind,
+                    framing,
+                    name,
+                    bytes,
+                    after,
+                }));
             }
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod controller;
 mod crashes;
 mod departures;
+mod event_steps;
 mod evidence;
 mod fleet_size;
 mod freshness;
@@ -77,6 +78,7 @@
     RequestHash, RunHash, ShortResponse, Suspect, SuspectAttempt, SuspectRequest, ToldCrash,
     ToldRun, UnexplainedCrashes,
 };
+pub use event_steps::EventSteps;
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
 pub use freshness::Freshness;
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -24,6 +24,8 @@
     last_id: Option<u64>,
     /// Largest difference between two ids that follow each other, and between the first and 0.
     largest_step: u64,
+    /// That of other streams, as far as it is known.
+    usual_step: u64,
     event_count: u64,
 }
 
@@ -77,6 +79,19 @@
         Self { last_id: id, ..Self::default() }
     }
 
+    /// Sets the largest difference between two ids in streams of this kind, which is 1 otherwise.
+    #[must_use]
+    pub fn with_usual_step(self, usual_step: u64) -> Self {
+        Self { usual_step, ..self }
+    }
+
+    /// Largest difference between two ids that follow each other, and between the first and 0; 0 if
+    /// there are none.
+    #[must_use]
+    pub fn largest_step(&self) -> u64 {
+        self.largest_step
+    }
+
     /// The last numeric id of a complete event; `None` before the first.
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
@@ -90,17 +105,18 @@
     }
 
     /// Moves behind the next event; fails if it does not follow. The first event of a response that
-    /// goes on with a stream may be no further away than events were before; whether another is, is
-    /// returned.
+    /// goes on with a stream may be no further away than events were before. Returns whether an event
+    /// is further away than events were before, or usually are.
     fn advance(&mut self, id: u64, is_resumed: bool) -> Result<bool, HttpError> {
         let last = self.last_id.unwrap_or_default();
         let step = id.saturating_sub(last);
         let is_earlier = self.last_id.is_some() && step == 0;
         // Before the first step the distance between ids is unknown.
-        let has_leapt = self.largest_step > 0 && step > self.largest_step;
-        if is_earlier || is_resumed && has_leapt {
+        let has_gap = is_resumed && self.largest_step > 0 && step > self.largest_step;
+        if is_earlier || has_gap {
             return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
         }
+        let has_leapt = step > self.largest_step.max(self.usual_step).max(1);
         if !is_resumed {
             self.largest_step = self.largest_step.max(step);
         }
@@ -220,7 +236,7 @@
 
     /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
     /// one id, which is a number above that of the event before, and data. One that is further away
-    /// from that than events were before is returned with the next one.
+    /// from that, or from 0, than events were before or usually are is returned with the next one.
     ///
     /// # Errors
     ///
--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -83,6 +83,18 @@
     assert_eq!((splitter.position().last_id(), splitter.position().event_count()), (Some(4), 1));
 }
 
+#[test]
+fn first_event_far_ahead_awaits_the_next() {
+    for (usual_step, after, id, is_returned) in
+        [(1, None, 1, true), (1, None, 5, false), (5, None, 5, true), (1, Some(7), 12, false)]
+    {
+        let position = StreamPosition::after(after).with_usual_step(usual_step);
+        let mut splitter = EventSplitter::new(position);
+        let events = splitter.push(format!("id: {id}\ndata: a\n\n").as_bytes());
+        assert_eq!(!events.expect("an event").is_empty(), is_returned, "{id} after {after:?}");
+    }
+}
+
 #[test]
 fn event_far_ahead_awaits_the_next() {
     let mut splitter = EventSplitter::default();
