Keep an event that is far ahead apart, and do not go on from a doubtful position

Each push read it again: 55 KB in front of one-byte chunks kept an entry from answering others for 26 s. `retry:` lines behind it had no bound. Sound streams with uneven ids broke off: one that was cut behind 3, 9 could not go on elsewhere, because a first event at 9 was refused, and one that ended with its connection lost its last event. Two foreign events in a row, or one in a stream whose ids begin far from 0, still became the position, so that the rest of the stream was never asked for.

The event that awaits the next one is read once and kept apart with the state behind it. At a mere close a stream that may be resumed goes on elsewhere, another ends. The first id and the steps are told apart, and learned apart from the service's last complete stream. If an event comes that belongs before one far ahead that was delivered, the stream is broken off and not resumed. `retry:` lines count as the other lines between events. Errors name the length of a foreign line, not its bytes, which callers would see.

In streams with other steps than 1 an event is delayed to the next until one stream of the service is complete.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -364,14 +364,16 @@
         let mut pace = PaceRecorder::new(self.shared, self.request, self.target);
         let relaying =
             relay_stream(connection, self.request, progress, &mut upstream, limits, &mut pace);
-        match relaying.await {
+        let outcome = relaying.await;
+        progress.position = progress.position.with_signs_of(upstream.splitter.position());
+        match outcome {
             StreamOutcome::Complete => {
                 self.log_close_delimited(upstream.head.framing, upstream.received_so_far());
                 upstream.exchange.trial.complete();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.position.event_count());
-                let step = progress.position.largest_step();
-                self.shared.state().event_steps.record(&self.request.service, step);
+                let service = &self.request.service;
+                self.shared.state().event_ids.record(service, progress.position);
                 let status = upstream.response.status;
                 // The replica is released before a slow caller has read the response.
                 upstream.exchange.finish(progress);
--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use futures_lite::{FutureExt, future};
 use ibissail_core::Millis;
-use ibissail_http1::{EventSplitter, HttpError};
+use ibissail_http1::{EventSplitter, Framing, HttpError};
 use std::future::Future;
 
 /// Longest time for which successors may work on the request besides the replica of a kept attempt,
@@ -143,7 +143,7 @@
     splitter: &mut EventSplitter,
     event_count: u64,
 ) -> Result<bool, HttpError> {
-    let UpstreamResponse { exchange, body, received, memory, .. } = upstream;
+    let UpstreamResponse { exchange, head, body, received, memory, .. } = upstream;
     while splitter.position().event_count() == event_count {
         if received.len() > MAX_BYTES_AHEAD {
             return Ok(false);
@@ -151,12 +151,18 @@
         let next = body.next_whole(&mut exchange.connection).await;
         memory.hold(received.len())?;
         let Some(data) = next? else {
-            let is_whole = !splitter.has_partial_event();
-            return if is_whole { Ok(true) } else { Err(HttpError::Truncated) };
+            let is_close = head.framing == Framing::UntilClose;
+            let is_cut = splitter.has_partial_event() || is_close && splitter.has_awaiting_event();
+            return if is_cut { Err(HttpError::Truncated) } else { Ok(true) };
         };
         exchange.load_guard.record_bytes();
         received.push(&data);
         splitter.push(&data)?;
+        if splitter.position().event_count() == event_count
+            && let Some(error) = splitter.take_error()
+        {
+            return Err(error);
+        }
     }
     Ok(true)
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod crash_checks;
 mod epochs;
+mod event_ids;
 mod handover;
 mod limits;
 mod load;
--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -2,7 +2,7 @@
 
 use super::{outbox::Outbox, response::ErrorReply, unsent::RequestRest};
 use ibissail_core::{ErrorKind, InstanceId, Millis, ModelId, Tokens, VersionId, ZoneId};
-use ibissail_http1::{ResponseHead, StreamPosition};
+use ibissail_http1::{ResponseHead, StreamPosition, UsualIds};
 use std::{collections::BTreeSet, net::SocketAddr};
 
 /// The outcome of a request.
@@ -78,8 +78,8 @@
     }
 
     /// Creates the progress of a request that resumes a stream after this event, if any. Events of such
-    /// streams are usually this far from each other.
-    pub(crate) fn new(resume_after: Option<u64>, usual_step: u64) -> Self {
+    /// streams usually have these ids.
+    pub(crate) fn new(resume_after: Option<u64>, usual_ids: UsualIds) -> Self {
         Self {
             attempts_sent: 0,
             may_have_run: false,
@@ -91,7 +91,7 @@
             first_byte_at: None,
             relayed_bytes: 0,
             outbox: None,
-            position: StreamPosition::after(resume_after).with_usual_step(usual_step),
+            position: StreamPosition::after(resume_after).with_usual_ids(usual_ids),
             attempt_log: Vec::new(),
             failed_connects: 0,
             has_reserved_retry: false,
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -8,7 +8,8 @@
     upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::{Connection, EventSplitter, Framing, HttpError};
+use ibissail_direct::RequestKind;
+use ibissail_http1::{Connection, Framing, HttpError};
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -33,15 +34,6 @@
     }
 }
 
-/// The last event of a stream that ends with this framing, if it is still awaiting the next one.
-fn end_of_stream(splitter: &mut EventSplitter, framing: Framing) -> Result<Vec<u8>, HttpError> {
-    // Only framing tells that a stream may end behind an event that is far from the others.
-    if framing == Framing::UntilClose && splitter.has_awaiting_event() {
-        return Err(HttpError::Truncated);
-    }
-    splitter.finish()
-}
-
 /// Checks a stream at the end of its response; returns the outcome unless it is complete.
 async fn check_end(progress: &mut Progress, upstream: &UpstreamResponse) -> Option<StreamOutcome> {
     let trial = &upstream.exchange.trial;
@@ -107,7 +99,14 @@
         let is_end = data.is_none();
         let split = match data {
             Some(data) => upstream.splitter.push(&data),
-            None => end_of_stream(&mut upstream.splitter, upstream.head.framing),
+            // A mere close does not show that the stream ends behind an event that is far ahead.
+            None if upstream.head.framing == Framing::UntilClose
+                && upstream.splitter.has_awaiting_event()
+                && request.route.kind == RequestKind::ResumableStream =>
+            {
+                Err(HttpError::Truncated)
+            }
+            None => upstream.splitter.finish(),
         };
         let counted = upstream.memory.hold(upstream.splitter.buffered_bytes());
         let events = match counted.and(split) {
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -145,6 +145,10 @@
         if let Some(reply) = Self::check_limits(request, progress) {
             return Err(reply);
         }
+        if progress.has_response_started() && progress.position.is_doubtful() {
+            let detail = "the stream cannot be resumed: an event far ahead was none of it";
+            return Err(request.error_reply(ErrorKind::OutcomeUnknown, detail));
+        }
         // A response that has started may be finished.
         if !progress.has_response_started()
             && let Some(reply) = self.check_permission(request, progress.may_have_run)
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -60,9 +60,8 @@
         }
     };
     let may_resume = request.route.kind == RequestKind::ResumableStream;
-    let usual_step = shared.state().event_steps.usual(&request.service);
-    let mut progress =
-        Progress::new(request.params.resume_after.filter(|_| may_resume), usual_step);
+    let usual_ids = shared.state().event_ids.usual(&request.service);
+    let mut progress = Progress::new(request.params.resume_after.filter(|_| may_resume), usual_ids);
     if request.route.kind.is_stream() && shared.state().is_adaptive(&request.service) {
         let caller = connection.stream().clone();
         progress.outbox = Some(Outbox::new(shared, caller, &request.params.id));
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -4,6 +4,7 @@
 use super::{
     admission::{Gate, HeardLoads},
     crash_checks::PendingChecks,
+    event_ids::EventIds,
     message_memory::CountedResponses,
     outbox::BufferedCallers,
     peers::PeerTable,
@@ -13,10 +14,10 @@
 use crate::clock::since_boot;
 use ibissail_core::{Count, Epoch, InstanceId, Millis, ServiceId, Tokens, VersionId};
 use ibissail_direct::{
-    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, EventSteps, Freshness,
-    GivenUpAttempts, Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens,
-    PrefixCacheIndex, ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits,
-    RolloutList, RoutingTable, SeenVersions, Shedding, UnsentBudget,
+    CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
+    Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex,
+    ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList,
+    RoutingTable, SeenVersions, Shedding, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -74,7 +75,7 @@
     /// Whether a peer has read a newer configuration than this entry has.
     pub(super) is_configuration_outdated: bool,
     pub(crate) health: BTreeMap<InstanceId, Health>,
-    pub(super) event_steps: EventSteps,
+    pub(super) event_ids: EventIds,
     pub(crate) loads: BTreeMap<InstanceId, LocalLoad>,
     /// Loads that replicas have reported.
     pub(super) reported_loads: ReplicaLoads,
@@ -147,7 +148,7 @@
             replicas_confirmed_at: None,
             is_configuration_outdated: false,
             health: BTreeMap::new(),
-            event_steps: EventSteps::default(),
+            event_ids: EventIds::default(),
             loads: BTreeMap::new(),
             reported_loads: ReplicaLoads::default(),
             work: LearnedWork::default(),
@@ -210,7 +211,7 @@
         self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
         let listed: BTreeSet<(&ServiceId, &VersionId)> =
             replicas.iter().map(|replica| (&replica.service, &replica.version)).collect();
-        self.event_steps.retain(|service| listed.iter().any(|(listed, _)| *listed == service));
+        self.event_ids.retain(|service| listed.iter().any(|(listed, _)| *listed == service));
         for (service, versions) in &mut self.rejected {
             versions.retain(|version| listed.contains(&(service, version)));
         }
--- a/crates/daemon/tests/unnumbered_events.rs
+++ b/crates/daemon/tests/unnumbered_events.rs
@@ -268,3 +268,25 @@
     let text: String = ids.map(|id| format!("id: {id}\ndata: word {id}\n\n")).concat();
     check_delivered("uneven", &text, 11);
 }
+
+/// Guards against an uneven stream that nobody may go on with because its last event was held back.
+#[test]
+fn uneven_stream_goes_on_elsewhere() {
+    const IDS: [u64; 6] = [1, 2, 3, 9, 10, 11];
+    let text = |ids: &[u64]| -> String {
+        let events: Vec<_> =
+            ids.iter().map(|id| format!("id: {id}\ndata: word {id}\n\n")).collect();
+        events.concat()
+    };
+    let response = send("uneven_break", "resumable", move |exchange| {
+        exchange.send_stream_head();
+        if exchange.number == 0 {
+            return exchange.send_chunk(&text(&IDS[..4]));
+        }
+        let rest: Vec<u64> = IDS.into_iter().filter(|id| *id > exchange.resume_after).collect();
+        exchange.send_chunk(&text(&rest));
+        exchange.end_stream();
+    });
+    assert_eq!(response.body, text(&IDS), "{response:?}");
+    assert!(response.status == 200 && response.is_complete, "{response:?}");
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,7 +24,6 @@
 mod controller;
 mod crashes;
 mod departures;
-mod event_steps;
 mod evidence;
 mod fleet_size;
 mod freshness;
@@ -78,7 +77,6 @@
     RequestHash, RunHash, ShortResponse, Suspect, SuspectAttempt, SuspectRequest, ToldCrash,
     ToldRun, UnexplainedCrashes,
 };
-pub use event_steps::EventSteps;
 pub use evidence::{Evidence, RouteCounts, Sample, TimeCounts, VersionCounts, latency_class};
 pub use fleet_size::FleetSize;
 pub use freshness::Freshness;
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -1,43 +1,25 @@
 //! Splits a stream of server-sent events with increasing ids into complete events.
 
-use crate::{EventLine, EventLineCheck, HttpError, event_line::parse_digits};
+use crate::{
+    EventLine, EventLineCheck, HttpError, StreamPosition, event_line::parse_digits,
+    position::Distance,
+};
 
 /// Longest event, and most bytes of comments and blank lines between two events, in bytes. An event
 /// holds some ten tokens.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
-/// Most bytes of a line in an error message, enough to tell what it is.
-const MAX_SHOWN_BYTES: usize = 32;
-
-/// The fields of an event read so far.
-#[derive(Debug, Clone, Copy, Default)]
-struct EventFields {
-    /// Whether there is anything but comments and times to connect again.
-    has_begun: bool,
-    id: Option<u64>,
-    has_data: bool,
-}
-
-/// How far a caller has received a stream, whichever responses its events came from.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct StreamPosition {
-    last_id: Option<u64>,
-    /// Largest difference between two ids that follow each other, and between the first and 0.
-    largest_step: u64,
-    /// That of other streams, as far as it is known.
-    usual_step: u64,
-    event_count: u64,
-}
-
 /// Buffers bytes of one response that is a stream, and returns complete events only.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
-    /// Bytes that have not been returned: a complete event that awaits the next one, and the start of
-    /// that.
+    /// A complete event that is far ahead and awaits the next one, with the lines behind it.
+    awaiting: Vec<u8>,
+    /// Bytes of an incomplete event.
     pending: Vec<u8>,
-    /// Length of the complete event.
-    awaiting_bytes: usize,
-    progress: SplitProgress,
+    /// State behind what has been returned.
+    returned: SplitState,
+    /// State behind the event that awaits the next one.
+    read: SplitState,
     /// Name of the field that may come first in an event, beside those of the format.
     first_field: &'static str,
     /// The error of what follows the events that have been returned.
@@ -46,123 +28,95 @@
 
 /// What is known of a stream between two events.
 #[derive(Debug, Clone, Copy, Default)]
-struct SplitProgress {
+struct SplitState {
     position: StreamPosition,
     /// Whether the next event is the first of a response that goes on with a stream.
     is_resumed: bool,
-    /// Bytes of comments and blank lines since the last field of an event.
-    comment_bytes: usize,
+    /// Bytes of lines that belong to no event since the last field of one.
+    idle_bytes: usize,
     line_check: EventLineCheck,
 }
 
-/// How far lines have been read, and what is known there.
-#[derive(Debug, Clone, Copy)]
-struct ReadEnd {
-    bytes: usize,
-    progress: SplitProgress,
+/// The fields of an event read so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct EventFields {
+    /// Whether there is anything but comments and times to connect again.
+    has_begun: bool,
+    id: Option<u64>,
+    has_data: bool,
 }
 
-/// Reads the lines of complete events.
+/// Reads complete lines.
 #[derive(Debug)]
-struct EventLines {
-    progress: SplitProgress,
+struct LineReader {
+    state: SplitState,
     first_field: &'static str,
     event: EventFields,
-    /// Whether the last event is further away from the one before than events were before.
-    has_leapt: bool,
+    /// Whether the last event awaits the next one.
+    is_awaiting: bool,
+    /// An id that does not follow the one before.
+    rejected_id: Option<u64>,
 }
 
-impl StreamPosition {
-    /// The position of a stream that goes on after the event with this id, if any.
-    #[must_use]
-    pub fn after(id: Option<u64>) -> Self {
-        Self { last_id: id, ..Self::default() }
-    }
-
-    /// Sets the largest difference between two ids in streams of this kind, which is 1 otherwise.
-    #[must_use]
-    pub fn with_usual_step(self, usual_step: u64) -> Self {
-        Self { usual_step, ..self }
-    }
-
-    /// Largest difference between two ids that follow each other, and between the first and 0; 0 if
-    /// there are none.
-    #[must_use]
-    pub fn largest_step(&self) -> u64 {
-        self.largest_step
-    }
-
-    /// The last numeric id of a complete event; `None` before the first.
-    #[must_use]
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Number of complete events, without mere comments.
-    #[must_use]
-    pub fn event_count(&self) -> u64 {
-        self.event_count
-    }
-
-    /// Moves behind the next event; fails if it does not follow. The first event of a response that
-    /// goes on with a stream may be no further away than events were before. Returns whether an event
-    /// is further away than events were before, or usually are.
-    fn advance(&mut self, id: u64, is_resumed: bool) -> Result<bool, HttpError> {
-        let last = self.last_id.unwrap_or_default();
-        let step = id.saturating_sub(last);
-        let is_earlier = self.last_id.is_some() && step == 0;
-        // Before the first step the distance between ids is unknown.
-        let has_gap = is_resumed && self.largest_step > 0 && step > self.largest_step;
-        if is_earlier || has_gap {
-            return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
-        }
-        let has_leapt = step > self.largest_step.max(self.usual_step).max(1);
-        if !is_resumed {
-            self.largest_step = self.largest_step.max(step);
-        }
-        self.last_id = Some(id);
-        self.event_count += 1;
-        Ok(has_leapt)
-    }
+/// A place between two events, and the state there.
+#[derive(Debug, Clone, Copy)]
+struct Boundary {
+    /// Bytes before it, of those that are read.
+    bytes: usize,
+    state: SplitState,
 }
 
-impl EventLines {
-    /// Reads complete events. Returns where those end that count: the others are behind an error, or
-    /// are one that awaits the next.
-    fn read(&mut self, events: &[u8]) -> (ReadEnd, Result<(), HttpError>) {
+impl LineReader {
+    /// Reads complete lines. Returns how far they may be returned, with the event that has awaited the
+    /// next one; `None` if that one still does.
+    fn read(&mut self, lines: &[u8]) -> (Option<Boundary>, Result<(), HttpError>) {
+        let mut boundary = Boundary { bytes: 0, state: self.state };
+        let mut returnable = (!self.is_awaiting).then_some(boundary);
         let mut bytes = 0;
-        let mut counted = ReadEnd { bytes, progress: self.progress };
-        let mut end = counted;
-        for line in events.split_inclusive(|b| *b == b'\n') {
-            let has_begun = self.event.has_begun;
-            if let Err(error) = self.record_line(line) {
-                return (counted, Err(error));
-            }
+        for line in lines.split_inclusive(|b| *b == b'\n') {
+            let event = match self.read_line(line) {
+                Ok(event) => event,
+                Err(error) => return (returnable, Err(error)),
+            };
             bytes += line.len();
-            if EventLine::parse(line) == EventLine::Blank {
-                let earlier =
-                    std::mem::replace(&mut end, ReadEnd { bytes, progress: self.progress });
-                match (self.has_leapt, has_begun) {
-                    (false, _) => counted = end,
-                    (true, true) => counted = earlier,
-                    (true, false) => {}
-                }
+            if EventLine::parse(line) != EventLine::Blank {
+                continue;
+            }
+            let event_start =
+                std::mem::replace(&mut boundary, Boundary { bytes, state: self.state });
+            match event {
+                Some(Distance::Far) => returnable = Some(event_start),
+                None if self.is_awaiting => {}
+                Some(Distance::Usual) | None => returnable = Some(boundary),
             }
         }
-        (counted, Ok(()))
+        (returnable, Ok(()))
     }
 
-    /// Records a line of an event or a blank line; fails if it does not belong to the stream.
-    fn record_line(&mut self, line: &[u8]) -> Result<(), HttpError> {
-        match line.first() {
-            Some(b':' | b'\r' | b'\n') => self.progress.comment_bytes += line.len(),
-            _ => self.progress.comment_bytes = 0,
+    /// Reads a line; fails if it does not belong to the stream. Returns how far ahead the event is
+    /// that the line ends, if any.
+    fn read_line(&mut self, line: &[u8]) -> Result<Option<Distance>, HttpError> {
+        self.state.line_check.check(line)?;
+        let kind = EventLine::parse(line);
+        match kind {
+            EventLine::Blank | EventLine::Comment | EventLine::Retry(_) => {
+                self.state.idle_bytes += line.len();
+            }
+            EventLine::Data(_) | EventLine::Type | EventLine::Id(_) | EventLine::Other { .. } => {
+                self.state.idle_bytes = 0;
+            }
+        }
+        if kind == EventLine::Blank {
+            return self.end_event();
         }
-        self.progress.line_check.check(line)?;
+        self.read_field(line, kind)?;
+        Ok(None)
+    }
+
+    fn read_field(&mut self, line: &[u8], kind: EventLine<'_>) -> Result<(), HttpError> {
         let event = &mut self.event;
-        match EventLine::parse(line) {
-            EventLine::Blank => return self.end_event(),
-            EventLine::Comment => return Ok(()),
+        match kind {
+            EventLine::Blank | EventLine::Comment => return Ok(()),
             EventLine::Retry(time) if parse_digits(time).is_some() => return Ok(()),
             EventLine::Data(_) => event.has_data = true,
             EventLine::Type => {}
@@ -173,35 +127,39 @@
             EventLine::Other { name, value }
                 if !event.has_begun
                     && name == self.first_field.as_bytes()
-                    && parse_digits(value).is_some() => {}
+                    && parse_digits(value.strip_prefix(b"-").unwrap_or(value)).is_some() => {}
             EventLine::Retry(_) | EventLine::Other { .. } => return Err(no_field(line)),
         }
         event.has_begun = true;
         Ok(())
     }
 
-    fn end_event(&mut self) -> Result<(), HttpError> {
+    fn end_event(&mut self) -> Result<Option<Distance>, HttpError> {
         let event = std::mem::take(&mut self.event);
         if !event.has_begun {
-            return Ok(());
+            return Ok(None);
         }
+        let SplitState { position, is_resumed, .. } = &mut self.state;
         let Some(id) = event.id.filter(|_| event.has_data) else {
             let missing = if event.has_data { "id" } else { "data" };
-            let last = self.progress.position.last_id.unwrap_or_default();
+            let last = position.last_id().unwrap_or_default();
             let error = format!("the event behind event {last} has no {missing}");
             return Err(HttpError::Malformed(error));
         };
-        let SplitProgress { position, is_resumed, .. } = &mut self.progress;
-        self.has_leapt = position.advance(id, *is_resumed)?;
+        if !position.is_followed_by(id) {
+            self.rejected_id = Some(id);
+        }
+        let distance = position.advance(id, *is_resumed)?;
         *is_resumed = false;
-        Ok(())
+        self.is_awaiting = distance == Distance::Far;
+        Ok(Some(distance))
     }
 }
 
-/// The error of a line that is no field of an event.
+/// The error of a line that is no field of an event. It reaches a caller, who must not see the bytes of
+/// another's response.
 fn no_field(line: &[u8]) -> HttpError {
-    let start = line[..line.len().min(MAX_SHOWN_BYTES)].escape_ascii();
-    HttpError::Malformed(format!("`{start}` is no field of an event"))
+    HttpError::Malformed(format!("a line of {} bytes is no field of an event", line.len()))
 }
 
 impl EventSplitter {
@@ -216,12 +174,12 @@
     /// ```
     #[must_use]
     pub fn new(position: StreamPosition) -> Self {
-        let is_resumed = position.last_id.is_some();
-        let progress = SplitProgress { position, is_resumed, ..SplitProgress::default() };
-        Self { progress, ..Self::default() }
+        let is_resumed = position.last_id().is_some();
+        let state = SplitState { position, is_resumed, ..SplitState::default() };
+        Self { returned: state, read: state, ..Self::default() }
     }
 
-    /// Accepts a field with this name and a number as the first line of an event.
+    /// Accepts a field with this name and an integer as the first line of an event.
     ///
     /// # Examples
     ///
@@ -236,14 +194,14 @@
 
     /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
     /// one id, which is a number above that of the event before, and data. One that is further away
-    /// from that, or from 0, than events were before or usually are is returned with the next one.
+    /// from that than events were before, or usually are, is returned with the next one.
     ///
     /// # Errors
     ///
-    /// `EventTooLarge` when an event, or the comments before it, are longer than 64 KiB; `Malformed`
-    /// when complete lines are no event, when an event does not follow the one before, or when a
-    /// response head begins inside the stream, at the start of a line or behind one that was cut.
-    /// Events before such bytes are returned first, and the error then stands in
+    /// `EventTooLarge` when an event, or the lines between two events, are longer than 64 KiB;
+    /// `Malformed` when complete lines are no event, when an event does not follow the one before, or
+    /// when a response head begins inside the stream, at the start of a line or behind one that was
+    /// cut. Events before such bytes are returned first, and the error then stands in
     /// [`EventSplitter::take_error`].
     ///
     /// # Examples
@@ -260,28 +218,53 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, HttpError> {
         // The line end and blank line that end an event are up to four bytes (`\r\n\r\n`), three of
         // which may have been buffered earlier.
-        let search_start = self.pending.len().saturating_sub(3).max(self.awaiting_bytes);
+        let search_start = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending, search_start).unwrap_or_else(|| {
-            self.awaiting_bytes + blank_lines_end(&self.pending[self.awaiting_bytes..])
-        });
-        let mut lines = self.lines();
-        let (sound, read) = lines.read(&self.pending[..end]);
-        if let Err(error) = read {
-            if sound.bytes == 0 {
-                return Err(error);
+        let end = last_event_end(&self.pending, search_start)
+            .unwrap_or_else(|| blank_lines_end(&self.pending));
+        let (events, read) = if end == 0 { (Vec::new(), Ok(())) } else { self.read_complete(end) };
+        let is_too_large = self.pending.len().max(self.read.idle_bytes) > MAX_EVENT_BYTES;
+        let checked = if is_too_large { Err(HttpError::EventTooLarge) } else { Ok(()) };
+        match read.and(checked) {
+            Err(error) if events.is_empty() => Err(error),
+            result => {
+                self.error = result.err();
+                Ok(events)
             }
-            self.error = Some(error);
         }
-        let rest = self.pending.split_off(sound.bytes);
-        let events = std::mem::replace(&mut self.pending, rest);
-        self.awaiting_bytes = end - sound.bytes;
-        self.progress = sound.progress;
-        let partial_bytes = self.pending.len() - self.awaiting_bytes;
-        if partial_bytes.max(lines.progress.comment_bytes) > MAX_EVENT_BYTES {
-            return Err(HttpError::EventTooLarge);
+    }
+
+    /// Reads the first `end` bytes, which are complete lines. Returns events even if an error follows.
+    fn read_complete(&mut self, end: usize) -> (Vec<u8>, Result<(), HttpError>) {
+        let rest = self.pending.split_off(end);
+        let mut complete = std::mem::replace(&mut self.pending, rest);
+        let mut reader = self.reader();
+        let (returnable, read) = reader.read(&complete);
+        let mut events = Vec::new();
+        match returnable {
+            Some(Boundary { bytes, state }) => {
+                let awaiting = complete.split_off(bytes);
+                events = std::mem::replace(&mut self.awaiting, awaiting);
+                if events.is_empty() {
+                    events = complete;
+                } else {
+                    events.extend_from_slice(&complete);
+                }
+                self.returned = state;
+            }
+            None => self.awaiting.extend_from_slice(&complete),
+        }
+        self.read = reader.state;
+        if let Some(id) = reader.rejected_id {
+            self.returned.position.record_earlier(id);
         }
-        Ok(events)
+        (events, read)
+    }
+
+    /// Takes the error of the bytes behind the events that [`EventSplitter::push`] has returned last.
+    /// The stream is broken off there.
+    pub fn take_error(&mut self) -> Option<HttpError> {
+        self.error.take()
     }
 
     /// Returns the event that awaits the next one, at the end of a stream that has no other.
@@ -303,61 +286,53 @@
         if self.has_partial_event() {
             return Err(HttpError::Truncated);
         }
-        let events = std::mem::take(&mut self.pending);
-        self.awaiting_bytes = 0;
-        let mut lines = self.lines();
-        lines.read(&events).1?;
-        self.progress = lines.progress;
-        Ok(events)
-    }
-
-    /// Takes the error of the bytes behind the events that [`EventSplitter::push`] has returned last.
-    /// The stream is broken off there.
-    pub fn take_error(&mut self) -> Option<HttpError> {
-        self.error.take()
+        self.returned = self.read;
+        Ok(std::mem::take(&mut self.awaiting))
     }
 
     /// The position of the stream after the events that have been returned.
     #[must_use]
     pub fn position(&self) -> StreamPosition {
-        self.progress.position
+        let awaiting_id = self.read.position.last_id().filter(|_| !self.awaiting.is_empty());
+        self.returned.position.with_withheld(awaiting_id)
     }
 
     /// Whether a complete event awaits the next one.
     #[must_use]
     pub fn has_awaiting_event(&self) -> bool {
-        self.awaiting_bytes > 0
+        !self.awaiting.is_empty()
     }
 
     /// Whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        self.partial_bytes() > 0
+        !self.pending.is_empty()
     }
 
     /// Number of buffered bytes of an incomplete event.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
-        self.pending.len() - self.awaiting_bytes
+        self.pending.len()
     }
 
-    /// Number of buffered bytes, also of a complete event.
+    /// Number of buffered bytes, also of an event that awaits the next one.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
-        self.pending.len()
+        self.pending.len() + self.awaiting.len()
     }
 
-    fn lines(&self) -> EventLines {
-        EventLines {
-            progress: self.progress,
+    fn reader(&self) -> LineReader {
+        LineReader {
+            state: self.read,
             first_field: self.first_field,
             event: EventFields::default(),
-            has_leapt: false,
+            is_awaiting: !self.awaiting.is_empty(),
+            rejected_id: None,
         }
     }
 }
 
-/// Index after the blank lines that the bytes begin with, where no event has begun.
+/// Length of the blank lines that the bytes begin with, where no event has begun.
 fn blank_lines_end(bytes: &[u8]) -> usize {
     let lines = bytes.split_inclusive(|b| *b == b'\n');
     lines.take_while(|line| matches!(*line, b"\n" | b"\r\n")).map(<[u8]>::len).sum()
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,14 +11,16 @@
 mod event;
 mod event_line;
 mod head;
+mod position;
 
 pub use blocks::BlockBuffer;
 pub use body::BodyReader;
 pub use connection::{Connection, dial, is_closed_by_peer};
 pub use error::HttpError;
-pub use event::{EventSplitter, StreamPosition};
+pub use event::EventSplitter;
 pub use event_line::{EventLine, EventLineCheck};
 pub use head::{
     Framing, Headers, RESPONSE_HEAD_START, RequestHead, ResponseHead, parse_request,
     parse_response, reason_phrase,
 };
+pub use position::{StreamPosition, UsualIds};
--- a/crates/http1/tests/endless_input.rs
+++ b/crates/http1/tests/endless_input.rs
@@ -108,7 +108,9 @@
 
 #[test]
 fn events_and_comments_are_bounded() {
-    for repeated in ["x", "data: x\n", "data: x\r\n", "id: 2", ": x\n\n", ":\r\n\r\n", "\n"] {
+    for repeated in
+        ["x", "data: x\n", "data: x\r\n", "id: 2", "retry: 5\n\n", ": x\n\n", ":\r\n\r\n", "\n"]
+    {
         let part = repeated.repeat(1_000 / repeated.len());
         let taken = bytes_until_failure(|_number| part.clone()).expect("a failure");
         assert!((64 << 10..66 << 10).contains(&taken), "{repeated:?}: {taken}");
