Refuse a carriage return inside a line of a stream

Receivers take a lone carriage return for the end of a line, an entry did not: events hidden behind one passed as data of a sound event, or as a comment. Such a line is no field of an event now. Streams whose lines end with carriage returns alone were not recognised before either.

The two new cases of event_fields failed before.

--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -116,6 +116,7 @@
     fn read_field(&mut self, line: &[u8], kind: EventLine<'_>) -> Result<(), HttpError> {
         let event = &mut self.event;
         match kind {
+            _ if has_lone_carriage_return(line) => return Err(no_field(line)),
             EventLine::Blank | EventLine::Comment => return Ok(()),
             EventLine::Retry(time) if parse_digits(time).is_some() => return Ok(()),
             EventLine::Data(_) => event.has_data = true,
@@ -156,6 +157,14 @@
     }
 }
 
+/// Whether a line contains a carriage return that is not part of its end. Receivers take it for the end
+/// of a line.
+fn has_lone_carriage_return(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    memchr::memchr(b'\r', line).is_some()
+}
+
 /// The error of a line that is no field of an event. It reaches a caller, who must not see the bytes of
 /// another's response.
 fn no_field(line: &[u8]) -> HttpError {
--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -6,7 +6,7 @@
 const SOUND: &str = "id: 3\ndata: a\n\nid: 4\ndata: b\n\n";
 
 /// Bytes that end like an event and are none, behind event 4.
-const FOREIGN: [&str; 18] = [
+const FOREIGN: [&str; 20] = [
     "garbage\n\n",
     "\u{1}\n\n",
     "{\"error\": 5}\n\n",
@@ -25,6 +25,8 @@
     "retry: soon\n\n",
     "id: 5\nepoch: 4\ndata: x\n\n",
     "epoch: new\nid: 5\ndata: x\n\n",
+    "id: 5\ndata: x\rdata: y\n\n",
+    ": x\r\rdata: y\n\n",
 ];
 
 /// What a splitter returns for a text that arrives in parts of this length, and how it ends.
