Allow a byte order mark at the beginning of a stream

The check of fields refused a stream that begins with a byte order mark, which the format allows; 502. The mark is passed on and not part of the first line.

--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -9,6 +9,9 @@
 /// holds some ten tokens.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// What a stream may begin with, which is no part of its first line.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Buffers bytes of one response that is a stream, and returns complete events only.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
@@ -32,6 +35,8 @@
     position: StreamPosition,
     /// Whether the next event is the first of a response that goes on with a stream.
     is_resumed: bool,
+    /// Whether a line of the response has been read.
+    has_begun: bool,
     /// Bytes of lines that belong to no event since the last field of one.
     idle_bytes: usize,
     line_check: EventLineCheck,
@@ -96,6 +101,11 @@
     /// Reads a line; fails if it does not belong to the stream. Returns how far ahead the event is
     /// that the line ends, if any.
     fn read_line(&mut self, line: &[u8]) -> Result<Option<Distance>, HttpError> {
+        let is_first = !std::mem::replace(&mut self.state.has_begun, true);
+        let line = match line.strip_prefix(BYTE_ORDER_MARK) {
+            Some(rest) if is_first && !self.state.is_resumed => rest,
+            _ => line,
+        };
         self.state.line_check.check(line)?;
         let kind = EventLine::parse(line);
         match kind {
