Let a stream end with comments

A sound stream was cut if a comment line without a blank line behind it was its last: the comment was taken for the start of an event. Complete comment lines are part of no event and are returned at the end.

The case in unusual_events_are_sound failed before.

--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -286,7 +286,8 @@
         self.error.take()
     }
 
-    /// Returns the event that awaits the next one, at the end of a stream that has no other.
+    /// Returns the event that awaits the next one, and comments behind the last one, at the end of a
+    /// stream.
     ///
     /// # Errors
     ///
@@ -306,7 +307,9 @@
             return Err(HttpError::Truncated);
         }
         self.returned = self.read;
-        Ok(std::mem::take(&mut self.awaiting))
+        let mut rest = std::mem::take(&mut self.awaiting);
+        rest.append(&mut self.pending);
+        Ok(rest)
     }
 
     /// The position of the stream after the events that have been returned.
@@ -322,10 +325,13 @@
         !self.awaiting.is_empty()
     }
 
-    /// Whether bytes of an incomplete event are buffered.
+    /// Whether bytes of an incomplete event are buffered. Complete comments belong to none.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+        !self
+            .pending
+            .split_inclusive(|b| *b == b'\n')
+            .all(|line| line.ends_with(b"\n") && EventLine::parse(line) == EventLine::Comment)
     }
 
     /// Number of buffered bytes of an incomplete event.
--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -69,7 +69,7 @@
         "data: a\ndata: b\nevent: c\nid: 5\nretry: 6\n: d\n\n",
         "\n\nid: 1\ndata: a\n\n\n\r\n\n",
         ": a\n\nretry: 5\n\nid: 1\ndata: b\n\n",
-        "\u{feff}id: 1\ndata: a\n\n",
+        "\u{feff}id: 1\ndata: a\n\n: end\n",
         "epoch: -4\nid: 1\ndata: a\n\n: b\nepoch: 5\ndata: c\nid: 2\n\n",
     ] {
         for part in [1, 7, 1_000] {
