Take only a refusal without an id for the response to a request

A replica's response to another request that lacks its id, or a head that no replica made, reached the caller as the response: as a success if it had a signature, or as a failure. It also counted for or against the version and, as any response below 500, proved the request sound. An entry took any head without `Attempt-Id` for the response, whatever its status. Replicas echo the id; only refusals may lack it, so such a head is a lost response now: a request that may run again goes to another replica, any other ends with an unknown outcome.

--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -455,7 +455,8 @@
     Ok(())
 }
 
-/// Reads the head of the response to this request; skips responses to other requests.
+/// Reads the head of the response to this request; skips responses to other requests. Only a refusal
+/// may lack the id.
 async fn read_matching_head(
     connection: &mut Connection,
     method: &str,
@@ -471,9 +472,14 @@
         let head = connection.read_response_head(method).await?;
         *head_count += 1;
         let response = decode_replica_response(&head);
-        // A response without an id can only be the replica's refusal of this request.
-        if response.id.as_deref().is_none_or(|found| found == id) {
-            return Ok((head, response));
+        match &response.id {
+            Some(found) if found == id => return Ok((head, response)),
+            Some(_other) => {}
+            None if response.rejection.is_some() => return Ok((head, response)),
+            None => {
+                let error = format!("response without an id, status {}", response.status);
+                return Err(HttpError::Malformed(error));
+            }
         }
         *skipped_body = Some(Box::new(BodyReader::new(head.framing)));
     }
