Believe that a request has not run only from a refusal

A request that may run at most once ran twice if the response to its run had `Not-Run`, and could end with 503 though it had run: an entry took the header for a promise with any status, also that of a success or of a replica's own 500 and 504, which count as run. Refusals have 400, 421, 429 or 503. The header is believed now with 503 and any status from 400 to 499; with another one the response contradicts itself, and the attempt has failed with an unknown outcome. It is neither delivered nor does it end a silence.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -295,10 +295,9 @@
             exchange.trial.dismiss();
             return Err(self.handle_rejection(progress, rejection, response.status));
         }
-        if response.status < 300 && !response.is_signed {
-            let error = "the successful response is not signed";
-            let received = Received::Head(head.framing);
-            return Err(self.handle_failure(progress, "unsigned", received, error));
+        if let Some(fault) = response.fault {
+            let (received, error) = (Received::Head(head.framing), fault.to_string());
+            return Err(self.handle_failure(progress, fault.reason(), received, &error));
         }
         Ok(UpstreamResponse::new(exchange, head, response, progress.position))
     }
--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -113,7 +113,8 @@
                     *received = Some(Box::new(head));
                 }
                 matches!(received.as_deref(), Some(Ok((_, response)))
-                    if response.rejection.is_none() && response.status < 300 && response.is_signed)
+                    if response.rejection.is_none() && response.fault.is_none()
+                        && response.status < 300)
             }
             PendingResponse::Answering(upstream) if upstream.read_error.is_some() => false,
             PendingResponse::Answering(upstream) => {
--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -20,7 +20,7 @@
     ResponseHead, StreamPosition, dial, parse_response,
 };
 use ibissail_platform::{
-    EVENT_VERSION_FIELD, ReplicaResponse, UpstreamHeaders, decode_replica_response,
+    EVENT_VERSION_FIELD, ReplicaResponse, ResponseFault, UpstreamHeaders, decode_replica_response,
     encode_upstream_head,
 };
 use std::{borrow::Cow, fmt, future::Future, io::ErrorKind, sync::Arc, time::Duration};
@@ -331,7 +331,8 @@
                 Ok(Some((head, _length))) => {
                     let response = decode_replica_response(&head);
                     // A body may quote a response; but hardly one to a request of a caller.
-                    response.id.is_some() || response.rejection.is_some()
+                    let is_refusal = response.fault == Some(ResponseFault::FalseRefusal);
+                    response.id.is_some() || response.rejection.is_some() || is_refusal
                 }
                 Ok(None) => !unread.is_empty(),
                 Err(_no_head) => false,
--- a/crates/daemon/tests/foreign_heads.rs
+++ b/crates/daemon/tests/foreign_heads.rs
@@ -60,3 +60,13 @@
 fn heads_without_an_id_are_no_responses() {
     assert_foreign(&[200, 204, 302, 404, 500, 503].map(|status| (status, HeadFault::NoId)));
 }
+
+/// Guards against a promise that a request has not run, in a response that says that it has.
+#[test]
+fn only_refusals_say_that_a_request_has_not_run() {
+    let statuses = [200, 302, 500, 504];
+    let with_id = statuses.map(|status| (status, HeadFault::NotRun));
+    assert_foreign(
+        &[with_id, statuses.map(|status| (status, HeadFault::NotRunWithoutId))].concat(),
+    );
+}
