Deliver no response that has a content encoding

A caller received a body as the replica's that something on the way had encoded, with the replica's signature: nothing checked `Content-Encoding`. Bodies are requested without any encoding, so that a response with one, whatever it names, is not the replica's body. Such an attempt has failed with an unknown outcome now, also if the response is a failure, whose body would be delivered as well.

--- a/crates/daemon/tests/foreign_heads.rs
+++ b/crates/daemon/tests/foreign_heads.rs
@@ -70,3 +70,10 @@
         &[with_id, statuses.map(|status| (status, HeadFault::NotRunWithoutId))].concat(),
     );
 }
+
+/// Guards against a body that is not the replica's, because a caller asks for none that is encoded.
+#[test]
+fn encoded_bodies_are_not_delivered() {
+    let cases = [(200, "gzip"), (200, "identity"), (200, ""), (404, "br"), (500, "gzip")];
+    assert_foreign(&cases.map(|(status, coding)| (status, HeadFault::Encoded(coding))));
+}
