Believe signals only of heads that are the replica's response

A success without a signature, one that says that it has not run, or one with a content encoding failed its attempt, but what it said of the replica was believed: that it is leaving or takes fewer requests, which kept requests from a sound replica, also at the peers that were told. Signals were recorded before the head was checked; they are recorded afterwards now. Those of refusals, which have no signature and may lack the id, count as before.

The test of foreign heads failed before at the first of its four.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -290,15 +290,15 @@
                 ));
             }
         };
+        if let Some(fault) = response.fault {
+            let (received, error) = (Received::Head(head.framing), fault.to_string());
+            return Err(self.handle_failure(progress, fault.reason(), received, &error));
+        }
         self.record_signals(&response);
         if let Some(rejection) = response.rejection {
             exchange.trial.dismiss();
             return Err(self.handle_rejection(progress, rejection, response.status));
         }
-        if let Some(fault) = response.fault {
-            let (received, error) = (Received::Head(head.framing), fault.to_string());
-            return Err(self.handle_failure(progress, fault.reason(), received, &error));
-        }
         Ok(UpstreamResponse::new(exchange, head, response, progress.position))
     }
 
