Fail responses with two ids or signatures, or an empty signature

A response that names two requests, or has two signatures or an empty one, reached the caller, and a refusal that names two had the request run again: only the first value of a header was looked at, and an empty signature counted as one. Ids that differ now equal no request's, and a success needs one signature that is not empty. Headers that occur again with the same value are believed.

--- a/crates/daemon/tests/foreign_heads.rs
+++ b/crates/daemon/tests/foreign_heads.rs
@@ -77,3 +77,21 @@
     let cases = [(200, "gzip"), (200, "identity"), (200, ""), (404, "br"), (500, "gzip")];
     assert_foreign(&cases.map(|(status, coding)| (status, HeadFault::Encoded(coding))));
 }
+
+/// Guards against an id or a signature that is one of two, or empty.
+#[test]
+fn heads_with_two_ids_or_signatures_are_no_responses() {
+    assert_foreign(&[
+        (200, HeadFault::TwoIds),
+        (404, HeadFault::TwoIds),
+        (503, HeadFault::NotRunWithTwoIds),
+        (200, HeadFault::TwoSignatures),
+        (200, HeadFault::EmptySignature),
+    ]);
+}
+
+#[test]
+fn repeated_headers_that_agree_are_believed() {
+    let (response, received) = send("unsafe", 200, HeadFault::Repeated);
+    assert_eq!((response.status, response.body.as_str(), received), (200, EVENT, 1));
+}
