--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -20,7 +20,7 @@
     ResponseHead, StreamPosition, dial, parse_response,
 };
 use ibissail_platform::{
-    EVENT_VERSION_FIELD, ReplicaResponse, UpstreamHeaders, decode_replica_response,
+    EVENT_VERSION_FIELD, ReplicaResponse, ResponseFault, UpstreamHeaders, decode_replica_response,
     encode_upstream_head,
 };
 use std::{borrow::Cow, fmt, future::Future, io::ErrorKind, sync::Arc, time::Duration};
@@ -331,7 +331,8 @@
                 Ok(Some((head, _length))) => {
                     let response = decode_replica_response(&head);
                     // A body may quote a response; but hardly one to a request of a caller.
-                    response.id.is_some() || response.rejection.is_some()
+                    let is_refusal = response.fault == Some(ResponseFault::FalseRefusal);
+                    response.id.is_some() || response.rejection.is_some() || is_refusal
                 }
                 Ok(None) => !unread.is_empty(),
                 Err(_no_head) => false,
@@ -455,7 +456,8 @@
     Ok(())
 }
 
-/// Reads the head of the response to this request; skips responses to other requests.
+/// Reads the head of the response to this request; skips responses to other requests. Only a refusal
+/// may lack the id.
 async fn read_matching_head(
     connection: &mut Connection,
     method: &str,
@@ -471,9 +473,14 @@
         let head = connection.read_response_head(method).await?;
         *head_count += 1;
         let response = decode_replica_response(&head);
-        // A response without an id can only be the replica's refusal of this request.
-        if response.id.as_deref().is_none_or(|found| found == id) {
-            return Ok((head, response));
+        match &response.id {
+            Some(found) if found == id => return Ok((head, response)),
+            Some(_other) => {}
+            None if response.rejection.is_some() => return Ok((head, response)),
+            None => {
+                let error = format!("response without an id, status {}", response.status);
+                return Err(HttpError::Malformed(error));
+            }
         }
         *skipped_body = Some(Box::new(BodyReader::new(head.framing)));
     }
