Break a stream off at bytes that are no event of the engine

Callers of a stream got bytes that their completion had not made, in a stream that ended as complete, and were billed for them: an engine beside a sidecar sent a word, control bytes, a page, an id without data or JSON that is no completion, and the sidecar took whatever stands before a blank line for an event. Each counted as an output token, also comments and errors. `data: [DONE]` followed by anything ended the stream. Sound events with CRLF line ends, or a final event without a space, made it end as incomplete.

An event now consists of fields of the format and has data: `[DONE]`, or an object with an array of choices or an error object. Comments and times to connect again are passed on and not counted. Anything else fails the run as a cut event did. Lines may end with CRLF, and several `data` lines count as one value. Entries pass on events with CRLF line ends as they come.

Without a usage report only events with choices are billed. A report that has not both counts as unsigned integers is not counted, and logged as `upstream: usage not counted`.

--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -175,7 +175,10 @@
 /// Adds bytes to the incomplete event `rest`; returns the events that are now complete.
 fn take_events(rest: &mut Vec<u8>, bytes: &[u8]) -> Vec<u8> {
     rest.extend_from_slice(bytes);
-    let end = rest.windows(2).rposition(|window| window == b"\n\n").map_or(0, |index| index + 2);
+    let line_feed_end = rest.windows(2).rposition(|window| window == b"\n\n");
+    let other_end = rest.windows(3).rposition(|window| window == b"\n\r\n");
+    let ends = [line_feed_end.map(|index| index + 2), other_end.map(|index| index + 3)];
+    let end = ends.into_iter().flatten().max().unwrap_or_default();
     let incomplete = rest.split_off(end);
     std::mem::replace(rest, incomplete)
 }
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -3,15 +3,16 @@
 use crate::sidecar::{
     Shared,
     runs::Sink,
-    sse::{EventStream, Usage},
+    sse::{CompletionPart, EventStream, UnsoundUsage},
 };
 use futures_lite::{AsyncReadExt, future::yield_now};
 use http_types::{Method, Request, StatusCode, Url};
 use ibissail_core::{ByteSize, ErrorKind, Fault, Target};
 use ibissail_execution::{RunKey, RunOutcome, RunRequest, TokenCounts};
 use ibissail_transport::{PooledResponse, SendError};
-use serde::Deserialize;
+use serde::de::IgnoredAny;
 use serde_json::{Value, json};
+use slog::warn;
 
 const READ_CHUNK_BYTES: usize = 16 << 10;
 /// Maximum length of a response that is not streamed.
@@ -58,10 +59,10 @@
     }
     let forwarded = match format {
         ResponseFormat::Events { keep_usage } if status == 200 => {
-            forward_events(reply, keep_usage, sink).await
+            forward_events(shared, req, reply, keep_usage, sink).await
         }
         ResponseFormat::Events { .. } | ResponseFormat::Body => {
-            forward_body(req, reply, sink).await
+            forward_body(shared, req, reply, sink).await
         }
     };
     match forwarded {
@@ -161,6 +162,8 @@
 type ForwardResult = Result<(String, TokenCounts), Fault>;
 
 async fn forward_events(
+    shared: &Shared,
+    req: &RunRequest,
     mut reply: PooledResponse,
     keep_usage: bool,
     sink: &Sink<'_>,
@@ -186,6 +189,9 @@
     if !events.is_done() {
         return Err(incomplete("the engine's event stream ended without its final event"));
     }
+    if let Some(usage) = events.unsound_usage() {
+        log_unsound_usage(shared, req, usage);
+    }
     reply.release();
     Ok(("text/event-stream".to_owned(), events.tokens()))
 }
@@ -194,19 +200,24 @@
     Fault::new(ErrorKind::Incomplete, detail)
 }
 
-#[derive(Debug, Deserialize)]
-struct Completion {
-    usage: Option<Usage>,
+fn log_unsound_usage(shared: &Shared, req: &RunRequest, usage: &UnsoundUsage) {
+    warn!(shared.node.log, "upstream: usage not counted"; "run" => %req.key,
+        "target" => %req.target, "usage" => %usage);
 }
 
-async fn forward_body(req: &RunRequest, reply: PooledResponse, sink: &Sink<'_>) -> ForwardResult {
+async fn forward_body(
+    shared: &Shared,
+    req: &RunRequest,
+    reply: PooledResponse,
+    sink: &Sink<'_>,
+) -> ForwardResult {
     let content_type = reply.response.content_type().map(|mime| mime.to_string());
     let status = reply.response.status();
     let limit = req.time_left.as_duration();
     let bytes =
         reply.read_body(MAX_RESPONSE, limit).await.map_err(|error| transport_fault(req, &error))?;
     let tokens = match req.target {
-        Target::Model(_) => completion_tokens(&bytes, status)?,
+        Target::Model(_) => completion_tokens(shared, req, &bytes, status)?,
         Target::Service(_) => TokenCounts::default(),
     };
     if !bytes.is_empty() && !sink.append_last(&bytes) {
@@ -220,12 +231,24 @@
 
 /// Token counts that a completion reports; fails if it succeeded and is no JSON, because then it was
 /// cut.
-fn completion_tokens(body: &[u8], status: StatusCode) -> Result<TokenCounts, Fault> {
-    match serde_json::from_slice::<Completion>(body) {
-        Ok(completion) => Ok(completion.usage.map(TokenCounts::from).unwrap_or_default()),
-        Err(error) if status == StatusCode::Ok && !error.is_data() => {
-            Err(incomplete(&format!("the engine's response was cut: {error}")))
+fn completion_tokens(
+    shared: &Shared,
+    req: &RunRequest,
+    body: &[u8],
+    status: StatusCode,
+) -> Result<TokenCounts, Fault> {
+    match serde_json::from_slice::<IgnoredAny>(body) {
+        Err(error) if status == StatusCode::Ok => {
+            return Err(incomplete(&format!("the engine's response was cut: {error}")));
+        }
+        Ok(IgnoredAny) | Err(_) => {}
+    }
+    match CompletionPart::parse(body).ok().and_then(|part| part.tokens) {
+        Some(Ok(tokens)) => Ok(tokens),
+        Some(Err(usage)) => {
+            log_unsound_usage(shared, req, &usage);
+            Ok(TokenCounts::default())
         }
-        Err(_no_completion) => Ok(TokenCounts::default()),
+        None => Ok(TokenCounts::default()),
     }
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -439,6 +439,11 @@
         send(listen, "POST", path, &all, body).unwrap_or_else(Response::missing)
     }
 
+    /// What a process has logged since its last start.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.dir.join(format!("{name}.log"))).expect("the log is readable")
+    }
+
     /// Totals of all ledgers by target: requests, prompt tokens, response tokens.
     pub fn ledger_totals(&self) -> BTreeMap<String, (u64, u64, u64)> {
         let platform = HttpPlatformClient::new(self.platform, WAIT_TIMEOUT);
