Fail a completion that is JSON but no completion

Callers of a completion that is not streamed got `5`, `null`, `[]`, `{}` or a text as the answer of an engine, billed with 0 tokens: any JSON with status 200 passed. It must now be an object with an array of choices or an error object, as in a stream; else the run fails as a cut one does, and may be made elsewhere. Other status codes are passed on as before, and their usage is not read, since only status 200 is billed.

--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -10,7 +10,6 @@
 use ibissail_core::{ByteSize, ErrorKind, Fault, Target};
 use ibissail_execution::{RunKey, RunOutcome, RunRequest, TokenCounts};
 use ibissail_transport::{PooledResponse, SendError};
-use serde::de::IgnoredAny;
 use serde_json::{Value, json};
 use slog::warn;
 
@@ -217,8 +216,8 @@
     let bytes =
         reply.read_body(MAX_RESPONSE, limit).await.map_err(|error| transport_fault(req, &error))?;
     let tokens = match req.target {
-        Target::Model(_) => completion_tokens(shared, req, &bytes, status)?,
-        Target::Service(_) => TokenCounts::default(),
+        Target::Model(_) if status == StatusCode::Ok => completion_tokens(shared, req, &bytes)?,
+        Target::Model(_) | Target::Service(_) => TokenCounts::default(),
     };
     if !bytes.is_empty() && !sink.append_last(&bytes) {
         return Err(Fault::new(
@@ -229,21 +228,11 @@
     Ok((content_type.unwrap_or_else(|| "application/octet-stream".to_owned()), tokens))
 }
 
-/// Token counts that a completion reports; fails if it succeeded and is no JSON, because then it was
-/// cut.
-fn completion_tokens(
-    shared: &Shared,
-    req: &RunRequest,
-    body: &[u8],
-    status: StatusCode,
-) -> Result<TokenCounts, Fault> {
-    match serde_json::from_slice::<IgnoredAny>(body) {
-        Err(error) if status == StatusCode::Ok => {
-            return Err(incomplete(&format!("the engine's response was cut: {error}")));
-        }
-        Ok(IgnoredAny) | Err(_) => {}
-    }
-    match CompletionPart::parse(body).ok().and_then(|part| part.tokens) {
+/// Token counts that a completion reports; fails if the body is none.
+fn completion_tokens(shared: &Shared, req: &RunRequest, body: &[u8]) -> Result<TokenCounts, Fault> {
+    let part = CompletionPart::parse(body)
+        .map_err(|error| incomplete(&format!("the engine's response is no completion: {error}")))?;
+    match part.tokens {
         Some(Ok(tokens)) => Ok(tokens),
         Some(Err(usage)) => {
             log_unsound_usage(shared, req, &usage);
--- a/crates/daemon/tests/engine_events.rs
+++ b/crates/daemon/tests/engine_events.rs
@@ -85,6 +85,12 @@
     send(test, parts, true)
 }
 
+fn send_body(test: &str, body: &str) -> (Cluster, http::Response) {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+    let response = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    send(test, vec![response], false)
+}
+
 /// Tokens of the only request that the ledgers contain.
 fn billed_tokens(cluster: &Cluster) -> (u64, u64) {
     let totals = || cluster.ledger_totals().get("swift@1").copied().unwrap_or_default();
@@ -158,3 +164,27 @@
         assert!(cluster.log("engine-1").contains("upstream: usage not counted"), "{usage}");
     }
 }
+
+/// Guards against bodies that are delivered as completions because they are JSON.
+#[test]
+fn json_that_is_no_completion_is_not_delivered() {
+    let bodies = ["5", "null", "[]", "{}", "[{}]", "\"a\"", "{\"choices\":5}", "{\"usage\":{}}"];
+    let mut wrong = Vec::new();
+    for (number, body) in bodies.into_iter().enumerate() {
+        let (_, response) = send_body(&format!("engine_json_{number}"), body);
+        if response.status == 200 {
+            wrong.push(body);
+        }
+    }
+    assert!(wrong.is_empty(), "{} of {}: {wrong:?}", wrong.len(), bodies.len());
+}
+
+/// Guards against an impossible usage of a completion that nobody hears of.
+#[test]
+fn impossible_usage_of_a_completion_is_logged() {
+    let body = "{\"choices\":[{}],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":-7}}";
+    let (cluster, response) = send_body("engine_body_usage", body);
+    assert_eq!((response.status, response.text()), (200, body.into()), "{response:?}");
+    assert_eq!(billed_tokens(&cluster), (0, 0));
+    assert!(cluster.log("engine-1").contains("upstream: usage not counted"));
+}
