Keep sums of tokens in ledgers at the largest value

Two requests whose engines report 2^64-1 tokens made the sum of a ledger overflow: it started again near zero in release builds, and in debug builds ended the task that counts it. Sums now stay at the largest value. How many tokens a report may name is not bounded: neither the body nor the response tells how many tokens an engine counts.

sums_stay_at_the_largest_value failed before ("attempt to add with overflow").

--- a/crates/billing/src/ledger.rs
+++ b/crates/billing/src/ledger.rs
@@ -36,11 +36,11 @@
 }
 
 impl Usage {
-    /// Adds other totals to these.
+    /// Adds other totals to these; a sum stays at the largest value on overflow.
     pub fn add(&mut self, other: Self) {
         self.requests += other.requests;
-        self.input.0 += other.input.0;
-        self.output.0 += other.output.0;
+        self.input.0 = self.input.0.saturating_add(other.input.0);
+        self.output.0 = self.output.0.saturating_add(other.output.0);
     }
 }
 
