Answer a rejected stream with the engine's status

Callers of a streamed completion that the engine rejected, such as with 400 for a prompt that is too long, got 200 and the text of the rejection as a stream that ended as complete (`{"error":...}data: [DONE]`). The entry took the first bytes of a response for those of a stream; the status comes with the end.

A response whose first line that is not blank is no line of an event is now received whole and answered with its status and content type. If what looked like a stream ends with another status than 200, its caller gets an error event, not the final one.

--- a/crates/daemon/src/entry/attempts.rs
+++ b/crates/daemon/src/entry/attempts.rs
@@ -101,13 +101,28 @@
 
     /// Collects the complete response; an attempt that fails midway is retried on another replica.
     pub(crate) async fn complete(&mut self) -> Result<CompleteResponse, Fault> {
-        let completed = self.try_complete().await;
+        let completed = Box::pin(self.try_complete(None)).await;
         completed.map_err(|fault| self.final_fault(fault))
     }
 
-    async fn try_complete(&mut self) -> Result<CompleteResponse, Fault> {
+    /// Like `complete`, beginning with an attempt that has sent its first bytes.
+    pub(crate) async fn complete_started(
+        &mut self,
+        started: StartedResponse,
+    ) -> Result<CompleteResponse, Fault> {
+        let completed = Box::pin(self.try_complete(Some(started))).await;
+        completed.map_err(|fault| self.final_fault(fault))
+    }
+
+    async fn try_complete(
+        &mut self,
+        mut started: Option<StartedResponse>,
+    ) -> Result<CompleteResponse, Fault> {
         loop {
-            let StartedResponse { mut relay, target, first } = self.try_start().await?;
+            let StartedResponse { mut relay, target, first } = match started.take() {
+                Some(started) => started,
+                None => self.try_start().await?,
+            };
             match relay.collect(self.ctx, first).await {
                 Ok((bytes, summary)) => {
                     return Ok(CompleteResponse { relay, target, summary, bytes });
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -20,6 +20,7 @@
 use ibissail_catalogue::{Catalogue, Purpose, ResolvedOrganisation};
 use ibissail_core::{ErrorKind, Fault, ModelId, ModelVersion, Ran, Target};
 use ibissail_direct::ContentHash;
+use ibissail_http1::EventLine;
 use ibissail_routing::Permit;
 use ibissail_transport::{BodySender, body_channel};
 use serde_json::Value;
@@ -183,6 +184,14 @@
     std::mem::replace(rest, incomplete)
 }
 
+/// Whether a response begins with a line of an event; its status is only known at its end.
+fn is_event_stream(first: &Item) -> bool {
+    let Item::Chunk(bytes) = first else { return false };
+    let mut lines = bytes.split_inclusive(|b| *b == b'\n').map(EventLine::parse);
+    let first_line = lines.find(|line| *line != EventLine::Blank);
+    !matches!(first_line, Some(EventLine::Other { .. }))
+}
+
 /// A chat completion in progress.
 #[derive(Debug)]
 struct ChatCompletion {
@@ -204,10 +213,14 @@
         let targets = || self.targets();
         let complete =
             Attempts::new(&self.shared, &self.ctx, &self.spec, targets).complete().await?;
+        Ok(self.deliver(complete).await)
+    }
+
+    async fn deliver(&self, complete: CompleteResponse) -> Response {
         let CompleteResponse { mut relay, target, summary, bytes } = complete;
         self.bill(&relay, &target, &summary).await;
         relay.finish().await;
-        Ok(self.respond(&target, &summary, bytes))
+        self.respond(&target, &summary, bytes)
     }
 
     fn respond(&self, target: &Target, summary: &ResponseSummary, bytes: Vec<u8>) -> Response {
@@ -237,17 +250,20 @@
         billing::confirm(&self.shared, &self.ctx, address, &relay.key, record).await;
     }
 
-    /// Streams the response; the response head is sent once the first bytes have arrived.
+    /// Streams the response; the response head is sent once the first bytes have arrived. A response
+    /// that is no stream, such as a rejection, is sent once it is complete.
     async fn streaming(self, permit: Permit) -> Result<Response, Fault> {
         let targets = || self.targets();
         let mut attempts = Attempts::new(&self.shared, &self.ctx, &self.spec, targets);
-        let disconnected = async {
+        let disconnected = || async {
             self.ctx.caller.disconnected().await;
-            Err(Fault::new(ErrorKind::Incomplete, "the caller disconnected"))
+            Fault::new(ErrorKind::Incomplete, "the caller disconnected")
         };
-        let started = or(attempts.start(), disconnected).await?;
-        if let Item::End(summary) = &started.first {
-            return Ok(self.respond(&started.target, summary, Vec::new()));
+        let started = or(attempts.start(), async { Err(disconnected().await) }).await?;
+        if !is_event_stream(&started.first) {
+            let completing = attempts.complete_started(started);
+            let complete = or(completing, async { Err(disconnected().await) }).await?;
+            return Ok(self.deliver(complete).await);
         }
         let target = started.target.to_string();
         let (sender, body) = body_channel();
@@ -286,6 +302,11 @@
                         return;
                     }
                 }
+                Item::End(summary) if summary.status != STATUS_OK => {
+                    let detail = format!("status {} behind a stream", summary.status);
+                    let fault = Fault::new(ErrorKind::UpstreamFailed, detail);
+                    return self.send_error_event(sender, &fault).await;
+                }
                 Item::End(summary) => {
                     self.bill(&relay, &target, &summary).await;
                     rest.extend_from_slice(DONE_EVENT);
