Read responses whose headers are not ASCII

Callers got 504 at their deadline for a sound response of an upstream beside a sidecar with a header such as `X-Name: café`, and the run kept its place at the sidecar: the HTTP library panics on such a value, which ended the run's task without an end of the run. Values in Latin-1 failed with 502. HTTP allows both in the values of headers.

Bytes of a response's head that are not ASCII are now read as `?`. The sidecar uses only the content type, framing and limit of a response; its body is not changed.

--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -35,16 +35,45 @@
     }
 }
 
+/// Replaces bytes of a head that are not ASCII, which the format allows in values. The HTTP library
+/// panics on them.
+#[derive(Debug, Clone, Default)]
+struct HeadFilter {
+    /// The last bytes before the next, most recent first.
+    last: [u8; 3],
+    has_ended: bool,
+}
+
+impl HeadFilter {
+    fn apply(&mut self, bytes: &mut [u8]) {
+        for byte in bytes {
+            if self.has_ended {
+                return;
+            }
+            if !byte.is_ascii() {
+                *byte = b'?';
+            }
+            let [first, second, third] = self.last;
+            self.has_ended = matches!(
+                [third, second, first, *byte],
+                [_, _, b'\n', b'\n'] | [b'\r', b'\n', b'\r', b'\n']
+            );
+            self.last = [*byte, first, second];
+        }
+    }
+}
+
 /// A TCP stream to a peer that fails reads of a head without end.
 #[derive(Debug, Clone)]
 pub(crate) struct Upstream {
     stream: TcpStream,
     pub(crate) progress: Arc<ResponseProgress>,
+    head_filter: HeadFilter,
 }
 
 impl Upstream {
     pub(crate) fn new(stream: TcpStream) -> Self {
-        Self { stream, progress: Arc::default() }
+        Self { stream, progress: Arc::default(), head_filter: HeadFilter::default() }
     }
 }
 
@@ -58,6 +87,7 @@
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.head_filter.apply(&mut buf[..count]);
         self.progress.head_bytes.fetch_add(count as u64, Ordering::Relaxed);
         Poll::Ready(Ok(count))
     }
