End a run whose task has ended

Callers waited for their deadline (504), and the run kept its place at the sidecar for good, when the HTTP library panicked on an upstream's response, as it does on a trailer that is not ASCII: the task ended without an outcome. Such a run now fails when its task ends, a keyed one with `outcome_unknown`, and is logged as `run: lost`.

--- a/crates/daemon/src/sidecar/runs.rs
+++ b/crates/daemon/src/sidecar/runs.rs
@@ -56,9 +56,35 @@
     task::spawn(execute(Arc::clone(shared), active, cancelled));
 }
 
+/// Ends a run whose task ends without an outcome, as when the HTTP library panics on a response.
+#[derive(Debug)]
+struct LostRun<'a> {
+    shared: &'a Arc<Shared>,
+    active: &'a ActiveRun,
+    has_ended: bool,
+}
+
+impl Drop for LostRun<'_> {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        let (shared, req) = (Arc::clone(self.shared), Arc::clone(&self.active.request));
+        let kind =
+            if req.key.is_keyed() { ErrorKind::OutcomeUnknown } else { ErrorKind::UpstreamFailed };
+        let fault = Fault::new(kind, "the response could not be read");
+        warn!(shared.node.log, "run: lost"; "run" => %req.key);
+        shared.table().end(&req.key, RunOutcome::Failed(fault), shared.node.now());
+        shared.active().remove(&req.key);
+        self.active.progress.notify(usize::MAX);
+        task::spawn(async move { claims::write_outcome(&shared, &req).await });
+    }
+}
+
 /// Runs a request to its end, and stores the outcome of a keyed one in its claim.
 async fn execute(shared: Arc<Shared>, active: ActiveRun, cancelled: Receiver<Fault>) {
     let req = &active.request;
+    let mut lost = LostRun { shared: &shared, active: &active, has_ended: false };
     debug!(shared.node.log, "run: started"; "run" => %req.key, "target" => %req.target);
     let sink = Sink { shared: &shared, active: &active };
     let completion = upstream::run(&shared, req, &sink);
@@ -76,6 +102,7 @@
     } else {
         or(completion, or(cancel, timed_out)).await
     };
+    lost.has_ended = true;
     let now = shared.node.now();
     let was_sent = !matches!(outcome, Outcome::NotSent(_));
     match outcome {
