Take confirmations of peers only for questions that were asked

Callers whose key had been taken away would be served for ever: one message with a time in the future made the configuration count as current up to that time, whatever the store did. A confirmation was believed because it named this run of the entry; the time that it repeats was not compared with anything.

What entries send is unchanged, and earlier builds repeat the time that they were given.

confirmation_of_a_question_that_is_not_asked_yet_keeps_no_key_valid: status 200 before, 503 after, 2.3 s after the store has failed, with keys accepted for 2 s. The tests of store_rejections, in which confirmations keep an entry serving, pass after.

--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -129,12 +129,12 @@
                 }
             }
             Ok(Message::Confirmation(confirmation)) => {
-                if confirmation.to == self.state().peers.incarnation {
+                if self.state().peers.has_asked(confirmation.to, confirmation.asked) {
                     self.apply_confirmation(&confirmation);
                 }
             }
             Ok(Message::EpochConfirmation(confirmation)) => {
-                if confirmation.to == self.state().peers.incarnation {
+                if self.state().peers.has_asked(confirmation.to, confirmation.asked) {
                     self.apply_epoch_confirmation(&confirmation);
                 }
             }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -185,6 +185,8 @@
     fleet: FleetSize,
     /// Number of rounds of reports that this entry has started.
     round: u64,
+    /// When these rounds began, by which their reports ask for confirmation.
+    asked: BTreeSet<Millis>,
     /// When a peer was last discovered; `None` if none ever was.
     discovered_at: Option<Millis>,
 }
@@ -212,6 +214,7 @@
             demands: BTreeMap::new(),
             fleet: FleetSize::new(&settings.vm, since_boot()),
             round: 0,
+            asked: BTreeSet::new(),
             discovered_at: None,
         };
         table.set_seeds(&settings.seeds);
@@ -335,6 +338,11 @@
         self.rank(now) == 0
     }
 
+    /// Whether this run of the entry has lately asked for confirmation at this time.
+    pub(super) fn has_asked(&self, to: Incarnation, asked: Millis) -> bool {
+        to == self.incarnation && self.asked.contains(&asked)
+    }
+
     /// The latest requests for confirmation of live peers.
     pub(super) fn confirmation_requests(&self, now: Millis) -> Vec<ConfirmationRequest> {
         let request = |(_, peer): (&VmId, &Peer)| ConfirmationRequest {
@@ -433,6 +441,8 @@
     /// Starts the next round of reports; returns the addresses to send them to.
     pub(super) fn start_round(&mut self, now: Millis) -> Vec<SocketAddr> {
         self.round += 1;
+        self.asked.retain(|asked| now.since(*asked) < CONTACT_TTL);
+        self.asked.insert(now);
         self.contacts.retain(|_, last_seen| now.since(*last_seen) < CONTACT_TTL);
         self.peers.retain(|_, peer| now.since(peer.last_seen) < CONTACT_TTL);
         let mut receivers: Vec<SocketAddr> = self.live(now).map(|(_, peer)| peer.address).collect();
