Ignore a datagram that is more than one message

An entry would act on a datagram because it begins with a message: a truncated or joined one whose first bytes decode was applied, and what followed was dropped unread. A datagram holds one message; bytes after it now make it no message, and it is logged as ignored.

message_with_bytes_after_it_is_ignored: the peer was discovered and nothing logged before; ignored after, while the same message without the byte is read.

--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -9,6 +9,7 @@
 };
 use crate::clock::since_boot;
 use async_std::{net::UdpSocket, task};
+use derive_more::{Display, From};
 use futures_lite::FutureExt;
 use ibissail_core::{Epoch, Incarnation, Millis, StoreRevision};
 use ibissail_direct::{Confirmation, Confirmed, EpochConfirmation, EpochConfirmed};
@@ -48,6 +49,22 @@
             | Self::ReplicaChanges(_) => rmp_serde::to_vec(self),
         }
     }
+
+    /// Decodes a datagram, which holds one message and nothing else.
+    fn decode(mut bytes: &[u8]) -> Result<Self, MessageError> {
+        let message = rmp_serde::from_read(&mut bytes)?;
+        if bytes.is_empty() { Ok(message) } else { Err(MessageError::Trailing(bytes.len())) }
+    }
+}
+
+/// Why a datagram is not a message.
+#[derive(Debug, Display, From)]
+enum MessageError {
+    #[display("{_0}")]
+    Decode(rmp_serde::decode::Error),
+    #[display("{_0} bytes follow the message")]
+    #[from(skip)]
+    Trailing(usize),
 }
 
 /// Result of a read from the store that is passed on to peers.
@@ -119,7 +136,7 @@
 
     /// Handles a message; returns the address of a peer that was not known to be alive.
     fn handle_message(&self, bytes: &[u8]) -> Option<SocketAddr> {
-        match rmp_serde::from_slice::<Message>(bytes) {
+        match Message::decode(bytes) {
             Ok(Message::Report(report)) => {
                 let (vm, address) = (report.vm.clone(), report.address);
                 self.hear_rollouts(&report);
--- a/crates/daemon/tests/false_confirmations.rs
+++ b/crates/daemon/tests/false_confirmations.rs
@@ -101,3 +101,20 @@
     });
     assert_eq!(status, 503);
 }
+
+#[test]
+fn message_with_bytes_after_it_is_ignored() {
+    let fixture = start("false_length");
+    let socket = UdpSocket::bind((fixture.peer_address().ip(), 0)).expect("a port");
+    for (vm, extra) in [("joined", &[0_u8; 1][..]), ("whole", &[])] {
+        let address = socket.local_addr().expect("an address");
+        let vm = vm.parse().expect("a name");
+        let report = (vm, Incarnation(5), Millis(1), address, [], [], [], []);
+        let mut bytes = rmp_serde::to_vec(&Message::Report(report)).expect("encoded");
+        bytes.extend(extra);
+        socket.send_to(&bytes, fixture.peer_address()).expect("it is sent");
+    }
+    wait_until("the whole message is read", || fixture.log().contains("\"whole\""));
+    let log = fixture.log();
+    assert!(log.contains("peers: message ignored") && !log.contains("\"joined\""), "{log}");
+}
