Add the counts that peers report without overflow

A request would fail at an entry that two reports have told of absurd loads: their sum overflowed, which ends the task in debug builds and wraps to a small load in release builds. The same holds for the responses that peers have counted in a rollout.

Sums over peers now stop at the largest value.

--- a/crates/daemon/src/direct/pace.rs
+++ b/crates/daemon/src/direct/pace.rs
@@ -30,7 +30,7 @@
     /// Prompt tokens at a replica that wait to be prefilled, for this entry and its peers.
     fn pending_prefill(&self, replica: &InstanceId, now: Millis) -> Tokens {
         let own = self.loads.get(replica).copied().unwrap_or_default().pending_prefill;
-        Tokens(own.0 + self.peers.pending_prefill(replica, now).0)
+        Tokens(own.0.saturating_add(self.peers.pending_prefill(replica, now).0))
     }
 }
 
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -382,8 +382,8 @@
         for peer in self.peers.values().filter(|peer| now.since(peer.last_seen) < LOAD_TTL) {
             for load in &peer.report.loads {
                 let sum = loads.entry(load.replica).or_default();
-                sum.0 += load.running;
-                sum.1.0 += load.pending_prefill.0;
+                sum.0 = sum.0.saturating_add(load.running);
+                sum.1.0 = sum.1.0.saturating_add(load.pending_prefill.0);
             }
         }
         loads
@@ -401,7 +401,7 @@
         let recent = self.peers.values().filter(|peer| now.since(peer.last_seen) < LOAD_TTL);
         let loads = recent.flat_map(|peer| &peer.report.loads);
         let here = loads.filter(|load| load.replica == hash);
-        Tokens(here.map(|load| load.pending_prefill.0).sum())
+        Tokens(here.fold(0, |sum, load| sum.saturating_add(load.pending_prefill.0)))
     }
 
     /// Stores the configuration version that a peer has told.
--- a/crates/daemon/src/direct/selection.rs
+++ b/crates/daemon/src/direct/selection.rs
@@ -401,7 +401,7 @@
                 slots: replica.slots.0,
                 // A replica that turns peers away is taken as full.
                 running: if is_paused_for_peers { running.max(replica.slots.0) } else { running },
-                pending_prefill: Tokens(own.pending_prefill.0 + pending_prefill.0),
+                pending_prefill: Tokens(own.pending_prefill.0.saturating_add(pending_prefill.0)),
                 cached_tokens,
                 load,
                 rates,
--- a/crates/direct/src/evidence.rs
+++ b/crates/direct/src/evidence.rs
@@ -71,8 +71,8 @@
 
 impl RouteCounts {
     fn add(&mut self, other: Self) {
-        self.answers += other.answers;
-        self.bad += other.bad;
+        self.answers = self.answers.saturating_add(other.answers);
+        self.bad = self.bad.saturating_add(other.bad);
     }
 
     pub(crate) fn failure_share(self) -> f64 {
@@ -93,9 +93,9 @@
 
 impl TimeCounts {
     fn add(&mut self, other: &Self) {
-        self.answers += other.answers;
-        self.log_sum += other.log_sum;
-        self.log_squares += other.log_squares;
+        self.answers = self.answers.saturating_add(other.answers);
+        self.log_sum = self.log_sum.saturating_add(other.log_sum);
+        self.log_squares = self.log_squares.saturating_add(other.log_squares);
     }
 
     fn record(&mut self, latency_ms: u64) {
