Soak: replicas that put foreign bytes into their streams

The soak's streams broke off, but no replica sent bytes that are no event of its run, so that it passed while callers got such bytes. Six more replicas now put them into 3 of 10 streams, at random: words, a page, data without an id, ids that the stream has had, of this or another run, ids far ahead and another response's head; before the first event, between events or behind the last one; in a stream until close, in a chunk, or between chunks. They serve a route that may be resumed and one that may not, beside all faults that the soak has. Ids that a sound event may have there are not drawn: any before the first event, and higher ones at the end of a framed stream.

Each stream must consist of whole events of its run, from the first on, by their text, and of all if it is complete; the ids alone were compared. Streams that may not be resumed run at most once. The new requests do not count for the least number that must be served, and each of the older paths has as many callers as before.

--- a/crates/daemon/tests/direct_soak.rs
+++ b/crates/daemon/tests/direct_soak.rs
@@ -8,8 +8,8 @@
 use direct::{EntryFixture, fault_proxy::FaultProxy};
 use ibissail_platform_standin::{
     BODY_BYTE, Behaviour, CallerRequest, CallerResponse, ConfigurationSpec, EarlyBehaviour,
-    EarlyReplica, EarlyResponse, ReplicaStandin, RestReading, RouteSpec, StoreFault, StoreStandin,
-    StreamEnding, send_request,
+    EarlyReplica, EarlyResponse, ForeignReplicas, ReplicaStandin, RestReading, RouteSpec,
+    StoreFault, StoreStandin, StreamEnding, run_events, send_request,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -33,6 +33,8 @@
 const KEY_AGE_LIMIT: Duration = Duration::from_secs(2);
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
+/// Streams with foreign bytes that a run must have at least.
+const MIN_FOREIGN_RUNS: usize = 20;
 /// Length of a body that its replica responds to before it has read it.
 const LONG_BODY_BYTES: usize = 6 << 20;
 /// Time in which the rest of such a body reaches its replica.
@@ -49,6 +51,8 @@
 fn configuration(version: u64, keys: &[&str]) -> ConfigurationSpec {
     let mut drafts = RouteSpec::new("/drafts/", "resumable", "writers");
     drafts.request_timeout_ms = 3_000;
+    let edits = RouteSpec { prefix: "/edits/".into(), service: "editors".into(), ..drafts.clone() };
+    let notes = RouteSpec { prefix: "/notes/".into(), kind: "stream".into(), ..edits.clone() };
     let mut members = RouteSpec::new("/members/", "safe", "records");
     members.allows_anonymous = false;
     ConfigurationSpec {
@@ -57,6 +61,8 @@
             RouteSpec::new("/records/", "unsafe", "records"),
             RouteSpec::new("/look/", "safe", "records"),
             drafts,
+            edits,
+            notes,
             members,
             RouteSpec {
                 request_timeout_ms: 3_000,
@@ -72,15 +78,21 @@
     Behaviour::Stream { events: EVENTS, sent, interval, ending, confidence: 90 }
 }
 
+fn is_stream(path: &str) -> bool {
+    matches!(path, "/drafts/1" | "/edits/1" | "/notes/1")
+}
+
 fn random_request(rng: &mut StdRng, id: &str) -> CallerRequest {
     let (method, path) = [
         ("POST", "/records/new"),
         ("GET", "/look/1"),
         ("POST", "/drafts/1"),
         ("GET", "/members/1"),
-    ][rng.random_range(0..4)];
+        ("POST", "/edits/1"),
+        ("POST", "/notes/1"),
+    ][rng.random_range(0..6)];
     let mut request = CallerRequest::new(method, path, id);
-    request.deadline_ms = if path == "/drafts/1" { 3_000 } else { 1_500 };
+    request.deadline_ms = if is_stream(path) { 3_000 } else { 1_500 };
     request.key = (path == "/members/1").then(|| "key-1".to_owned());
     request
 }
@@ -92,7 +104,7 @@
     stop: &Arc<AtomicBool>,
     exchanges: &Arc<Mutex<Vec<Exchange>>>,
 ) {
-    for caller in 0..6 {
+    for caller in 0..9 {
         let (stop, exchanges) = (Arc::clone(stop), Arc::clone(exchanges));
         thread::spawn(move || {
             let mut rng = StdRng::seed_from_u64(seed * 100 + caller);
@@ -213,40 +225,61 @@
     None
 }
 
-/// The runs of each request id over all replicas.
-fn runs(replicas: &[ReplicaStandin]) -> BTreeMap<String, Vec<Instant>> {
-    let mut runs: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
-    for received in replicas.iter().flat_map(ReplicaStandin::received_requests) {
-        if received.ran {
-            runs.entry(received.id).or_default().push(received.received_at);
-        }
+/// The runs of each request id over all replicas, each with what was foreign in it.
+fn runs(replicas: &[ReplicaStandin], foreign: &ForeignReplicas) -> BTreeMap<String, Vec<String>> {
+    let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    let received = replicas.iter().flat_map(ReplicaStandin::received_requests);
+    let received = received.filter(|received| received.ran).map(|received| (received.id, None));
+    let foreign = foreign.runs().into_iter().map(|run| (run.id, run.foreign));
+    for (id, foreign) in received.chain(foreign) {
+        runs.entry(id).or_default().push(foreign.unwrap_or_default());
     }
     runs
 }
 
+/// Asserts that a stream consists of whole events of its run, from the first on, and of all if it is
+/// complete.
+fn check_stream(request: &CallerRequest, response: &CallerResponse, context: &str) {
+    let run = if request.path == "/drafts/1" { "word" } else { &request.id };
+    let (whole, body) = (run_events(run, 1..=EVENTS), &response.body);
+    let has_whole_events = body.is_empty() || body.ends_with("\n\n");
+    assert!(whole.starts_with(body) && has_whole_events, "events of the run: {context}");
+    assert!(!response.is_complete || *body == whole, "all events: {context}");
+}
+
+/// Asserts that streams had foreign bytes, and that some of them went on elsewhere to their end.
+fn check_foreign(seed: u64, exchanges: &[Exchange], foreign: &ForeignReplicas) {
+    let runs = foreign.runs().into_iter().filter(|run| run.foreign.is_some());
+    let ids: Vec<String> = runs.map(|run| run.id).collect();
+    let whole = exchanges.iter().filter(|Exchange { request, response, .. }| {
+        let is_whole = response.is_complete && response.status == 200;
+        is_whole && request.path == "/edits/1" && ids.contains(&request.id)
+    });
+    let (count, whole) = (ids.len(), whole.count());
+    println!("seed {seed}: {count} streams with foreign bytes, {whole} whole");
+    assert!(count >= MIN_FOREIGN_RUNS && whole > 0, "seed {seed}: {count}, {whole} whole");
+}
+
 fn check_invariants(
     seed: u64,
     exchanges: &[Exchange],
-    replicas: &[ReplicaStandin],
+    runs: &BTreeMap<String, Vec<String>>,
     revoked_at: Instant,
 ) {
-    let runs = runs(replicas);
     let mut served = 0;
     for Exchange { request, sent_at, response } in exchanges {
-        let ran = runs.get(&request.id).map_or(0, Vec::len);
-        let context = format!("seed {seed}: {ran} runs of {request:?}, {response:?}");
-        if request.path == "/records/new" {
+        let runs = runs.get(&request.id).map(Vec::as_slice).unwrap_or_default();
+        let ran = runs.len();
+        let context = format!("seed {seed}: runs {runs:?} of {request:?}, {response:?}");
+        if matches!(request.path.as_str(), "/records/new" | "/notes/1") {
             assert!(ran <= 1, "at most once: {context}");
         }
         // The statuses that an entry may send only for a request that has not run.
         if matches!(response.status, 408 | 421 | 429 | 503) && response.is_complete {
             assert_eq!(ran, 0, "a refused request has not run: {context}");
         }
-        if response.status == 200 && request.path == "/drafts/1" {
-            let ids = response.event_ids();
-            let expected: Vec<u64> = (1..=ids.len() as u64).collect();
-            assert_eq!(ids, expected, "events in order: {context}");
-            assert!(!response.is_complete || ids.len() as u64 == EVENTS, "all events: {context}");
+        if response.status == 200 && is_stream(&request.path) {
+            check_stream(request, response, &context);
         } else if response.status == 200 && response.is_complete {
             let is_own = response.body.ends_with(&format!(" to {}", request.id));
             assert!(
@@ -257,7 +290,8 @@
         if request.key.is_some() && *sent_at > revoked_at + KEY_AGE_LIMIT {
             assert_eq!(ran, 0, "a revoked key: {context}");
         }
-        served += usize::from(response.status == 200 && response.is_complete);
+        let is_counted = !matches!(request.path.as_str(), "/edits/1" | "/notes/1");
+        served += usize::from(response.status == 200 && response.is_complete && is_counted);
     }
     assert!(served > 50, "seed {seed}: {served} of {} served", exchanges.len());
 }
@@ -281,6 +315,10 @@
         let complete_stream = stream(EVENTS, StreamEnding::Complete);
         replicas.push(fixture.add_replica(&format!("w-{number}"), "writers", complete_stream));
     }
+    let foreign = ForeignReplicas::new(seed, EVENTS);
+    for number in 0..6 {
+        foreign.add(&fixture.store, &format!("e-{number}"), "editors");
+    }
     fixture.wait_ready();
     let (stop, exchanges) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     spawn_callers(fixture.callers, seed, &stop, &exchanges);
@@ -303,7 +341,9 @@
     thread::sleep(REST_TIME);
     check_bodies(seed, &bodies.lock().expect("no panic"), &early, &kills);
     let exchanges = exchanges.lock().expect("no panic");
-    check_invariants(seed, &exchanges, &replicas, revoked_at.expect("the key was revoked"));
+    let runs = runs(&replicas, &foreign);
+    check_invariants(seed, &exchanges, &runs, revoked_at.expect("the key was revoked"));
+    check_foreign(seed, &exchanges, &foreign);
 }
 
 #[test]
