Tests: streams of stand-ins whose events have data

early_heads sent an event without data to show that a body goes on behind the head of a stream, and the base of malformed streams has one too.

--- a/crates/daemon/tests/early_heads.rs
+++ b/crates/daemon/tests/early_heads.rs
@@ -16,7 +16,7 @@
 
 /// More than the buffers of two sockets hold.
 const BODY_BYTES: usize = 8 << 20;
-const REST: &[u8] = b"7\r\nid: 1\n\n\r\n0\r\n\r\n";
+const REST: &[u8] = b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
 fn end_of_head(bytes: &[u8]) -> Option<usize> {
