--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::{HttpError, RequestHead, ResponseHead, parse_request, parse_response};
 use async_std::{future::timeout, net::TcpStream};
-use futures_lite::{AsyncRead, AsyncWriteExt, FutureExt, future, ready};
+use futures_lite::{AsyncRead, AsyncWriteExt, future, ready};
 use std::{net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 /// Size of the buffer for one read from the socket.
@@ -40,13 +40,6 @@
     }
 }
 
-/// Whether the peer has closed the connection or it has failed; checks once, without waiting.
-pub async fn is_closed_by_peer(stream: &TcpStream) -> bool {
-    let mut byte = [0; 1];
-    let is_closed = async { matches!(stream.peek(&mut byte).await, Ok(0) | Err(_)) };
-    is_closed.or(future::ready(false)).await
-}
-
 impl Connection {
     /// Wraps a stream and disables Nagle's algorithm on it.
     #[must_use]
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use blocks::BlockBuffer;
 pub use body::BodyReader;
-pub use connection::{Connection, dial, is_closed_by_peer};
+pub use connection::{Connection, dial};
 pub use error::HttpError;
 pub use event::EventSplitter;
 pub use event_line::{EventLine, EventLineCheck};
