Name the length of an engine's foreign line in a fault, not its bytes

The fault of a run reaches its caller, who would see up to 32 bytes of a line that belongs to no request of his.

--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -15,7 +15,7 @@
 /// Longest event, in bytes; an event carries a few tokens with their probabilities.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Most bytes of a line in an error message, enough to tell what it is.
+/// Most bytes of a usage report in a log line.
 const MAX_SHOWN_BYTES: usize = 32;
 
 /// Incremental parser of an inference engine's event stream.
@@ -173,7 +173,9 @@
                     None => data = Some(value.to_vec()),
                 },
                 EventLine::Retry(_) | EventLine::Other { .. } => {
-                    return Err(no_event(&format!("`{}` is no field", shown(line))));
+                    // The fault reaches a caller, who must not see another's bytes.
+                    let detail = format!("a line of {} bytes is no field", line.len());
+                    return Err(no_event(&detail));
                 }
             }
         }
@@ -205,7 +207,7 @@
     Fault::new(ErrorKind::Incomplete, format!("no event of a completion: {detail}"))
 }
 
-/// Start of a text for people.
+/// Start of a text, for the log.
 fn shown(text: &[u8]) -> String {
     text[..text.len().min(MAX_SHOWN_BYTES)].escape_ascii().to_string()
 }
