Cut a stream without framing behind an event that is far ahead

The replica had sent it in a response without framing, and closed. Since the close of such a response let an event far ahead count, if no other replica could go on. A close proves nothing, and bytes behind a complete response are what faulty replicas send; so the stream is cut there on all routes, as it was in. The price is a sound stream without framing whose last id is further ahead than any before: its caller gets all but that event, and a cut.

The position moves only once the end has been checked, so that no event counts that is not relayed.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -8,7 +8,6 @@
     upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_direct::RequestKind;
 use ibissail_http1::{Connection, Framing, HttpError};
 
 /// The outcome of a stream from one replica.
@@ -101,8 +100,7 @@
             Some(data) => upstream.splitter.push(&data),
             // A mere close does not show that the stream ends behind an event that is far ahead.
             None if upstream.head.framing == Framing::UntilClose
-                && upstream.splitter.has_awaiting_event()
-                && request.route.kind == RequestKind::ResumableStream =>
+                && upstream.splitter.has_awaiting_event() =>
             {
                 Err(HttpError::Truncated)
             }
@@ -119,10 +117,9 @@
                 continue;
             }
         }
+        let position = upstream.splitter.position();
         let mut bytes = Vec::new();
         if !events.is_empty() {
-            let position = upstream.splitter.position();
-            progress.position = position;
             let event_count = position.event_count() - earlier.event_count();
             exchange.trial.record_events(event_count);
             pace.record_events(event_count);
@@ -131,6 +128,7 @@
         if is_end && let Some(outcome) = check_end(progress, upstream).await {
             return outcome;
         }
+        progress.position = position;
         if !progress.has_response_started() {
             let framing_header = "Transfer-Encoding: chunked\r\n";
             let head = forwarded_head(&upstream.head, framing_header, request.after_response);
