--- a/crates/daemon/tests/unnumbered_events.rs
+++ b/crates/daemon/tests/unnumbered_events.rs
@@ -31,9 +31,6 @@
     ("joined", "garbage\nid: 9\ndata: x\n\n"),
 ];
 
-/// Events that the foreign bytes follow.
-const POSITIONS: [u64; 3] = [0, 4, EVENTS];
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamFraming {
     UntilClose,
@@ -152,14 +149,16 @@
     assert!(wrong.is_empty(), "{} of {count} are wrong, such as {:?}", wrong.len(), wrong[0]);
 }
 
-/// Guards against bytes without a numbered event that are delivered because a blank line ends them.
-#[test]
-fn bytes_that_are_no_event_are_not_delivered() {
+/// Streams of both kinds and framings with these bytes, named, behind so many events.
+fn spoiled_streams(
+    cases: &[(&'static str, &'static str)],
+    positions: &[u64],
+) -> Vec<SpoiledStream> {
     let mut streams = Vec::new();
     for kind in ["resumable", "stream"] {
         for framing in [StreamFraming::UntilClose, StreamFraming::Chunks] {
-            for (name, bytes) in FOREIGN {
-                let positions = POSITIONS.into_iter();
+            for (name, bytes) in cases.iter().copied() {
+                let positions = positions.iter().copied();
                 streams.extend(positions.map(|after| SpoiledStream {
                     kind,
                     framing,
@@ -170,23 +169,21 @@
             }
         }
     }
-    check_all(streams);
+    streams
+}
+
+/// Guards against bytes without a numbered event that are delivered because a blank line ends them.
+#[test]
+fn bytes_that_are_no_event_are_not_delivered() {
+    check_all(spoiled_streams(&FOREIGN, &[0, 4, EVENTS]));
 }
 
 /// Guards against an id that does not rise, and is taken for the position of the stream.
 #[test]
 fn event_with_an_earlier_id_is_not_delivered() {
-    let mut streams = Vec::new();
-    for kind in ["resumable", "stream"] {
-        for framing in [StreamFraming::UntilClose, StreamFraming::Chunks] {
-            for (name, bytes) in
-                [("earlier", "id: 2\ndata: word 2\n\n"), ("again", "id: 4\ndata: word 4\n\n")]
-            {
-                streams.push(SpoiledStream { kind, framing, name, bytes, after: 4 });
-            }
-        }
-    }
-    check_all(streams);
+    const EARLIER: [(&str, &str); 2] =
+        [("earlier", "id: 2\ndata: word 2\n\n"), ("again", "id: 4\ndata: word 4\n\n")];
+    check_all(spoiled_streams(&EARLIER, &[4]));
 }
 
 /// Sends a sound stream in parts of this many bytes; the caller must get it as it is.
@@ -239,26 +236,13 @@
 /// Guards against an id that nobody sent, which becomes the position at which a stream goes on.
 #[test]
 fn event_that_leaps_ahead_does_not_hide_others() {
-    let mut streams = Vec::new();
-    for kind in ["resumable", "stream"] {
-        for framing in [StreamFraming::UntilClose, StreamFraming::Chunks] {
-            for (name, bytes) in [
-                ("leap", "id: 99\ndata: x\n\n"),
-                ("leap_to_last", "id: 8\ndata: word 8\n\n"),
-                ("leap_and_cut", "id: 99\ndata: x\n\nid: 5\nda"),
-                ("leap_to_last_and_cut", "id: 8\ndata: word 8\n\nid: 5\nda"),
-            ] {
-                streams.extend([0, 4].map(|after| SpoiledStream {
-                    kind,
-                    framing,
-                    name,
-                    bytes,
-                    after,
-                }));
-            }
-        }
-    }
-    check_all(streams);
+    const AHEAD: [(&str, &str); 4] = [
+        ("leap", "id: 99\ndata: x\n\n"),
+        ("leap_to_last", "id: 8\ndata: word 8\n\n"),
+        ("leap_and_cut", "id: 99\ndata: x\n\nid: 5\nda"),
+        ("leap_to_last_and_cut", "id: 8\ndata: word 8\n\nid: 5\nda"),
+    ];
+    check_all(spoiled_streams(&AHEAD, &[0, 4]));
 }
 
 /// Guards against sound ids that are refused because their steps differ.
