--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -49,6 +49,18 @@
     }
 
     /// Sets the ids that are usual in streams of this kind.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_http1::{EventSplitter, StreamPosition, UsualIds};
+    /// let event = b"id: 5\ndata: a\n\n";
+    /// assert!(EventSplitter::default().push(event)?.is_empty());
+    /// let usual = UsualIds { first: 5, step: 1 };
+    /// let mut splitter = EventSplitter::new(StreamPosition::default().with_usual_ids(usual));
+    /// assert_eq!(splitter.push(event)?, event);
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
     #[must_use]
     pub fn with_usual_ids(self, usual: UsualIds) -> Self {
         Self { usual, ..self }
@@ -80,12 +92,34 @@
 
     /// Whether the stream may have got here by an event that is none of it, so that another response
     /// must not go on from here.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut splitter = ibissail_http1::EventSplitter::default();
+    /// splitter.push(b"id: 1\ndata: a\n\nid: 98\ndata: x\n\nid: 99\ndata: x\n\n")?;
+    /// assert!(splitter.push(b"id: 2\ndata: b\n\n").is_err());
+    /// assert!(splitter.position().is_doubtful());
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
     #[must_use]
     pub fn is_doubtful(&self) -> bool {
         self.is_doubtful
     }
 
     /// Takes over what a response that has broken off or is silent shows beyond its events.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_http1::{EventSplitter, StreamPosition};
+    /// let mut broken = EventSplitter::default();
+    /// broken.push(b"id: 1\ndata: a\n\nid: 9\ndata: b\n\n")?;
+    /// // Another response that goes on with the same event confirms it.
+    /// let position = StreamPosition::after(Some(1)).with_signs_of(broken.position());
+    /// assert!(!EventSplitter::new(position).push(b"id: 9\ndata: b\n\n")?.is_empty());
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
     #[must_use]
     pub fn with_signs_of(self, broken: Self) -> Self {
         let Self { withheld_id, is_doubtful, .. } = broken;
