--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -61,6 +61,16 @@
     }
 }
 
+#[test]
+fn foreign_bytes_are_no_withheld_event() {
+    for foreign in FOREIGN {
+        let mut splitter = EventSplitter::default();
+        splitter.push([SOUND, foreign].concat().as_bytes()).expect("sound events");
+        assert!(splitter.take_error().is_some(), "{foreign:?}");
+        assert!(!splitter.has_withheld_event(), "{foreign:?}");
+    }
+}
+
 #[test]
 fn unusual_events_are_sound() {
     for text in [
@@ -96,7 +106,8 @@
         (9, 1, Some(7), 12, false),
         (1, 5, Some(7), 12, true),
     ] {
-        let position = StreamPosition::after(after).with_usual_ids(UsualIds { first, step });
+        let position = StreamPosition::after(after)
+            .with_usual_ids(UsualIds { first: first.into(), step: step.into() });
         let mut splitter = EventSplitter::new(position);
         let events = splitter.push(format!("id: {id}\ndata: a\n\n").as_bytes());
         assert_eq!(!events.expect("an event").is_empty(), is_returned, "{id} after {after:?}");
