Refuse an event that is far ahead in a service whose streams are even

Cause: an event further ahead than others was returned with the next one, or at the end of a framed response, whatever the service's streams were like. A foreign last event of a framed response reached the caller, and so did two that follow each other.

Change: where nearly all recent streams of a service have the same first id and the same step, an event further ahead ends the attempt behind the last whole event. A successor that goes on with the same event confirms it.

--- a/crates/daemon/src/direct/event_ids.rs
+++ b/crates/daemon/src/direct/event_ids.rs
@@ -46,9 +46,13 @@
     }
 
     fn usual(&self) -> UsualDistance {
-        let irregular = self.streams - self.agreements.count_ones();
-        let is_uneven = self.streams >= MIN_STREAMS && 4 * irregular >= 3 * self.streams;
-        let regularity = if is_uneven { Regularity::Uneven } else { Regularity::Unknown };
+        let regular = self.agreements.count_ones();
+        let is_most = |count: u32| self.streams >= MIN_STREAMS && 4 * count >= 3 * self.streams;
+        let regularity = match (is_most(regular), is_most(self.streams - regular)) {
+            (true, _) => Regularity::Even,
+            (_, true) => Regularity::Uneven,
+            _ => Regularity::Unknown,
+        };
         UsualDistance { largest: self.latest.unwrap_or_default().max(1), regularity }
     }
 }
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -223,7 +223,8 @@
 
     /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
     /// one id, which is a number above that of the event before, and data. One that is further away
-    /// from that than events were before, or usually are, is returned with the next one.
+    /// from that than events were before, or usually are, is returned with the next one; it is refused
+    /// where streams are known to be even.
     ///
     /// # Errors
     ///
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -26,9 +26,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
 pub enum Regularity {
-    /// Too few streams are known, or some agree.
+    /// Too few streams are known, or some agree and others do not.
     #[default]
     Unknown,
+    /// Nearly all agree, so that an event that is further ahead is none of its stream.
+    Even,
     /// Nearly all differ, so that an event may be any distance ahead.
     Uneven,
 }
@@ -178,9 +180,9 @@
         Self { withheld_id: id.or(self.withheld_id), ..self }
     }
 
-    /// Moves behind the next event; fails if it does not follow. The first event of a response that
-    /// goes on with a stream may be no further away than events were before, unless another response
-    /// had the same one there, or streams are uneven.
+    /// Moves behind the next event; fails if it does not follow. Unless another response had the same
+    /// event there, it may be no further away than is usual where streams are even, and the first one
+    /// of a response that goes on with a stream no further than events were before.
     pub(crate) fn advance(&mut self, id: u64, is_resumed: bool) -> Result<Distance, HttpError> {
         let last = self.last_id.unwrap_or_default();
         if !self.is_followed_by(id) {
@@ -197,6 +199,7 @@
         let is_far = !is_withheld && !usual.allows(step) && step > self.largest_step;
         let is_refused = match usual.regularity {
             Regularity::Unknown => is_resumed && known > 0 && step > known && !is_withheld,
+            Regularity::Even => is_far,
             Regularity::Uneven => false,
         };
         if is_refused {
