Wait for the rest of a head behind a body that ends with its start

Change: behind a body that ends inside a head, or inside its first word, an entry waits until more bytes, a close, or 50 ms have passed.

--- a/crates/daemon/src/direct/upstream.rs
+++ b/crates/daemon/src/direct/upstream.rs
@@ -23,6 +23,7 @@
     EVENT_VERSION_FIELD, ReplicaResponse, ResponseFault, UpstreamHeaders, decode_replica_response,
     encode_upstream_head,
 };
+use memchr::memmem;
 use std::{borrow::Cow, fmt, future::Future, io::ErrorKind, sync::Arc, time::Duration};
 
 /// Longest time for opening a connection; replicas in all zones are milliseconds away.
@@ -34,6 +35,10 @@
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
 /// Most response heads read on one connection, counting responses to other requests.
 const MAX_RESPONSE_HEADS: usize = 3;
+/// How long a response waits behind a body that ends with the start of another response's head.
+const HEAD_REST_TIMEOUT: Millis = Millis(50);
+/// Last bytes of a body in which such a head may begin.
+const MAX_HEAD_START_BYTES: usize = 4 << 10;
 /// Largest body, in bytes, of a skipped response.
 const MAX_SKIPPED_BODY_BYTES: usize = 256 << 10;
 
@@ -309,7 +314,11 @@
         let Self { exchange, body, received, memory, .. } = self;
         let Exchange { connection, load_guard, .. } = exchange;
         let hold = |length| memory.hold(length);
-        let reading = body.read_checked(connection, received, MAX_RESPONSE_BYTES, hold);
+        let reading = async {
+            body.read_checked(connection, received, MAX_RESPONSE_BYTES, hold).await?;
+            read_head_rest(connection, received).await;
+            Ok(())
+        };
         load_guard.wait(reading, stall_limits).await
     }
 
@@ -323,9 +332,8 @@
             [] => Cow::Borrowed(&body[..]),
             _ => Cow::Owned([&body[..], unread].concat()),
         };
-        let windows = bytes.windows(RESPONSE_HEAD_START.len()).take(body.len());
-        let starts = windows.enumerate().filter(|(_, window)| *window == RESPONSE_HEAD_START);
-        for (start, _) in starts {
+        let starts = memmem::find_iter(&bytes, RESPONSE_HEAD_START);
+        for start in starts.take_while(|start| *start < body.len()) {
             let is_other = match parse_response(&bytes[start..], "GET") {
                 Ok(Some((_head, length))) if start + length > body.len() => true,
                 Ok(Some((head, _length))) => {
@@ -350,10 +358,33 @@
     pub(super) async fn read_all(&mut self) -> Result<(), HttpError> {
         let Self { exchange, body, received, memory, .. } = self;
         let hold = |length| memory.hold(length);
-        body.read_checked(&mut exchange.connection, received, MAX_RESPONSE_BYTES, hold).await
+        body.read_checked(&mut exchange.connection, received, MAX_RESPONSE_BYTES, hold).await?;
+        read_head_rest(&mut exchange.connection, received).await;
+        Ok(())
     }
 }
 
+/// Reads what a replica sends behind a body that may end with the start of another response's head. A
+/// sound replica closes the connection there.
+async fn read_head_rest(connection: &mut Connection, body: &BlockBuffer) {
+    if connection.unread().is_empty() && ends_inside_head(&body.last_bytes(MAX_HEAD_START_BYTES)) {
+        let reading = async { Some(connection.fill().await) };
+        let timeout = async {
+            task::sleep(HEAD_REST_TIMEOUT.as_duration()).await;
+            None
+        };
+        let _closed_or_read = reading.or(timeout).await;
+    }
+}
+
+/// Whether the bytes end with an incomplete response head, or a part of its first word.
+fn ends_inside_head(bytes: &[u8]) -> bool {
+    let has_part = (1..RESPONSE_HEAD_START.len())
+        .any(|length| bytes.ends_with(&RESPONSE_HEAD_START[..length]));
+    let mut starts = memmem::find_iter(bytes, RESPONSE_HEAD_START);
+    has_part || starts.any(|start| matches!(parse_response(&bytes[start..], "GET"), Ok(None)))
+}
+
 impl Exchange {
     /// Opens a connection to a replica for the request; no byte has been sent yet.
     pub(crate) async fn open(
--- a/crates/http1/src/blocks.rs
+++ b/crates/http1/src/blocks.rs
@@ -58,6 +58,28 @@
         }
     }
 
+    /// The last bytes, at most so many.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut buf = ibissail_http1::BlockBuffer::default();
+    /// buf.push(&[b'x'; 10_000]);
+    /// buf.push(b"end");
+    /// assert_eq!(buf.last_bytes(5), b"xxend");
+    /// ```
+    #[must_use]
+    pub fn last_bytes(&self, most: usize) -> Vec<u8> {
+        let mut skipped = self.length.saturating_sub(most);
+        let mut last = Vec::with_capacity(self.length - skipped);
+        for block in &self.blocks {
+            let rest = &block[skipped.min(block.len())..];
+            skipped = skipped.saturating_sub(block.len());
+            last.extend_from_slice(rest);
+        }
+        last
+    }
+
     /// Returns all bytes in one piece.
     #[must_use]
     pub fn into_bytes(mut self) -> Vec<u8> {
