--- a/crates/daemon/src/direct/event_ids.rs
+++ b/crates/daemon/src/direct/event_ids.rs
@@ -2,13 +2,13 @@
 
 use ibissail_core::ServiceId;
 use ibissail_http1::{Regularity, StreamPosition, UsualDistance, UsualIds};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Streams that are remembered of each service.
-const REMEMBERED_STREAMS: usize = 8;
+const REMEMBERED_STREAMS: u32 = 8;
 
 /// Fewest streams that show whether a service's streams are even.
-const MIN_STREAMS: usize = 3;
+const MIN_STREAMS: u32 = 3;
 
 /// The ids that are usual in the streams of each service.
 #[derive(Debug, Clone, Default)]
@@ -16,56 +16,44 @@
     by_service: BTreeMap<ServiceId, IdHistory>,
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 struct IdHistory {
     first: DistanceHistory,
     step: DistanceHistory,
 }
 
-/// Distances between ids in recent streams, the latest last.
-#[derive(Debug, Clone, Default)]
-struct DistanceHistory(VecDeque<StreamDistance>);
-
-/// A distance between ids in a stream that has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StreamDistance {
-    /// All were the same.
-    Even(u64),
-    /// They differed; this was the largest.
-    Uneven(u64),
-    /// The stream was broken off before one that was far ahead.
-    Withheld,
+/// A distance between ids in recent streams.
+#[derive(Debug, Clone, Copy, Default)]
+struct DistanceHistory {
+    /// The largest of the last complete stream.
+    latest: Option<u64>,
+    /// Whether each recent stream was even and agreed with the one before; the last bit is the latest.
+    agreements: u8,
+    /// Number of recent streams.
+    streams: u32,
 }
 
 impl DistanceHistory {
-    fn record(&mut self, distance: StreamDistance) {
-        if self.0.len() == REMEMBERED_STREAMS {
-            self.0.pop_front();
-        }
-        self.0.push_back(distance);
+    fn record_complete(&mut self, largest: u64, is_even: bool) {
+        let agrees = self.latest.is_none_or(|latest| latest == largest);
+        self.latest = Some(largest);
+        self.record(is_even && agrees);
+    }
+
+    fn record(&mut self, is_regular: bool) {
+        self.agreements = self.agreements << 1 | u8::from(is_regular);
+        self.streams = (self.streams + 1).min(REMEMBERED_STREAMS);
     }
 
     fn usual(&self) -> UsualDistance {
-        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
-        let mut largest = 0;
-        for distance in &self.0 {
-            match distance {
-                StreamDistance::Even(distance) => *counts.entry(*distance).or_default() += 1,
-                StreamDistance::Uneven(distance) => largest = largest.max(*distance),
-                StreamDistance::Withheld => {}
-            }
-        }
-        let largest_even = counts.keys().next_back().copied().unwrap_or_default();
-        let agreeing = counts.into_values().max().unwrap_or_default();
-        let is_most = |count: usize| self.0.len() >= MIN_STREAMS && 4 * count >= 3 * self.0.len();
-        let (largest, regularity) = if is_most(agreeing) {
-            (largest_even, Regularity::Even)
-        } else if is_most(self.0.len() - agreeing) {
-            (largest.max(largest_even), Regularity::Uneven)
-        } else {
-            (largest.max(largest_even), Regularity::Unknown)
+        let regular = self.agreements.count_ones();
+        let is_most = |count: u32| self.streams >= MIN_STREAMS && 4 * count >= 3 * self.streams;
+        let regularity = match (is_most(regular), is_most(self.streams - regular)) {
+            (true, _) => Regularity::Even,
+            (_, true) => Regularity::Uneven,
+            _ => Regularity::Unknown,
         };
-        UsualDistance { largest: largest.max(1), regularity }
+        UsualDistance { largest: self.latest.unwrap_or_default().max(1), regularity }
     }
 }
 
@@ -98,14 +86,10 @@
         let history = self.by_service.entry(service.clone()).or_default();
         let before = history.usual();
         if let Some(first) = end.first_id() {
-            history.first.record(StreamDistance::Even(first));
+            history.first.record_complete(first, true);
         }
-        match end.largest_step() {
-            0 => {}
-            largest if end.has_uneven_steps() => {
-                history.step.record(StreamDistance::Uneven(largest));
-            }
-            step => history.step.record(StreamDistance::Even(step)),
+        if end.largest_step() > 0 {
+            history.step.record_complete(end.largest_step(), !end.has_uneven_steps());
         }
         history.changed_since(before)
     }
@@ -120,8 +104,8 @@
         let history = self.by_service.entry(service.clone()).or_default();
         let before = history.usual();
         match end.last_id() {
-            None => history.first.record(StreamDistance::Withheld),
-            Some(_) => history.step.record(StreamDistance::Withheld),
+            None => history.first.record(false),
+            Some(_) => history.step.record(false),
         }
         history.changed_since(before)
     }
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -60,13 +60,8 @@
         }
     };
     let may_resume = request.route.kind == RequestKind::ResumableStream;
-    let resume_after = request.params.resume_after.filter(|_| may_resume);
-    let mut usual_ids = shared.state().event_ids.usual(&request.service);
-    if !may_resume || resume_after.is_some() {
-        // No other response can confirm an event that is refused, or one was refused already.
-        usual_ids = usual_ids.without_refusals();
-    }
-    let mut progress = Progress::new(resume_after, usual_ids);
+    let usual_ids = shared.state().event_ids.usual(&request.service);
+    let mut progress = Progress::new(request.params.resume_after.filter(|_| may_resume), usual_ids);
     if request.route.kind.is_stream() && shared.state().is_adaptive(&request.service) {
         let caller = connection.stream().clone();
         progress.outbox = Some(Outbox::new(shared, caller, &request.params.id));
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -29,38 +29,13 @@
     /// Too few streams are known, or some agree and others do not.
     #[default]
     Unknown,
-    /// Nearly all agree, so that an event that is further ahead is hardly one of its stream.
+    /// Nearly all agree, so that an event that is further ahead is none of its stream.
     Even,
     /// Nearly all differ, so that an event may be any distance ahead.
     Uneven,
 }
 
-impl UsualIds {
-    /// Takes even streams for ones of unknown regularity, in which an event that is far ahead waits for
-    /// the next one.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use ibissail_http1::{Regularity, UsualDistance, UsualIds};
-    /// let step = UsualDistance { largest: 2, regularity: Regularity::Even };
-    /// let usual = UsualIds { step, ..UsualIds::default() }.without_refusals();
-    /// assert_eq!(usual.step, UsualDistance::from(2));
-    /// ```
-    #[must_use]
-    pub fn without_refusals(self) -> Self {
-        Self { first: self.first.without_refusals(), step: self.step.without_refusals() }
-    }
-}
-
 impl UsualDistance {
-    fn without_refusals(self) -> Self {
-        match self.regularity {
-            Regularity::Even => Self::from(self.largest),
-            Regularity::Unknown | Regularity::Uneven => self,
-        }
-    }
-
     /// Whether an event may be so far ahead.
     fn allows(self, distance: u64) -> bool {
         self.regularity == Regularity::Uneven || distance <= self.largest
