Revert the regularity of event ids

Cause: an independent review showed that they cut sound streams and let foreign events hide the rest.

What they gained, a foreign last event of a framed response or a pair of them, is less. The sound streams that are cut before a last event that is far ahead are taken up by themselves.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, Millis};
 use ibissail_direct::CascadeStep;
-use ibissail_http1::{Connection, Framing, UsualIds};
+use ibissail_http1::{Connection, Framing};
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::info;
 use std::sync::Arc;
@@ -372,8 +372,7 @@
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.position.event_count());
                 let service = &self.request.service;
-                let ids = self.shared.state().event_ids.record_complete(service, progress.position);
-                self.log_usual_ids(ids);
+                self.shared.state().event_ids.record(service, progress.position);
                 let status = upstream.response.status;
                 // The replica is released before a slow caller has read the response.
                 upstream.exchange.finish(progress);
@@ -393,26 +392,12 @@
                 &error,
             ),
             StreamOutcome::Broken(error) => {
-                if upstream.splitter.has_withheld_event() {
-                    let service = &self.request.service;
-                    let ids =
-                        self.shared.state().event_ids.record_withheld(service, progress.position);
-                    self.log_usual_ids(ids);
-                }
                 upstream.exchange.trial.fail();
                 self.handle_failure(progress, "broken", upstream.received_so_far(), &error)
             }
         }
     }
 
-    fn log_usual_ids(&self, changed: Option<UsualIds>) {
-        if let Some(UsualIds { first, step }) = changed {
-            info!(self.shared.log, "events: regularity of ids has changed";
-                "service" => %self.request.service, "id" => &self.request.params.id,
-                "first" => %first, "step" => %step);
-        }
-    }
-
     /// Logs a response that ended with its connection, as it also does if its replica ends.
     fn log_close_delimited(&self, framing: Framing, received: Received) {
         if framing == Framing::UntilClose {
--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -153,7 +153,7 @@
         memory.hold(received.len())?;
         let Some(data) = next? else {
             let is_close = head.framing == Framing::UntilClose;
-            let is_cut = splitter.has_partial_event() || is_close && !splitter.may_end_with_close();
+            let is_cut = splitter.has_partial_event() || is_close && splitter.has_awaiting_event();
             return if is_cut { Err(HttpError::Truncated) } else { Ok(true) };
         };
         exchange.load_guard.record_bytes();
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -98,8 +98,9 @@
         let is_end = data.is_none();
         let split = match data {
             Some(data) => upstream.splitter.push(&data),
+            // A mere close does not show that the stream ends behind an event that is far ahead.
             None if upstream.head.framing == Framing::UntilClose
-                && !upstream.splitter.may_end_with_close() =>
+                && upstream.splitter.has_awaiting_event() =>
             {
                 Err(HttpError::Truncated)
             }
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -27,15 +27,6 @@
     first_field: &'static str,
     /// The error of what follows the events that have been returned.
     error: Option<HttpError>,
-    /// Why the last event was refused, if it was because of its id.
-    refusal: Option<IdRefusal>,
-}
-
-/// How the id of an event that was refused is related to the one before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum IdRefusal {
-    FarAhead,
-    NotAbove,
 }
 
 /// What is known of a stream between two events.
@@ -68,8 +59,8 @@
     event: EventFields,
     /// Whether the last event awaits the next one.
     is_awaiting: bool,
-    /// An id that may not follow the one before.
-    refused_id: Option<u64>,
+    /// An id that does not follow the one before.
+    rejected_id: Option<u64>,
 }
 
 /// A place between two events, and the state there.
@@ -166,11 +157,10 @@
             let error = format!("the event behind event {last} has no {missing}");
             return Err(HttpError::Malformed(error));
         };
-        let advanced = position.advance(id, *is_resumed);
-        if advanced.is_err() {
-            self.refused_id = Some(id);
+        if !position.is_followed_by(id) {
+            self.rejected_id = Some(id);
         }
-        let distance = advanced?;
+        let distance = position.advance(id, *is_resumed)?;
         *is_resumed = false;
         self.is_awaiting = distance == Distance::Far;
         Ok(Some(distance))
@@ -223,8 +213,7 @@
 
     /// Appends bytes and returns all buffered events that are now complete, or nothing. An event has
     /// one id, which is a number above that of the event before, and data. One that is further away
-    /// from that than events were before, or usually are, is returned with the next one; it is refused
-    /// where streams are known to be even.
+    /// from that than events were before, or usually are, is returned with the next one.
     ///
     /// # Errors
     ///
@@ -284,15 +273,9 @@
             }
             None => self.awaiting.extend_from_slice(&complete),
         }
-        if !reader.is_awaiting {
-            // What is left are lines that are refused.
-            self.awaiting.clear();
-        }
         self.read = reader.state;
-        if let Some(id) = reader.refused_id {
-            let is_above = reader.state.position.is_followed_by(id);
-            self.refusal = Some(if is_above { IdRefusal::FarAhead } else { IdRefusal::NotAbove });
-            self.returned.position.record_refused(id, reader.state.is_resumed);
+        if let Some(id) = reader.rejected_id {
+            self.returned.position.record_earlier(id);
         }
         (events, read)
     }
@@ -336,41 +319,10 @@
         self.returned.position.with_withheld(awaiting_id)
     }
 
-    /// Whether a stream that ends with its connection may end here. Behind an event that is far ahead
-    /// the close does not show it, unless the stream has begun with an unusual id as well.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let mut splitter = ibissail_http1::EventSplitter::default();
-    /// splitter.push(b"id: 1\ndata: a\n\nid: 9\ndata: b\n\n")?;
-    /// assert!(!splitter.may_end_with_close());
-    /// # Ok::<(), ibissail_http1::HttpError>(())
-    /// ```
+    /// Whether a complete event awaits the next one.
     #[must_use]
-    pub fn may_end_with_close(&self) -> bool {
-        self.awaiting.is_empty() || !self.returned.position.has_usual_first_id()
-    }
-
-    /// Whether an event has not been returned because it is far ahead, and no lower id has followed.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let mut splitter = ibissail_http1::EventSplitter::default();
-    /// splitter.push(b"id: 1\ndata: a\n\nid: 9\ndata: b\n\n")?;
-    /// assert!(splitter.has_withheld_event());
-    /// assert!(splitter.push(b"id: 2\ndata: c\n\n").is_err());
-    /// assert!(!splitter.has_withheld_event());
-    /// # Ok::<(), ibissail_http1::HttpError>(())
-    /// ```
-    #[must_use]
-    pub fn has_withheld_event(&self) -> bool {
-        match self.refusal {
-            Some(IdRefusal::FarAhead) => true,
-            Some(IdRefusal::NotAbove) => false,
-            None => !self.awaiting.is_empty(),
-        }
+    pub fn has_awaiting_event(&self) -> bool {
+        !self.awaiting.is_empty()
     }
 
     /// Whether bytes of an incomplete event are buffered. Complete comments belong to none.
@@ -400,7 +352,7 @@
             first_field: self.first_field,
             event: EventFields::default(),
             is_awaiting: !self.awaiting.is_empty(),
-            refused_id: None,
+            rejected_id: None,
         }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -23,4 +23,4 @@
     Framing, Headers, RESPONSE_HEAD_START, RequestHead, ResponseHead, parse_request,
     parse_response, reason_phrase,
 };
-pub use position::{Regularity, StreamPosition, UsualDistance, UsualIds};
+pub use position::{StreamPosition, UsualIds};
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -1,57 +1,14 @@
 //! How far a stream has got, and which event may follow.
 
 use crate::HttpError;
-use derive_more::Display;
 
 /// The ids that are usual in streams of one kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UsualIds {
-    /// The first id.
-    pub first: UsualDistance,
-    /// Differences between two ids that follow each other.
-    pub step: UsualDistance,
-}
-
-/// How far an event usually is ahead of the one before, or of 0.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[display("{largest} ({regularity})")]
-pub struct UsualDistance {
-    /// The largest of a recent stream.
-    pub largest: u64,
-    /// Whether recent streams agree on it.
-    pub regularity: Regularity,
-}
-
-/// Whether streams of one kind have the same distances between their ids.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
-#[display(rename_all = "lowercase")]
-pub enum Regularity {
-    /// Too few streams are known, or some agree and others do not.
-    #[default]
-    Unknown,
-    /// Nearly all agree, so that an event that is further ahead is none of its stream.
-    Even,
-    /// Nearly all differ, so that an event may be any distance ahead.
-    Uneven,
-}
-
-impl UsualDistance {
-    /// Whether an event may be so far ahead.
-    fn allows(self, distance: u64) -> bool {
-        self.regularity == Regularity::Uneven || distance <= self.largest
-    }
-}
-
-impl Default for UsualDistance {
-    fn default() -> Self {
-        Self::from(1)
-    }
-}
-
-impl From<u64> for UsualDistance {
-    fn from(largest: u64) -> Self {
-        Self { largest, regularity: Regularity::Unknown }
-    }
+    /// Largest first id.
+    pub first: u64,
+    /// Largest difference between two ids that follow each other.
+    pub step: u64,
 }
 
 /// How far a caller has received a stream, whichever responses its events came from.
@@ -61,8 +18,6 @@
     first_id: Option<u64>,
     /// Largest difference between two ids that follow each other.
     largest_step: u64,
-    /// Whether not all of these differences are the same.
-    has_uneven_steps: bool,
     usual: UsualIds,
     event_count: u64,
     /// Ids before and at the event that was furthest ahead of the one before.
@@ -80,6 +35,12 @@
     Far,
 }
 
+impl Default for UsualIds {
+    fn default() -> Self {
+        Self { first: 1, step: 1 }
+    }
+}
+
 impl StreamPosition {
     /// The position of a stream that goes on after the event with this id, if any.
     #[must_use]
@@ -95,7 +56,7 @@
     /// use ibissail_http1::{EventSplitter, StreamPosition, UsualIds};
     /// let event = b"id: 5\ndata: a\n\n";
     /// assert!(EventSplitter::default().push(event)?.is_empty());
-    /// let usual = UsualIds { first: 5.into(), ..UsualIds::default() };
+    /// let usual = UsualIds { first: 5, step: 1 };
     /// let mut splitter = EventSplitter::new(StreamPosition::default().with_usual_ids(usual));
     /// assert_eq!(splitter.push(event)?, event);
     /// # Ok::<(), ibissail_http1::HttpError>(())
@@ -123,17 +84,6 @@
         self.largest_step
     }
 
-    /// Whether some ids that follow each other are further apart than others.
-    #[must_use]
-    pub fn has_uneven_steps(&self) -> bool {
-        self.has_uneven_steps
-    }
-
-    /// Whether the stream began with an id that is usual, or after another event.
-    pub(crate) fn has_usual_first_id(&self) -> bool {
-        self.first_id.is_none_or(|id| self.usual.first.allows(id))
-    }
-
     /// Number of complete events, without mere comments.
     #[must_use]
     pub fn event_count(&self) -> u64 {
@@ -180,33 +130,31 @@
         Self { withheld_id: id.or(self.withheld_id), ..self }
     }
 
-    /// Moves behind the next event; fails if it does not follow. Unless another response had the same
-    /// event there, it may be no further away than is usual where streams are even, and the first one
-    /// of a response that goes on with a stream no further than events were before.
+    /// Moves behind the next event; fails if it does not follow. The first event of a response that
+    /// goes on with a stream may be no further away than events were before, unless another response
+    /// had the same one there.
     pub(crate) fn advance(&mut self, id: u64, is_resumed: bool) -> Result<Distance, HttpError> {
         let last = self.last_id.unwrap_or_default();
-        if !self.is_followed_by(id) {
+        let step = id.saturating_sub(last);
+        let is_withheld = self.withheld_id.take() == Some(id);
+        // Before the first step the distance between ids is unknown.
+        let known = self.largest_step.max(self.first_id.unwrap_or_default());
+        let has_gap = is_resumed && known > 0 && step > known && !is_withheld;
+        if !self.is_followed_by(id) || has_gap {
             return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
         }
-        let step = id - last;
-        let is_withheld = self.withheld_id.take() == Some(id);
         let usual = match self.last_id {
             None => self.usual.first,
-            Some(_) => self.usual.step,
+            Some(_) => self.usual.step.max(self.largest_step),
         };
-        // Before the first step the distance between ids is unknown.
-        let known = self.largest_step.max(self.first_id.unwrap_or_default());
-        let is_far = !is_withheld && !usual.allows(step) && step > self.largest_step;
-        let is_refused = match usual.regularity {
-            Regularity::Unknown => is_resumed && known > 0 && step > known && !is_withheld,
-            Regularity::Even => is_far,
-            Regularity::Uneven => false,
-        };
-        if is_refused {
-            return Err(HttpError::Malformed(format!("event {id} is far ahead of event {last}")));
+        match self.last_id {
+            None => self.first_id = Some(id),
+            Some(_) if is_resumed => {}
+            Some(_) => self.largest_step = self.largest_step.max(step),
         }
-        self.record_step(id, step, is_resumed);
-        if !is_far {
+        self.last_id = Some(id);
+        self.event_count += 1;
+        if step <= usual || is_withheld {
             return Ok(Distance::Usual);
         }
         if self.leap.is_none_or(|(before, at)| step > at - before) {
@@ -215,31 +163,14 @@
         Ok(Distance::Far)
     }
 
-    fn record_step(&mut self, id: u64, step: u64, is_resumed: bool) {
-        match self.last_id {
-            None => self.first_id = Some(id),
-            Some(_) if is_resumed => {}
-            Some(_) => {
-                self.has_uneven_steps |= self.largest_step > 0 && step != self.largest_step;
-                self.largest_step = self.largest_step.max(step);
-            }
-        }
-        self.last_id = Some(id);
-        self.event_count += 1;
-    }
-
     /// Whether the id is above the last one.
     pub(crate) fn is_followed_by(&self, id: u64) -> bool {
         self.last_id.is_none_or(|last| id > last)
     }
 
-    /// Records that an event with this id was refused. If it belongs before one that was far ahead, that
-    /// one, or this one, is none of the stream. Another response that goes on with the same event
-    /// confirms it, unless it was the first of such a response itself: both may lack what is between.
-    pub(crate) fn record_refused(&mut self, id: u64, is_resumed: bool) {
-        if self.is_followed_by(id) && !is_resumed {
-            self.withheld_id = Some(id);
-        }
+    /// Records that an event with this id came later. If it belongs before one that was far ahead,
+    /// that one, or this one, is none of the stream.
+    pub(crate) fn record_earlier(&mut self, id: u64) {
         self.is_doubtful |= self.leap.is_some_and(|(before, at)| before < id && id < at);
     }
 }
