Do not cut the same streams again and again before their last event

Cause: an event further ahead than others is withheld at the end of a stream without framing, as a mere close does not show that it is one of the stream. Usual ids were learned from complete streams only, so a service whose streams all end so was cut for ever: callers of two events with the ids 10 and 25 never got the second on a route that may not be resumed.

Change: when three streams of a service in a row were cut there at an entry, events as far ahead as the nearest of those withheld are usual. The next complete stream sets the measure again.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, Millis};
 use ibissail_direct::CascadeStep;
-use ibissail_http1::{Connection, Framing};
+use ibissail_http1::{Connection, Framing, StreamPosition, UsualIds};
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::info;
 use std::sync::Arc;
@@ -395,6 +395,23 @@
                 upstream.exchange.trial.fail();
                 self.handle_failure(progress, "broken", upstream.received_so_far(), &error)
             }
+            StreamOutcome::Withheld => {
+                self.learn_withheld_ids(upstream.splitter.position());
+                upstream.exchange.trial.fail();
+                let error = "the connection ended behind an event that is far ahead";
+                self.handle_failure(progress, "broken", upstream.received_so_far(), error)
+            }
+        }
+    }
+
+    /// Records a stream that was cut before its last event.
+    fn learn_withheld_ids(&self, end: StreamPosition) {
+        let service = &self.request.service;
+        let learned = self.shared.state().event_ids.record_withheld(service, end);
+        if let Some(UsualIds { first, step }) = learned {
+            info!(self.shared.log, "events: withheld ids are usual from now on";
+                "service" => %service, "id" => &self.request.params.id,
+                "largest_first_id" => first, "largest_step" => step);
         }
     }
 
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -8,7 +8,7 @@
     upstream::{StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::{Connection, Framing, HttpError};
+use ibissail_http1::{Connection, Framing};
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -17,6 +17,8 @@
     Complete,
     /// The stream ended early, for this reason.
     Broken(String),
+    /// The stream ended with its connection behind an event that is far ahead and was not written.
+    Withheld,
     /// The replica has been silent for longer than the stall limits allow; it may go on.
     Stalled(String),
     /// The caller has disconnected.
@@ -100,9 +102,10 @@
             Some(data) => upstream.splitter.push(&data),
             // A mere close does not show that the stream ends behind an event that is far ahead.
             None if upstream.head.framing == Framing::UntilClose
-                && upstream.splitter.has_awaiting_event() =>
+                && upstream.splitter.has_awaiting_event()
+                && !upstream.splitter.has_partial_event() =>
             {
-                Err(HttpError::Truncated)
+                return StreamOutcome::Withheld;
             }
             None => upstream.splitter.finish(),
         };
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -126,6 +126,22 @@
         Self { withheld_id, is_doubtful, ..self }
     }
 
+    /// How far an event that has not been returned is ahead of the last one, or of 0; `None` if there
+    /// is no such event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut splitter = ibissail_http1::EventSplitter::default();
+    /// splitter.push(b"id: 1\ndata: a\n\nid: 9\ndata: b\n\n")?;
+    /// assert_eq!(splitter.position().withheld_distance(), Some(8));
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
+    #[must_use]
+    pub fn withheld_distance(&self) -> Option<u64> {
+        self.withheld_id.map(|id| id.saturating_sub(self.last_id.unwrap_or_default()))
+    }
+
     pub(crate) fn with_withheld(self, id: Option<u64>) -> Self {
         Self { withheld_id: id.or(self.withheld_id), ..self }
     }
