Refuse lone carriage returns and choices that are no objects in engines' events

Cause: an independent review showed that a sidecar forwarded lines with a carriage return inside, which receivers take for the end of a line: an event of an engine could carry another, foreign one. A choice that is an array, and a retry field without a value, passed as well. The entry's own streams have been checked for these before.

Change: the check for lone carriage returns is shared by both; a choice is an object.

--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -2,9 +2,10 @@
 
 use ibissail_core::{ErrorKind, Fault, Tokens};
 use ibissail_execution::TokenCounts;
-use ibissail_http1::{EventLine, EventLineCheck};
+use ibissail_http1::{EventLine, EventLineCheck, has_lone_carriage_return};
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 /// Data of the final event.
 const DONE_DATA: &[u8] = b"[DONE]";
@@ -40,9 +41,8 @@
     usage: Option<Value>,
 }
 
-/// One of the alternatives of a completion, whatever it consists of.
-#[derive(Debug, Deserialize)]
-struct Choice {}
+/// One of the alternatives of a completion: an object, whatever it consists of.
+type Choice = BTreeMap<String, Value>;
 
 /// What an engine has made of a completion.
 #[derive(Debug)]
@@ -165,18 +165,16 @@
         for line in event.split_inclusive(|b| *b == b'\n') {
             self.line_check.check(line).map_err(|error| no_event(&error.to_string()))?;
             match EventLine::parse(line) {
+                _ if has_lone_carriage_return(line) => return Err(no_field(line)),
                 EventLine::Blank | EventLine::Comment => {}
-                EventLine::Retry(time) if time.iter().all(u8::is_ascii_digit) => {}
+                EventLine::Retry(time)
+                    if !time.is_empty() && time.iter().all(u8::is_ascii_digit) => {}
                 EventLine::Type | EventLine::Id(_) => has_begun = true,
                 EventLine::Data(value) => match &mut data {
                     Some(data) => data.extend([b"\n", value].concat()),
                     None => data = Some(value.to_vec()),
                 },
-                EventLine::Retry(_) | EventLine::Other { .. } => {
-                    // The fault reaches a caller, who must not see another's bytes.
-                    let detail = format!("a line of {} bytes is no field", line.len());
-                    return Err(no_event(&detail));
-                }
+                EventLine::Retry(_) | EventLine::Other { .. } => return Err(no_field(line)),
             }
         }
         if has_begun && data.is_none() {
@@ -207,6 +205,12 @@
     Fault::new(ErrorKind::Incomplete, format!("no event of a completion: {detail}"))
 }
 
+/// The fault of a line that is no field of an event. It reaches a caller, who must not see the bytes of
+/// another's response.
+fn no_field(line: &[u8]) -> Fault {
+    no_event(&format!("a line of {} bytes is no field", line.len()))
+}
+
 /// Start of a text, for the log.
 fn shown(text: &[u8]) -> String {
     text[..text.len().min(MAX_SHOWN_BYTES)].escape_ascii().to_string()
--- a/crates/daemon/tests/engine_events.rs
+++ b/crates/daemon/tests/engine_events.rs
@@ -14,7 +14,7 @@
 const DONE: &str = "data: [DONE]\n\n";
 
 /// Blocks that are no event of a completion.
-const FOREIGN: [&str; 17] = [
+const FOREIGN: [&str; 22] = [
     "garbage\n\n",
     "\u{1}\u{2}\u{3}\n\n",
     "<html>\n<p style=\"a: b\">Bad Gateway</p>\n</html>\n\n",
@@ -32,6 +32,11 @@
     "data: [DONE]5\n\n",
     "garbage\ndata: {\"choices\": []}\n\n",
     "garbage\r\n\r\n",
+    ": x\r\rdata: foreign\r\r\n\n",
+    "event: x\rdata: foreign\ndata: {\"choices\":[{}]}\n\n",
+    "id: 4\r\rdata: foreign\r\r\ndata: {\"choices\":[{}]}\n\n",
+    "retry:\n\n",
+    "data: {\"choices\":[[]]}\n\n",
 ];
 
 /// Starts an engine that responds with these parts.
--- a/crates/http1/src/event.rs
+++ b/crates/http1/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     EventLine, EventLineCheck, HttpError, StreamPosition, event_line::parse_digits,
-    position::Distance,
+    has_lone_carriage_return, position::Distance,
 };
 
 /// Longest event, and most bytes of comments and blank lines between two events, in bytes. An event
@@ -167,14 +167,6 @@
     }
 }
 
-/// Whether a line contains a carriage return that is not part of its end. Receivers take it for the end
-/// of a line.
-fn has_lone_carriage_return(line: &[u8]) -> bool {
-    let line = line.strip_suffix(b"\n").unwrap_or(line);
-    let line = line.strip_suffix(b"\r").unwrap_or(line);
-    memchr::memchr(b'\r', line).is_some()
-}
-
 /// The error of a line that is no field of an event. It reaches a caller, who must not see the bytes of
 /// another's response.
 fn no_field(line: &[u8]) -> HttpError {
--- a/crates/http1/src/event_line.rs
+++ b/crates/http1/src/event_line.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// Whether a line of a stream contains a carriage return that is not part of its end. Receivers take it
+/// for the end of a line.
+///
+/// # Examples
+///
+/// ```
+/// use ibissail_http1::has_lone_carriage_return;
+/// assert!(has_lone_carriage_return(b": a\rdata: b\r\n"));
+/// assert!(!has_lone_carriage_return(b"data: b\r\n"));
+/// ```
+#[must_use]
+pub fn has_lone_carriage_return(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    memchr::memchr(b'\r', line).is_some()
+}
+
 /// Parses a number that consists of decimal digits only.
 pub(crate) fn parse_digits(text: &[u8]) -> Option<u64> {
     let text = str::from_utf8(text).ok()?;
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -18,7 +18,7 @@
 pub use connection::{Connection, dial};
 pub use error::HttpError;
 pub use event::EventSplitter;
-pub use event_line::{EventLine, EventLineCheck};
+pub use event_line::{EventLine, EventLineCheck, has_lone_carriage_return};
 pub use head::{
     Framing, Headers, RESPONSE_HEAD_START, RequestHead, ResponseHead, parse_request,
     parse_response, reason_phrase,
