--- a/crates/daemon/tests/replica_limits.rs
+++ b/crates/daemon/tests/replica_limits.rs
@@ -202,6 +202,25 @@
     }
 }
 
+/// Guards against a replica that is flooded after one response whose rate is garbled.
+#[test]
+fn values_that_are_no_rate_end_no_limit() {
+    let fleet = Fleet::start("limit_unended");
+    for replica in &fleet.replicas {
+        replica.set_limit(Some("0.5"));
+    }
+    let traffic = fleet.send("GET", "/look/1");
+    thread::sleep(REACTION_TIME);
+    let from = Instant::now();
+    for value in ["", "many", "-1", "NaN", "inf", "1, 2"] {
+        fleet.replicas[0].set_limit(Some(value));
+        thread::sleep(Duration::from_secs(1));
+    }
+    traffic.stop();
+    let most = most_in_a_window(&fleet.replicas[0], from);
+    assert!(most <= allowed(500), "{most} requests in {WINDOW:?}");
+}
+
 #[test]
 fn callers_of_one_entry_get_what_the_others_do_not_use() {
     let fleet = Fleet::start("limit_uneven");
