Forget what an unlisted run of a replica has said

Callers: a replica that said that it leaves, and came back with its clock set back, got no requests until it restarted again: its new start time was earlier than that of the run that left. A peer's message with a start time that no list shows did the same, or limited the replica, at all entries for ever, as they told each other; the replica's own responses counted as an earlier run's.

Cause: signals of the latest start time won, whatever the list showed.

Change: signals of a run end ten seconds after an earlier run is listed, and peers are told only of runs that are listed. Signals expire with each round of reports, as most entries never list the replicas themselves.

Result: the new test of the process (replica_leaving) gets requests again; it failed before (none in 20 s). replica_leaving (6), replica_signals (9) and rate_limits (7) pass. With the old condition, one of the two new tests in replica_signals fails (peers are told); the other, that a run a peer has read earlier still counts, passes before and after.

--- a/crates/daemon/src/direct/limits.rs
+++ b/crates/daemon/src/direct/limits.rs
@@ -99,9 +99,9 @@
     }
 
     fn told_limits(&self, now: Millis) -> Vec<ToldLimit> {
-        let named = self.signals.named_limits(now);
-        let listed = named.filter(|(id, _)| self.replicas.get(id).is_some());
-        let mut told: Vec<ToldLimit> = listed
+        let mut told: Vec<ToldLimit> = self
+            .signals
+            .told_limits(|id| self.replicas.get(id), now)
             .map(|(id, named)| {
                 let NamedLimit { started_unix_ms, rate, observed_at } = named;
                 (replica_hash(id), started_unix_ms, rate, now.since(observed_at))
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -107,6 +107,8 @@
     /// Starts a round of reports; returns the addresses of the receivers, and the report.
     fn build_report(&self, now: Millis) -> (Vec<SocketAddr>, Report) {
         let mut state = self.state();
+        // Few entries list the replicas; the others hear that their list is current.
+        state.expire_signals(now);
         let loads = state.loads.iter().filter(|(_, load)| load.running > 0);
         let loads = loads.map(|(id, load)| LoadReport {
             replica: replica_hash(id),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -45,8 +45,8 @@
     }
 
     fn leaving_replicas(&self) -> Vec<LeavingReplica> {
-        let listed = self.signals.leaving().filter(|(id, _)| self.replicas.get(id).is_some());
-        let hashed = listed.map(|(id, started)| (replica_hash(id), started));
+        let told = self.signals.told_leaving(|id| self.replicas.get(id));
+        let hashed = told.map(|(id, started)| (replica_hash(id), started));
         hashed.take(MAX_NOTICE_REPLICAS).collect()
     }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -201,11 +201,16 @@
         restarted
     }
 
+    /// Forgets the signals of replicas and runs that are not listed.
+    pub(super) fn expire_signals(&mut self, now: Millis) {
+        let Self { signals, replicas, .. } = self;
+        signals.expire(|id| replicas.get(id), now);
+    }
+
     /// Removes the health records of unlisted replicas, and the loads of those without requests in
     /// progress.
-    pub(crate) fn remove_unlisted_replicas(&mut self, now: Millis) {
+    pub(crate) fn remove_unlisted_replicas(&mut self) {
         let replicas = &self.replicas;
-        self.signals.expire(|id| replicas.get(id).is_some(), now);
         self.health.retain(|id, _| replicas.get(id).is_some());
         self.reported_loads.expire(|id| replicas.get(id).is_some());
         self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
--- a/crates/daemon/src/direct/watch.rs
+++ b/crates/daemon/src/direct/watch.rs
@@ -102,7 +102,7 @@
             info!(self.log, "replicas: listed"; "count" => state.replicas.len(),
                 "names" => names.join(" "), "revision" => %listing.revision);
         }
-        state.remove_unlisted_replicas(now);
+        state.remove_unlisted_replicas();
         is_newest.then(|| state.replicas.digest())
     }
 
--- a/crates/daemon/tests/replica_leaving.rs
+++ b/crates/daemon/tests/replica_leaving.rs
@@ -7,7 +7,10 @@
     Behaviour, CallerRequest, ConfigurationSpec, ReplicaStandin, RouteSpec, StreamEnding,
     replica_spec, set_start_time,
 };
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 const OK_RESPONSE: Behaviour = Behaviour::Respond(200, Duration::ZERO);
 
@@ -103,6 +106,30 @@
     send_until_reached(&fixture, &replica);
 }
 
+/// Guards against a replica that gets no requests because its clock was set back while it was down.
+#[test]
+fn restart_with_an_earlier_start_time_ends_the_leaving_too() {
+    let fixture = EntryFixture::start("leaving_clock", &configuration());
+    let replica = ReplicaStandin::start("r-1", OK_RESPONSE);
+    register_run(&fixture, &replica, 20);
+    let other = fixture.add_replica("r-2", "records", OK_RESPONSE);
+    fixture.wait_ready();
+    send_until_reached(&fixture, &other);
+    replica.set_leaving(true);
+    send_until_reached(&fixture, &replica);
+    assert_eq!(reached_by(&fixture, &replica, 30), 0);
+    replica.set_leaving(false);
+    register_run(&fixture, &replica, 10);
+    let registered = Instant::now();
+    while registered.elapsed() < Duration::from_secs(20) {
+        if reached_by(&fixture, &replica, 5) > 0 {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the replica gets no requests 20 s after its restart");
+}
+
 #[test]
 fn stream_of_a_leaving_replica_is_finished() {
     let fixture = EntryFixture::start("leaving_stream", &configuration());
--- a/crates/direct/src/signals.rs
+++ b/crates/direct/src/signals.rs
@@ -13,6 +13,9 @@
 /// Time for which the signals of a replica that is no longer listed are kept. It may be listed again
 /// after an outage of the platform.
 const UNLISTED_TTL: Millis = Millis(60_000);
+/// Time for which the signals of a run count while an earlier run is listed. A peer may have read the
+/// list before this entry; a run that no list shows by then is none.
+const UNLISTED_RUN_TTL: Millis = Millis(10_000);
 /// Time for which peers are told that a replica no longer names a rate.
 const ENDED_LIMIT_TIME: Millis = Millis(10_000);
 /// Most replicas whose signals are kept; those unlisted for longest are forgotten first.
@@ -149,6 +152,20 @@
         })
     }
 
+    /// The limits among [`ReplicaSignals::named_limits`] that peers are told: not those of runs that
+    /// are not listed, which entries would tell each other for ever. `listed` looks up a replica.
+    pub fn told_limits<'r, F>(
+        &self,
+        listed: F,
+        now: Millis,
+    ) -> impl Iterator<Item = (&InstanceId, NamedLimit)>
+    where
+        F: Fn(&InstanceId) -> Option<&'r Replica>,
+    {
+        let named = self.named_limits(now);
+        named.filter(move |(id, named)| is_listed_run(listed(id), named.started_unix_ms))
+    }
+
     /// Records that a replica has asked a peer for a pause.
     pub fn record_peer_pause(&mut self, known: &Replica, pause: Millis, now: Millis) {
         if let Some(signals) = self.entry(&known.id, known.started_unix_ms, Some(known), now) {
@@ -208,10 +225,15 @@
         (!is_later(replica.started_unix_ms, signals.started_unix_ms)).then_some(signals)
     }
 
-    /// Replicas that are leaving, each with the start time of its run.
-    pub fn leaving(&self) -> impl Iterator<Item = (&InstanceId, Option<u64>)> {
+    /// Replicas that are leaving, each with the start time of its run, as peers are told: not those
+    /// whose run is not listed. `listed` looks up a replica.
+    pub fn told_leaving<'r, F>(&self, listed: F) -> impl Iterator<Item = (&InstanceId, Option<u64>)>
+    where
+        F: Fn(&InstanceId) -> Option<&'r Replica>,
+    {
         let leaving = self.signals.iter().filter(|(_, signals)| signals.is_leaving);
-        leaving.map(|(id, signals)| (id, signals.started_unix_ms))
+        let leaving = leaving.map(|(id, signals)| (id, signals.started_unix_ms));
+        leaving.filter(move |(id, started)| is_listed_run(listed(id), *started))
     }
 
     /// Replicas that this entry does not send requests to, each with the rest of its pause.
@@ -220,20 +242,28 @@
         paused.map(move |(id, signals)| (id, signals.paused_until.since(now)))
     }
 
-    /// Forgets replicas that have not been listed for `UNLISTED_TTL`. `is_listed` says which are.
-    pub fn expire<F>(&mut self, is_listed: F, now: Millis)
+    /// Forgets replicas that have not been listed for `UNLISTED_TTL`, and runs for which an earlier
+    /// one has been listed for `UNLISTED_RUN_TTL`. `listed` looks up a replica.
+    pub fn expire<'r, F>(&mut self, listed: F, now: Millis)
     where
-        F: Fn(&InstanceId) -> bool,
+        F: Fn(&InstanceId) -> Option<&'r Replica>,
     {
-        for (id, signals) in &mut self.signals {
-            if is_listed(id) {
+        self.signals.retain(|id, signals| {
+            let replica = listed(id);
+            if is_listed_run(replica, signals.started_unix_ms) {
                 signals.listed_at = now;
             }
-        }
-        self.signals.retain(|_, signals| now.since(signals.listed_at) < UNLISTED_TTL);
+            let ttl = if replica.is_some() { UNLISTED_RUN_TTL } else { UNLISTED_TTL };
+            now.since(signals.listed_at) < ttl
+        });
     }
 }
 
+/// Whether the list shows this run of a replica, or a later one.
+fn is_listed_run(listed: Option<&Replica>, started_unix_ms: Option<u64>) -> bool {
+    listed.is_some_and(|replica| !is_later(started_unix_ms, replica.started_unix_ms))
+}
+
 /// Whether both start times are reported and the first is later.
 pub(crate) fn is_later(first: Option<u64>, second: Option<u64>) -> bool {
     first.zip(second).is_some_and(|(first, second)| first > second)
--- a/crates/direct/tests/replica_signals.rs
+++ b/crates/direct/tests/replica_signals.rs
@@ -42,13 +42,50 @@
     let mut signals = ReplicaSignals::default();
     let known = replica(None);
     signals.record_leaving(&id(), None, Some(&known), Millis(0));
-    signals.expire(|_| true, Millis(500_000));
-    signals.expire(|_| false, Millis(520_000));
+    signals.expire(|_| Some(&known), Millis(500_000));
+    signals.expire(|_| None, Millis(520_000));
     assert_eq!(signals.unavailability(&known, Millis(520_000)), Some(Unavailability::Leaving));
-    signals.expire(|_| false, Millis(600_000));
+    signals.expire(|_| None, Millis(600_000));
     assert_eq!(signals.unavailability(&known, Millis(600_000)), None);
 }
 
+/// Guards against a run that no list shows and whose signals count for the listed run for ever.
+#[test]
+fn signals_of_a_run_that_is_not_listed_are_forgotten_in_time() {
+    let mut signals = ReplicaSignals::default();
+    let (later, listed) = (Some(u64::MAX), replica(Some(2)));
+    let rate = Some(RequestRate(0));
+    let named = |started_unix_ms, observed_at| NamedLimit { started_unix_ms, rate, observed_at };
+    signals.record_limit(&id(), named(later, Millis(0)), Some(&listed), Millis(0));
+    signals.record_leaving(&id(), later, Some(&listed), Millis(0));
+    assert_eq!(signals.told_leaving(|_| Some(&listed)).count(), 0, "peers would tell it back");
+    assert_eq!(signals.told_limits(|_| Some(&listed), Millis(0)).count(), 0);
+    for now in (0..20_000).step_by(400).map(Millis) {
+        signals.expire(|_| Some(&listed), now);
+    }
+    assert_eq!(signals.unavailability(&listed, Millis(20_000)), None);
+    assert!(signals.limit(&listed).is_none());
+    let now = Millis(20_000);
+    assert!(signals.record_leaving(&id(), Some(2), Some(&listed), now), "its own response counts");
+    assert_eq!(signals.told_leaving(|_| Some(&listed)).count(), 1);
+    signals.expire(|_| Some(&listed), Millis(500_000));
+    let leaving = Some(Unavailability::Leaving);
+    assert_eq!(signals.unavailability(&listed, Millis(500_000)), leaving);
+}
+
+/// A peer may read the list earlier than this entry.
+#[test]
+fn signals_of_a_run_that_is_listed_later_count() {
+    let mut signals = ReplicaSignals::default();
+    let (before, after) = (replica(Some(1)), replica(Some(2)));
+    signals.record_leaving(&id(), Some(2), Some(&before), Millis(0));
+    signals.expire(|_| Some(&before), Millis(3_000));
+    assert_eq!(signals.unavailability(&after, Millis(3_000)), Some(Unavailability::Leaving));
+    signals.expire(|_| Some(&after), Millis(3_400));
+    signals.expire(|_| Some(&after), Millis(90_000));
+    assert_eq!(signals.unavailability(&after, Millis(90_000)), Some(Unavailability::Leaving));
+}
+
 #[test]
 fn hint_of_a_peer_does_not_exclude_a_replica() {
     let mut signals = ReplicaSignals::default();
