Believe in the listed run of a replica when a peer told of a later one

Replicas: after a message of a peer with a start time that no list shows, an entry ignored the records and responses of the listed run for ever, so that the replica, cold again, was not spared; entries told it each other on.

Cause: as for the other signals, the latest start time won.

Change: a run for which an earlier one has been listed for ten seconds is given up, and peers are not told of it meanwhile.

--- a/crates/direct/src/limits/slow_start.rs
+++ b/crates/direct/src/limits/slow_start.rs
@@ -19,6 +19,9 @@
 const KNOWN_TIME: Millis = Millis(3_000);
 /// Time for which a replica that is no longer listed is remembered.
 const UNLISTED_TTL: Millis = Millis(60_000);
+/// Time for which a run is believed in while an earlier one is listed. A peer may have read the list
+/// before this entry; a run that no list shows by then is none.
+const UNLISTED_RUN_TTL: Millis = Millis(10_000);
 /// Time for which peers are told that a replica is cold no longer.
 const ENDED_TIME: Millis = Millis(10_000);
 /// Difference of two times below which what a peer tells may be what this entry knows already. Without
@@ -99,6 +102,8 @@
     start: ColdStart,
     is_listed: bool,
     listed_at: Millis,
+    /// Since when an earlier run has been listed instead; `None` if it is listed, or a later one is.
+    earlier_listed_since: Option<Millis>,
     /// Beginning and end of the time for which it is cold by what was last stated.
     cold_at: Millis,
     cold_until: Millis,
@@ -130,6 +135,7 @@
             start,
             is_listed: true,
             listed_at: now,
+            earlier_listed_since: None,
             cold_at: now,
             cold_until: Millis(0),
             source: ColdSource::Start,
@@ -154,6 +160,18 @@
         self.set_cold(duration, ColdSource::Start, at);
     }
 
+    /// Whether an earlier run has been listed for so long that this one is none.
+    fn is_given_up(&mut self, listed: Option<u64>, now: Millis) -> bool {
+        let is_earlier_listed = is_later(self.started_unix_ms, listed);
+        let since = self.earlier_listed_since.filter(|_| is_earlier_listed).unwrap_or(now);
+        self.earlier_listed_since = is_earlier_listed.then_some(since);
+        let is_given_up = now.since(since) >= UNLISTED_RUN_TTL;
+        if is_given_up {
+            self.earlier_listed_since = None;
+        }
+        is_given_up
+    }
+
     /// When it first responded after it was unreachable, as far as known.
     fn returned_at(&self) -> Option<Millis> {
         self.responded_at.filter(|responded| Some(*responded) > self.unreachable_at)
@@ -244,6 +262,9 @@
 
     /// What peers are told of it; `None` if nothing.
     fn told(&self, now: Millis) -> Option<StatedCold> {
+        if self.earlier_listed_since.is_some() {
+            return None;
+        }
         let started_unix_ms = self.started_unix_ms;
         let told = |cold: Millis, observed_at, is_provisional| {
             Some(StatedCold { started_unix_ms, cold: ColdTime(cold), observed_at, is_provisional })
@@ -352,7 +373,9 @@
             Entry::Occupied(occupied) => {
                 let run = occupied.into_mut();
                 run.start = start;
-                if is_later(replica.started_unix_ms, run.started_unix_ms) {
+                if run.is_given_up(replica.started_unix_ms, now)
+                    || is_later(replica.started_unix_ms, run.started_unix_ms)
+                {
                     run.restart(replica.started_unix_ms, now);
                 } else if !was_listed {
                     (run.unreachable_at, run.responded_at) = (Some(run.listed_at), Some(now));
--- a/crates/direct/tests/slow_start.rs
+++ b/crates/direct/tests/slow_start.rs
@@ -552,6 +552,26 @@
     assert!(!one.is_cold(20_300));
 }
 
+/// Guards against a cold replica that is flooded because no list shows the run that a peer has told.
+#[test]
+fn run_that_is_not_listed_does_not_hide_the_listed_one() {
+    let mut one = OneReplica::new(Some(LIMITS));
+    one.record(1, 0, 0);
+    let (cold, observed_at) = (ColdTime(Millis(1_000)), Millis(10_000));
+    let started_unix_ms = Some(u64::MAX);
+    one.hear(StatedCold { started_unix_ms, cold, observed_at, is_provisional: false }, 10_000);
+    assert!(one.is_cold(10_500));
+    one.record(1, 0, 10_400);
+    assert_eq!(one.told(10_400), [], "peers would tell it back");
+    for now in (10_800..21_000).step_by(400) {
+        one.record(1, 0, now);
+    }
+    assert!(!one.is_cold(21_000));
+    one.record(1, 4_000, 21_000);
+    assert!(one.is_cold(24_000) && !one.is_cold(25_000), "its own record counts");
+    assert_eq!(one.told(21_000).len(), 1);
+}
+
 #[test]
 fn replica_that_was_unreachable_is_cold_until_a_record_written_after_its_return() {
     let mut one = OneReplica::new(Some(LIMITS));
