Check the replica at the end of every unframed stream

Cause: the end of the connection was believed unless the replica was listed as ready and not leaving; only then was its listener checked.

The replica is now checked whatever it is listed as. Only one that accepts a connection, or has begun to answer a request sent after the end, proves the stream whole. One that refuses or is unreachable does not: the address of a machine that is gone often answers nothing, and a stream that is resumed in vain costs one retry. A replica in an evacuated zone is not connected to, so that its stream counts as broken off too. Each check is logged.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -35,6 +35,7 @@
 mod spreading;
 mod state;
 mod trials;
+mod unframed_ends;
 mod unsent;
 mod upstream;
 mod watch;
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -34,7 +34,11 @@
 }
 
 /// Checks a stream at the end of its response; returns the outcome unless it is complete.
-async fn check_end(progress: &mut Progress, upstream: &UpstreamResponse) -> Option<StreamOutcome> {
+async fn check_end(
+    request: &AdmittedRequest,
+    progress: &mut Progress,
+    upstream: &UpstreamResponse,
+) -> Option<StreamOutcome> {
     let trial = &upstream.exchange.trial;
     let framing = upstream.head.framing;
     if trial.event_count() == 0 && may_not_be_empty(framing, progress.has_response_started()) {
@@ -43,14 +47,14 @@
     if framing != Framing::UntilClose {
         return None;
     }
-    let checking = trial.has_replica_ended();
+    let checking = trial.check_unframed_end(&request.params.id);
     let checked = match &mut progress.outbox {
         Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
         None => Ok(checking.await),
     };
     match checked {
-        Ok(false) => None,
-        Ok(true) => Some(StreamOutcome::Broken("the replica ended with the connection".to_owned())),
+        Ok(end) if end.is_complete() => None,
+        Ok(end) => Some(StreamOutcome::Broken(end.to_string())),
         Err(_gone) => Some(StreamOutcome::CallerGone),
     }
 }
@@ -124,7 +128,7 @@
             pace.record_events(event_count);
             bytes = encode_chunk(&events);
         }
-        if is_end && let Some(outcome) = check_end(progress, upstream).await {
+        if is_end && let Some(outcome) = check_end(request, progress, upstream).await {
             return outcome;
         }
         progress.position = position;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -17,7 +17,7 @@
     CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
     Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex,
     ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList,
-    RoutingTable, SeenVersions, Shedding, UnsentBudget,
+    RoutingTable, RunHash, SeenVersions, Shedding, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -35,6 +35,8 @@
     pub(crate) held: Tokens,
     /// When the replica last sent any byte.
     pub(crate) last_byte_at: Millis,
+    /// The latest request, by the time when it was sent, that it has begun to answer, and its run.
+    pub(super) answered: Option<(RunHash, Millis)>,
 }
 
 /// The version that a session is pinned to, until the session has been idle for too long.
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -10,15 +10,12 @@
     progress::SelectedReplica,
     request::AdmittedRequest,
 };
-use crate::{
-    clock::since_boot,
-    crash_check::{CrashCheckResult, check_for_crash},
-};
+use crate::clock::since_boot;
 use async_std::task;
-use ibissail_core::{InstanceId, Millis};
+use ibissail_core::{InstanceId, Millis, ZoneId};
 use ibissail_direct::{
-    AttemptNumber, GIVEN_UP_TTL, LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, ReplicaState,
-    RequestHash, RunHash, ShortResponse, SuspectAttempt, Unavailability, stable_hash,
+    AttemptNumber, GIVEN_UP_TTL, LostRun, PROOF_EVENTS, PROOF_TIME, PartHash, RequestHash, RunHash,
+    ShortResponse, SuspectAttempt, stable_hash,
 };
 use slog::info;
 use std::{net::SocketAddr, sync::Arc};
@@ -31,13 +28,14 @@
 /// One attempt whose replica may have begun to run the request.
 #[derive(Debug)]
 pub(crate) struct Trial {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     /// The attempt as it would be lost now.
-    lost: LostRun,
+    pub(super) lost: LostRun,
     parts: Vec<PartHash>,
     names: Vec<String>,
-    replica: InstanceId,
-    address: SocketAddr,
+    pub(super) replica: InstanceId,
+    pub(super) zone: ZoneId,
+    pub(super) address: SocketAddr,
     /// When the head of the response arrived.
     head_at: Option<Millis>,
     /// Events that have arrived.
@@ -77,6 +75,7 @@
             are_parts_proven: parts.is_empty(),
             parts,
             replica: replica.id.clone(),
+            zone: replica.zone.clone(),
             address: replica.address,
             head_at: None,
             events: 0,
@@ -94,6 +93,12 @@
     /// Records that the head of the response has arrived.
     pub(super) fn record_head(&mut self) {
         self.head_at = Some(since_boot());
+        let LostRun { run, began_at, .. } = self.lost;
+        let mut state = self.shared.state();
+        let answered = &mut state.loads.entry(self.replica.clone()).or_default().answered;
+        if answered.is_none_or(|(_, latest)| latest < began_at) {
+            *answered = Some((run, began_at));
+        }
     }
 
     /// Records that the answer goes on: complete events have arrived.
@@ -174,20 +179,6 @@
         self.check(true);
     }
 
-    /// Whether the replica has ended together with the connection. One that is leaving may end after
-    /// its last response.
-    pub(super) async fn has_replica_ended(&self) -> bool {
-        let is_staying = {
-            let state = self.shared.state();
-            let now = since_boot();
-            state.replicas.get(&self.replica).is_some_and(|replica| {
-                replica.state == ReplicaState::Ready
-                    && state.signals.unavailability(replica, now) != Some(Unavailability::Leaving)
-            })
-        };
-        is_staying && check_for_crash(self.address).await == CrashCheckResult::Ended
-    }
-
     /// Has the replica checked; `is_complete` says whether the response is complete if it runs.
     fn check(&mut self, is_complete: bool) {
         self.is_settled = true;
