Check the replica at the end of every unframed body

Cause: the end of the connection was taken as the end of the body.

Such bodies are checked as streams are. One that is not proven whole is asked for elsewhere if the request may be repeated, and else fails as outcome_unknown, like a torn one. Latencies that versions are compared by, and the learned time of a call, end before the check. A proven response counts as a framed one, so that the second check of its replica goes.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -332,7 +332,7 @@
         let request = self.request;
         if !progress.has_response_started() {
             self.record_stream_start();
-            self.record_first_event();
+            self.record_first_event(since_boot());
             self.observe_model(progress, upstream.response.confidence);
         }
         // The larger model may run on the same replica.
@@ -450,13 +450,21 @@
                 );
             }
         };
+        let received_at = since_boot();
+        if upstream.head.framing == Framing::UntilClose {
+            let end = upstream.exchange.trial.check_unframed_end(&request.params.id).await;
+            if !end.is_complete() {
+                upstream.exchange.trial.fail();
+                return self.handle_failure(progress, "torn", received, &end.to_string());
+            }
+        }
         self.log_close_delimited(upstream.head.framing, received);
         let UpstreamResponse { mut exchange, head, response, memory, .. } = upstream;
         // A complete response is not given up; its connection may still take the rest of the request.
         drop(memory);
         let is_failure = response.status >= 500;
         let outcome = if is_failure { ResponseOutcome::Failure } else { ResponseOutcome::Success };
-        self.record_response(outcome);
+        self.record_response_at(outcome, received_at);
         if is_failure {
             self.shared.record_failure(&self.replica().id);
             if request.route.kind.is_repeatable() {
@@ -468,12 +476,12 @@
         }
         if !is_failure {
             if self.target.model.is_none() {
-                self.record_first_event();
+                self.record_first_event(received_at);
             }
-            match head.framing {
-                _ if response.status >= 300 => exchange.trial.succeed_request(),
-                Framing::UntilClose => exchange.trial.end_with_connection(),
-                Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.complete(),
+            if response.status >= 300 {
+                exchange.trial.succeed_request();
+            } else {
+                exchange.trial.complete();
             }
         }
         exchange.finish(progress);
--- a/crates/daemon/src/direct/crash_checks.rs
+++ b/crates/daemon/src/direct/crash_checks.rs
@@ -22,27 +22,17 @@
 /// Most ids of parts that are remembered for the log.
 const MAX_NAMES: usize = 512;
 
-/// An attempt whose evidence depends on whether its replica has ended.
-#[derive(Debug, Clone)]
-pub(super) struct CheckedAttempt {
-    pub(super) suspect: SuspectAttempt,
-    /// When the replica began to answer, or was sent the request.
-    pub(super) began_at: Millis,
-    /// Whether the response is complete if the replica runs.
-    pub(super) is_complete: bool,
-}
-
 /// The attempts that wait for the check of one run of a replica, by request.
 #[derive(Debug, Clone, Default)]
-pub(super) struct WaitingAttempts(BTreeMap<RequestHash, CheckedAttempt>);
+pub(super) struct WaitingAttempts(BTreeMap<RequestHash, SuspectAttempt>);
 
 impl WaitingAttempts {
     /// Adds an attempt; returns `false` if too many wait.
-    pub(super) fn add(&mut self, checked: CheckedAttempt) -> bool {
-        let request = checked.suspect.lost.request;
+    pub(super) fn add(&mut self, suspect: SuspectAttempt) -> bool {
+        let request = suspect.lost.request;
         let has_room = self.0.len() < MAX_WAITING || self.0.contains_key(&request);
         if has_room {
-            self.0.insert(request, checked);
+            self.0.insert(request, suspect);
         }
         has_room
     }
@@ -85,7 +75,7 @@
         if !has_ended {
             info!(self.shared.log, "replica: not crashed"; "replica" => %self.replica,
                 "result" => ?result);
-            self.end_without_crash(result == CrashCheckResult::Running);
+            self.shared.state().pending_checks.remove(&self.run);
             return;
         }
         let Some(attempts) = self.record_crash() else { return };
@@ -114,30 +104,13 @@
         others.any(|(_, load)| load.last_byte_at >= self.broken_at)
     }
 
-    /// Ends the check; if the replica runs, the complete responses prove their requests sound.
-    fn end_without_crash(&self, is_running: bool) {
-        let now = since_boot();
-        let mut state = self.shared.state();
-        let Some(WaitingAttempts(waiting)) = state.pending_checks.remove(&self.run) else { return };
-        for checked in waiting.into_values().filter(|checked| is_running && checked.is_complete) {
-            let SuspectAttempt { lost, is_request_suspect, parts } = checked.suspect;
-            if is_request_suspect {
-                state.quarantine.record_sound_request(lost.content, lost.began_at, now);
-            }
-            if !parts.is_empty() {
-                let parts: Vec<PartHash> = parts.into_iter().map(|(part, _)| part).collect();
-                state.quarantine.record_sound(&parts, checked.began_at, now);
-            }
-        }
-    }
-
     /// Ends the check and records the crash; returns the attempts that may have caused it, if that is
     /// new.
     fn record_crash(&self) -> Option<Vec<SuspectAttempt>> {
         let mut state = self.shared.state();
         let WaitingAttempts(waiting) = state.pending_checks.remove(&self.run)?;
         let mut attempts = state.take_given_up(self.run, self.broken_at);
-        attempts.extend(waiting.into_values().map(|checked| checked.suspect));
+        attempts.extend(waiting.into_values());
         state.hold_against(self.run, &attempts, since_boot()).then_some(attempts)
     }
 }
--- a/crates/daemon/src/direct/load.rs
+++ b/crates/daemon/src/direct/load.rs
@@ -85,10 +85,9 @@
 }
 
 impl Attempt<'_> {
-    /// Learns from the time to the first event, or to the response to a call.
-    pub(super) fn record_first_event(&self) {
+    /// Learns from the time to the first event, or to the response to a call, which arrived at `now`.
+    pub(super) fn record_first_event(&self, now: Millis) {
         let (service, expectation) = (&self.request.service, self.replica().expectation);
-        let now = since_boot();
         let took = now.since(self.target.started);
         if expectation.is_by_load {
             let expected = expectation.first_event.as_duration();
--- a/crates/daemon/src/direct/outcomes.rs
+++ b/crates/daemon/src/direct/outcomes.rs
@@ -2,7 +2,7 @@
 
 use super::{Shared, attempt::Attempt, peers::truncate_hash};
 use crate::clock::since_boot;
-use ibissail_core::{InstanceId, ModelId};
+use ibissail_core::{InstanceId, Millis, ModelId};
 use ibissail_direct::{Sample, latency_class, stable_hash};
 use slog::warn;
 
@@ -63,8 +63,12 @@
     /// Records a response, or the lack of one, as evidence on the replica's version; adds the
     /// prompt to the replica's cached prefixes, and a success to its health record.
     pub(super) fn record_response(&self, outcome: ResponseOutcome) {
+        self.record_response_at(outcome, since_boot());
+    }
+
+    /// Records the outcome of a response that arrived, or failed to arrive, at `now`.
+    pub(super) fn record_response_at(&self, outcome: ResponseOutcome, now: Millis) {
         let request = self.request;
-        let now = since_boot();
         let is_bad = outcome == ResponseOutcome::Failure;
         let is_buffered = !request.route.kind.is_stream();
         let sample = Sample {
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -5,10 +5,7 @@
 //! looked on the connection of the attempt.
 
 use super::{
-    Shared,
-    crash_checks::{CheckedAttempt, CrashCheck},
-    progress::SelectedReplica,
-    request::AdmittedRequest,
+    Shared, crash_checks::CrashCheck, progress::SelectedReplica, request::AdmittedRequest,
 };
 use crate::clock::since_boot;
 use async_std::task;
@@ -170,17 +167,6 @@
 
     /// Records that the attempt broke. If its replica has ended, the request may have crashed it.
     pub(super) fn fail(&mut self) {
-        self.check(false);
-    }
-
-    /// Records that the response ended with its connection. Unless its replica has ended too, it
-    /// proves the request and its parts sound.
-    pub(super) fn end_with_connection(&mut self) {
-        self.check(true);
-    }
-
-    /// Has the replica checked; `is_complete` says whether the response is complete if it runs.
-    fn check(&mut self, is_complete: bool) {
         self.is_settled = true;
         self.settle_attempt();
         let Some(suspect) = self.suspect() else {
@@ -201,9 +187,7 @@
             self.log_no_evidence("too many replicas are being checked");
             return;
         }
-        let began_at = self.head_at.unwrap_or(self.lost.began_at);
-        let checked = CheckedAttempt { suspect, began_at, is_complete };
-        if !state.pending_checks.entry(run).or_default().add(checked) {
+        if !state.pending_checks.entry(run).or_default().add(suspect) {
             self.log_no_evidence("too many requests wait for the check");
         }
         drop(state);
--- a/crates/daemon/tests/cut_unframed.rs
+++ b/crates/daemon/tests/cut_unframed.rs
@@ -212,3 +212,55 @@
         }
     }
 }
+
+#[test]
+fn cut_body_of_an_ended_replica_is_asked_for_elsewhere() {
+    for trouble in REACHABLE {
+        let test = format!("cut_body_again_{trouble:?}");
+        let ending = Ending::CutByExit;
+        let replicas = ["r-1", "r-2"];
+        let played =
+            play(&Case { test: &test, path: "/look/1", trouble, ending, replicas: &replicas });
+        let Played { response, requests, .. } = played;
+        let seen = (response.status, response.body.as_str(), requests);
+        assert_eq!(seen, (200, "half and half", 2), "{test}");
+    }
+}
+
+#[test]
+fn cut_body_of_an_ended_replica_that_runs_once_is_not_complete() {
+    for trouble in REACHABLE {
+        let test = format!("cut_body_once_{trouble:?}");
+        let ending = Ending::CutByExit;
+        let replicas = ["r-1", "r-2"];
+        let played =
+            play(&Case { test: &test, path: "/records/1", trouble, ending, replicas: &replicas });
+        let Played { response, requests, .. } = played;
+        let seen = (response.status, response.error_kind(), requests);
+        assert_eq!(seen, (502, "outcome_unknown".into(), 1), "{test}");
+    }
+}
+
+#[test]
+fn cut_body_in_an_evacuated_zone_is_not_complete() {
+    let (trouble, ending) = (Trouble::IsEvacuated, Ending::CutByExit);
+    let test = "cut_body_evacuated";
+    let played = play(&Case { test, path: "/records/1", trouble, ending, replicas: &["r-1"] });
+    assert_eq!(played.response.error_kind(), "outcome_unknown", "{:?}", played.response);
+    assert!(played.log.contains("its zone is evacuated"), "{}", played.log);
+}
+
+#[test]
+fn whole_body_of_a_running_replica_is_complete() {
+    for path in ["/records/1", "/look/1"] {
+        for trouble in REACHABLE {
+            let test = format!("whole_body_{}_{trouble:?}", &path[1..5]);
+            let ending = Ending::WholeAndRuns;
+            let replicas = ["r-1", "r-2"];
+            let played = play(&Case { test: &test, path, trouble, ending, replicas: &replicas });
+            let Played { response, requests, .. } = played;
+            let seen = (response.status, response.body.as_str(), requests);
+            assert_eq!(seen, (200, "half and half", 1), "{test}");
+        }
+    }
+}
