Soak: streams with uneven ids

A caller asks one after the other for streams of 1 to 12 events whose first ids and steps are drawn, in chunks and until close, on routes that may be resumed and that may not, and resumes them itself. No event that no run made, none missing in a complete stream, at most one run where none may be resumed. Sound streams end whole, but for those without framing that may not be resumed and are cut before a last event further ahead than all before it.

--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -3,6 +3,7 @@
 
 #[path = "../common/fault_proxy.rs"]
 pub mod fault_proxy;
+pub mod planned_streams;
 pub mod relay;
 pub mod traffic;
 #[path = "../common/wait.rs"]
--- a/crates/daemon/tests/direct_soak.rs
+++ b/crates/daemon/tests/direct_soak.rs
@@ -5,11 +5,15 @@
 
 mod direct;
 
-use direct::{EntryFixture, fault_proxy::FaultProxy};
+use direct::{
+    EntryFixture,
+    fault_proxy::FaultProxy,
+    planned_streams::{Disruption, Disruptions, spawn_uneven_streams},
+};
 use ibissail_platform_standin::{
     BODY_BYTE, Behaviour, CallerRequest, CallerResponse, ConfigurationSpec, EarlyBehaviour,
-    EarlyReplica, EarlyResponse, ForeignReplicas, ReplicaStandin, RestReading, RouteSpec,
-    StoreFault, StoreStandin, StreamEnding, run_events, send_request,
+    EarlyReplica, EarlyResponse, ForeignReplicas, PlannedReplicas, ReplicaStandin, RestReading,
+    RouteSpec, StoreFault, StoreStandin, StreamEnding, run_events, send_request,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -52,6 +56,8 @@
     let mut drafts = RouteSpec::new("/drafts/", "resumable", "writers");
     drafts.request_timeout_ms = 3_000;
     let edits = RouteSpec { prefix: "/edits/".into(), service: "editors".into(), ..drafts.clone() };
+    let logs = RouteSpec { prefix: "/logs/".into(), service: "scribes".into(), ..drafts.clone() };
+    let minutes = RouteSpec { prefix: "/minutes/".into(), kind: "stream".into(), ..logs.clone() };
     let notes = RouteSpec { prefix: "/notes/".into(), kind: "stream".into(), ..edits.clone() };
     let mut members = RouteSpec::new("/members/", "safe", "records");
     members.allows_anonymous = false;
@@ -63,6 +69,8 @@
             drafts,
             edits,
             notes,
+            logs,
+            minutes,
             members,
             RouteSpec {
                 request_timeout_ms: 3_000,
@@ -166,6 +174,7 @@
     fixture: &mut EntryFixture,
     proxy: &FaultProxy,
     replicas: &[ReplicaStandin],
+    disruptions: &Disruptions,
 ) -> Option<Instant> {
     let pause = Duration::from_millis(rng.random_range(100..900));
     let healthy_behaviour = |replica: &ReplicaStandin| {
@@ -177,11 +186,13 @@
     };
     match rng.random_range(0..9) {
         0 => {
+            let _disruption = disruptions.begin(Disruption::Frozen);
             fixture.signal("-STOP");
             thread::sleep(pause);
             fixture.signal("-CONT");
         }
         1 => {
+            let _disruption = disruptions.begin(Disruption::Restarted);
             fixture.kill();
             let killed_at = Instant::now();
             thread::sleep(pause / 4);
@@ -189,6 +200,7 @@
             return Some(killed_at);
         }
         2 => {
+            let _disruption = disruptions.begin(Disruption::Restarted);
             fixture.signal("-TERM");
             fixture.wait_for_exit();
             fixture.start_entry();
@@ -319,16 +331,23 @@
     for number in 0..6 {
         foreign.add(&fixture.store, &format!("e-{number}"), "editors");
     }
+    let scribes = PlannedReplicas::new();
+    for number in 0..3 {
+        scribes.add(&fixture.store, &format!("s-{number}"), "scribes");
+    }
     fixture.wait_ready();
     let (stop, exchanges) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     spawn_callers(fixture.callers, seed, &stop, &exchanges);
     let bodies = Arc::new(Mutex::new(Vec::new()));
     spawn_long_bodies(fixture.callers, seed, &stop, &bodies);
+    let disruptions = Disruptions::default();
+    let entry = fixture.callers;
+    let uneven = spawn_uneven_streams(entry, seed, &stop, &disruptions, &scribes);
     let started = Instant::now();
     let mut revoked_at = None;
     let mut kills = Vec::new();
     while started.elapsed() < RUN_TIME {
-        kills.extend(inject_fault(&mut rng, &mut fixture, &proxy, &replicas));
+        kills.extend(inject_fault(&mut rng, &mut fixture, &proxy, &replicas, &disruptions));
         if revoked_at.is_none() && started.elapsed() > RUN_TIME / 3 {
             let revoked = configuration(2, &["key-2"]);
             revoked.apply_with_body_limit(&fixture.store, LONG_BODY_BYTES as u64);
@@ -344,6 +363,7 @@
     let runs = runs(&replicas, &foreign);
     check_invariants(seed, &exchanges, &runs, revoked_at.expect("the key was revoked"));
     check_foreign(seed, &exchanges, &foreign);
+    uneven.join().expect("uneven streams");
 }
 
 #[test]
