Test of a replaced version: a stream that outlasts the rollout on fast machines too

The stream of 6 s must break after the rollout of 8 s has succeeded, so it had to begin 1.75 s after the order at the earliest, when eight canary requests had run. On an x86-64 machine that takes 1.5 s: the stream broke 0.2 s before the success, when no replica may take it over.

The stream now takes 8 s.

--- a/crates/daemon/tests/replaced_version.rs
+++ b/crates/daemon/tests/replaced_version.rs
@@ -11,6 +11,8 @@
 /// Events of the stream that outlasts the rollout.
 const EVENTS: u64 = 30;
 const ROLLOUT_SECONDS: f64 = 8.0;
+/// Pause before each event of that stream. Its 20 events take as long as the rollout, whenever they begin.
+const STREAM_INTERVAL_MS: u64 = 400;
 /// Requests sent at the same time, so that a busy machine too brings the new version enough of them
 /// before all go to it.
 const PARALLEL_REQUESTS: u32 = 12;
@@ -61,7 +63,7 @@
         thread::sleep(Duration::from_millis(10));
     }
     // Its replica stops with it, in the middle of an event and without draining.
-    old.set_behaviour(stream(20, 300, StreamEnding::Truncated));
+    old.set_behaviour(stream(20, STREAM_INTERVAL_MS, StreamEnding::Truncated));
     let response = thread::scope(|scope| {
         let sending = scope.spawn(|| {
             let mut number = 0;
