--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use crate::clock::since_boot;
 use ibissail_core::{ErrorKind, Millis};
 use ibissail_direct::CascadeStep;
-use ibissail_http1::{Connection, Framing};
+use ibissail_http1::{Connection, Framing, StreamPosition, UsualIds};
 use ibissail_platform::{Rejection, ReplicaResponse};
 use slog::info;
 use std::sync::Arc;
@@ -332,7 +332,7 @@
         let request = self.request;
         if !progress.has_response_started() {
             self.record_stream_start();
-            self.record_first_event();
+            self.record_first_event(since_boot());
             self.observe_model(progress, upstream.response.confidence);
         }
         // The larger model may run on the same replica.
@@ -395,6 +395,23 @@
                 upstream.exchange.trial.fail();
                 self.handle_failure(progress, "broken", upstream.received_so_far(), &error)
             }
+            StreamOutcome::Withheld => {
+                self.learn_withheld_ids(upstream.splitter.position());
+                upstream.exchange.trial.fail();
+                let error = "the connection ended behind an event that is far ahead";
+                self.handle_failure(progress, "broken", upstream.received_so_far(), error)
+            }
+        }
+    }
+
+    /// Records a stream that was cut before its last event.
+    fn learn_withheld_ids(&self, end: StreamPosition) {
+        let service = &self.request.service;
+        let learned = self.shared.state().event_ids.record_withheld(service, end);
+        if let Some(UsualIds { first, step }) = learned {
+            info!(self.shared.log, "events: withheld ids are usual from now on";
+                "service" => %service, "id" => &self.request.params.id,
+                "largest_first_id" => first, "largest_step" => step);
         }
     }
 
@@ -435,13 +452,21 @@
                 );
             }
         };
+        let received_at = since_boot();
+        if upstream.head.framing == Framing::UntilClose {
+            let end = upstream.exchange.trial.check_unframed_end(&request.params.id).await;
+            if !end.is_complete() {
+                upstream.exchange.trial.fail();
+                return self.handle_failure(progress, "torn", received, &end.to_string());
+            }
+        }
         self.log_close_delimited(upstream.head.framing, received);
         let UpstreamResponse { mut exchange, head, response, memory, .. } = upstream;
         // A complete response is not given up; its connection may still take the rest of the request.
         drop(memory);
         let is_failure = response.status >= 500;
         let outcome = if is_failure { ResponseOutcome::Failure } else { ResponseOutcome::Success };
-        self.record_response(outcome);
+        self.record_response_at(outcome, received_at);
         if is_failure {
             self.shared.record_failure(&self.replica().id);
             if request.route.kind.is_repeatable() {
@@ -453,12 +478,12 @@
         }
         if !is_failure {
             if self.target.model.is_none() {
-                self.record_first_event();
+                self.record_first_event(received_at);
             }
-            match head.framing {
-                _ if response.status >= 300 => exchange.trial.succeed_request(),
-                Framing::UntilClose => exchange.trial.end_with_connection(),
-                Framing::None | Framing::Length(_) | Framing::Chunked => exchange.trial.complete(),
+            if response.status >= 300 {
+                exchange.trial.succeed_request();
+            } else {
+                exchange.trial.complete();
             }
         }
         exchange.finish(progress);
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -17,7 +17,7 @@
     CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
     Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex,
     ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList,
-    RoutingTable, SeenVersions, Shedding, UnsentBudget,
+    RoutingTable, RunHash, SeenVersions, Shedding, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -35,6 +35,8 @@
     pub(crate) held: Tokens,
     /// When the replica last sent any byte.
     pub(crate) last_byte_at: Millis,
+    /// The latest request, by the time when it was sent, that it has begun to answer, and its run.
+    pub(super) answered: Option<(RunHash, Millis)>,
 }
 
 /// The version that a session is pinned to, until the session has been idle for too long.
@@ -201,11 +203,16 @@
         restarted
     }
 
+    /// Forgets the signals of replicas and runs that are not listed.
+    pub(super) fn expire_signals(&mut self, now: Millis) {
+        let Self { signals, replicas, .. } = self;
+        signals.expire(|id| replicas.get(id), now);
+    }
+
     /// Removes the health records of unlisted replicas, and the loads of those without requests in
     /// progress.
-    pub(crate) fn remove_unlisted_replicas(&mut self, now: Millis) {
+    pub(crate) fn remove_unlisted_replicas(&mut self) {
         let replicas = &self.replicas;
-        self.signals.expire(|id| replicas.get(id).is_some(), now);
         self.health.retain(|id, _| replicas.get(id).is_some());
         self.reported_loads.expire(|id| replicas.get(id).is_some());
         self.loads.retain(|id, load| load.running > 0 || replicas.get(id).is_some());
