A reset that a write has reported ends no body

A replica answered a long upload at once with 200, without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: a request and its response share a socket, and the system reports a reset once, to the read or write that comes first. If the write of the rest of the request took it, the next read saw a mere end of the stream, which ends a body without a length or chunks. The replica still accepted connections, so that the check of such an end found nothing.

Change: where a read meets the end, the connection is asked whether it has lost its peer, which no read or write uses up. If it has, the read fails as it does after a reset that it reports itself. This holds for all reads of the HTTP package: replicas, the store, callers. A replica that ends its half in order and reads on keeps its peer, so that its response stays whole.

--- a/crates/daemon/tests/early_answers.rs
+++ b/crates/daemon/tests/early_answers.rs
@@ -130,6 +130,16 @@
     assert_all_whole("early_half", "/records/1", 200, behaviour(EarlyResponse::UntilClose, PAUSE));
 }
 
+/// Guards against a stream that looks cut because its replica ends its half of the connection, and
+/// reads on slowly.
+#[test]
+fn rest_of_a_body_follows_a_stream_that_ends_with_its_connection() {
+    for rest in [PAUSE, RestReading::Slowly(Duration::from_millis(10))] {
+        let behaviour = behaviour(EarlyResponse::StreamUntilClose, rest);
+        assert_all_whole("early_half_stream", "/drafts/1", 200, behaviour);
+    }
+}
+
 /// Guards against bodies that are cut because the response is an error.
 #[test]
 fn rest_of_a_body_follows_an_error() {
--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -3,7 +3,7 @@
 use crate::{HttpError, RequestHead, ResponseHead, parse_request, parse_response};
 use async_std::{future::timeout, net::TcpStream};
 use futures_lite::{AsyncRead, AsyncWriteExt, future, ready};
-use std::{net::SocketAddr, pin::Pin, task::Poll, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 /// Size of the buffer for one read from the socket.
 const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -62,6 +62,14 @@
         &self.unread
     }
 
+    /// Whether the connection has failed, as after a reset. The error itself is reported only once, to
+    /// whichever read or write comes first; afterwards reads see a mere end.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        // Only a connection that has failed has lost its peer before this side has closed it.
+        self.stream.peer_addr().is_err()
+    }
+
     /// Takes at most `max_bytes` of the unread bytes.
     pub(crate) fn take(&mut self, max_bytes: usize) -> Vec<u8> {
         if max_bytes >= self.unread.len() {
@@ -74,7 +82,8 @@
     ///
     /// # Errors
     ///
-    /// `Closed` when the peer has closed the connection, `Io` when it fails.
+    /// `Closed` when the peer has closed the connection, `Io` when it has failed, even if an earlier
+    /// write has reported that already.
     pub async fn fill(&mut self) -> Result<(), HttpError> {
         if self.reads >= READS_PER_TURN {
             self.reads = 0;
@@ -90,14 +99,18 @@
             Poll::Ready(Ok::<_, HttpError>(count))
         })
         .await?;
-        if count == 0 { Err(HttpError::Closed) } else { Ok(()) }
+        match count {
+            0 if self.has_failed() => Err(HttpError::Io(ErrorKind::ConnectionReset.to_string())),
+            0 => Err(HttpError::Closed),
+            _ => Ok(()),
+        }
     }
 
     /// Reads more bytes if none are buffered.
     ///
     /// # Errors
     ///
-    /// `Closed` when the peer has closed the connection, `Io` when it fails.
+    /// The same as for [`Connection::fill`].
     pub async fn fill_if_empty(&mut self) -> Result<(), HttpError> {
         if self.unread.is_empty() { self.fill().await } else { Ok(()) }
     }
