A reset behind the end of an unframed response makes it incomplete

A replica ended its half of the connection early in an upload and then closed the other half with the rest of the upload unread, which resets it. The caller got a complete response although the replica had dropped its request.

Cause: at the end of a response with neither a length nor chunks only the replica is checked, not the connection. A reset that arrives between the end and the verdict went unseen.

Change: the check of such an end looks at the connection last. Bytes of the request that are on their way reach a closed socket within one round trip, and the check takes longer than that. A replica that reads on resets nothing.

A reset later than the verdict cannot be seen: the response has been delivered by then.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -454,7 +454,8 @@
         };
         let received_at = since_boot();
         if upstream.head.framing == Framing::UntilClose {
-            let end = upstream.exchange.trial.check_unframed_end(&request.params.id).await;
+            let Exchange { trial, connection: replica, .. } = &upstream.exchange;
+            let end = trial.check_unframed_end(&request.params.id, replica).await;
             if !end.is_complete() {
                 upstream.exchange.trial.fail();
                 return self.handle_failure(progress, "torn", received, &end.to_string());
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -5,7 +5,7 @@
     progress::Progress,
     request::AdmittedRequest,
     response::{LAST_CHUNK, encode_chunk, forwarded_head},
-    upstream::{StallLimits, UpstreamResponse},
+    upstream::{Exchange, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
 use ibissail_http1::{Connection, Framing};
@@ -41,7 +41,7 @@
     progress: &mut Progress,
     upstream: &UpstreamResponse,
 ) -> Option<StreamOutcome> {
-    let trial = &upstream.exchange.trial;
+    let Exchange { trial, connection, .. } = &upstream.exchange;
     let framing = upstream.head.framing;
     if trial.event_count() == 0 && may_not_be_empty(framing, progress.has_response_started()) {
         return Some(StreamOutcome::Broken("the response ended without an event".to_owned()));
@@ -49,7 +49,7 @@
     if framing != Framing::UntilClose {
         return None;
     }
-    let checking = trial.check_unframed_end(&request.params.id);
+    let checking = trial.check_unframed_end(&request.params.id, connection);
     let checked = match &mut progress.outbox {
         Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
         None => Ok(checking.await),
--- a/crates/daemon/src/direct/unframed_ends.rs
+++ b/crates/daemon/src/direct/unframed_ends.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 use ibissail_core::{InstanceId, Millis, ZoneId};
 use ibissail_direct::RunHash;
+use ibissail_http1::Connection;
 use slog::info;
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
     /// It may not be connected to.
     #[display("the replica was not checked, its zone is evacuated")]
     Withheld,
+    /// It has reset the connection behind the end, as it does if it does not read the request whole.
+    #[display("the replica has reset the connection")]
+    Reset,
 }
 
 impl UnframedEnd {
@@ -42,7 +46,7 @@
     pub(super) fn is_complete(self) -> bool {
         match self {
             Self::Answering | Self::Accepting => true,
-            Self::Refusing | Self::Unreachable | Self::Withheld => false,
+            Self::Refusing | Self::Unreachable | Self::Withheld | Self::Reset => false,
         }
     }
 }
@@ -71,8 +75,13 @@
 
 impl Trial {
     /// Checks the replica at the end of an unframed response to this request, whatever it is listed
-    /// as.
-    pub(super) async fn check_unframed_end(&self, id: &str) -> UnframedEnd {
+    /// as, and then the connection of the response: by that time a reset because of bytes of the
+    /// request that were on their way has arrived.
+    pub(super) async fn check_unframed_end(
+        &self,
+        id: &str,
+        connection: &Connection,
+    ) -> UnframedEnd {
         let ended_at = since_boot();
         let answering = self.shared.wait_for_answer(&self.replica, self.lost.run, ended_at);
         let connecting = async {
@@ -86,7 +95,10 @@
                 CrashCheckResult::Unreachable => UnframedEnd::Unreachable,
             }
         };
-        let end = answering.or(connecting).await;
+        let end = match answering.or(connecting).await {
+            _ if connection.has_failed() => UnframedEnd::Reset,
+            end => end,
+        };
         info!(self.shared.log, "attempt: unframed end checked"; "id" => id,
             "replica" => %self.replica, "result" => %end, "is_complete" => end.is_complete(),
             "took_ms" => since_boot().since(ended_at).0);
--- a/crates/daemon/tests/early_resets.rs
+++ b/crates/daemon/tests/early_resets.rs
@@ -16,6 +16,8 @@
 const READ_FIRST: usize = 4 << 10;
 /// Times, in milliseconds, from a part of a response to the reset.
 const PAUSES: [u64; 4] = [0, 2, 20, 300];
+/// The same from the end of a response: later the response has been delivered.
+const PAUSES_BEHIND_END: [u64; 3] = [0, 2, 20];
 
 /// How the body of a request is sent to the entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,10 +63,10 @@
 
 /// Sends uploads to a replica that responds in this way and resets the connection after each of the
 /// pauses; fails if a response is delivered as complete.
-fn assert_never_complete(paths: [&str; 2], response: EarlyResponse) {
+fn assert_never_complete(paths: [&str; 2], response: EarlyResponse, pauses: &[u64]) {
     let mut complete = Vec::new();
     for path in paths {
-        for pause in PAUSES {
+        for &pause in pauses {
             for upload in [Upload::Length, Upload::Chunks] {
                 let test = format!("early_reset_{}_{response:?}_{pause}_{upload:?}", &path[1..5]);
                 let mut fixture = prepare(&test);
@@ -79,18 +81,31 @@
             }
         }
     }
-    let cases = paths.len() * PAUSES.len() * 2;
+    let cases = paths.len() * pauses.len() * 2;
     assert!(complete.is_empty(), "{} of {cases}: {complete:#?}", complete.len());
 }
 
 #[test]
 fn part_of_a_body_is_not_complete() {
-    assert_never_complete(["/look/1", "/records/1"], EarlyResponse::Part);
+    assert_never_complete(["/look/1", "/records/1"], EarlyResponse::Part, &PAUSES);
 }
 
 #[test]
 fn part_of_a_stream_is_not_complete() {
-    assert_never_complete(["/drafts/1", "/tail/1"], EarlyResponse::StreamPart);
+    assert_never_complete(["/drafts/1", "/tail/1"], EarlyResponse::StreamPart, &PAUSES);
+}
+
+/// Guards against a replica that closes both halves of its connection, one after the other.
+#[test]
+fn reset_behind_a_body_leaves_it_incomplete() {
+    let response = EarlyResponse::UntilClose;
+    assert_never_complete(["/look/1", "/records/1"], response, &PAUSES_BEHIND_END);
+}
+
+#[test]
+fn reset_behind_a_stream_leaves_it_incomplete() {
+    let response = EarlyResponse::StreamUntilClose;
+    assert_never_complete(["/drafts/1", "/tail/1"], response, &PAUSES_BEHIND_END);
 }
 
 /// Guards against a caller that gets an error though another replica may serve the request.
