A status that is none is malformed, and nothing behind it is a response

A replica in trouble answered with a status such as 000. As the whole answer it reached nobody, but what stood behind its head, such as a complete 200 inside its body, was delivered. Statuses from 600 on reached the callers of routes whose requests run at most once.

Cause: every status below 200 was skipped like an interim response, whose body is empty, and any other was taken for a final one.

Change: statuses from 200 to 599 are final; 100 and 102 to 199 are interim; others, and 101, for which no request asks, are malformed.

Interim responses are skipped and rare statuses (202, 299, 399, 418, 499, 599) delivered as before.

--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -143,17 +143,22 @@
     ///
     /// `Closed` when the peer closed before the first byte, `Truncated` when it closed inside the
     /// head, `HeadTooLarge` when it is still incomplete after more than 32 KiB, `Malformed` for an
-    /// invalid head or more than 8 interim responses.
+    /// invalid head, a status below 100, of 101 or above 599, or more than 8 interim responses.
     pub async fn read_response_head(&mut self, method: &str) -> Result<ResponseHead, HttpError> {
         let mut interim_responses = 0;
         loop {
             match parse_response(&self.unread, method)? {
                 Some((head, length)) => {
                     self.take(length);
-                    if head.status >= 200 {
-                        return Ok(head);
+                    match head.status {
+                        200..=599 => return Ok(head),
+                        // No request asks for an upgrade, and what follows one is not HTTP.
+                        100 | 102..=199 => interim_responses += 1,
+                        status => {
+                            let error = format!("response with the status {status:03}");
+                            return Err(HttpError::Malformed(error));
+                        }
                     }
-                    interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(HttpError::Malformed("too many interim responses".to_owned()));
                     }
