Sidecars take no interim response for a final one

An engine beside a sidecar that answered a completion with status 101, 100 or 103 and a body with a length was delivered with that status.

Cause: the HTTP library knows these statuses and returns the first head that it reads.

Change: a response whose status is informational is lost, like one that cannot be parsed, for all calls of the connection pool. The library cannot read on behind it, so that a final response behind it stays refused, as before.

Evidence: of 36 completions, whole and streamed ones each, whose engine answers with 18 odd statuses, with and without a response behind them, 3 whole ones reached the caller (100, 101, 103); now none, each is a 502. The 15 other statuses were refused before, as were heads with fields that are none (66 texts, whole and streamed): their tests stay.

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -108,6 +108,11 @@
         let upstream = Upstream::new(stream.clone());
         let progress = Arc::clone(&upstream.progress);
         match timeout(time_left, async_h1::connect(upstream, req)).await {
+            // The HTTP library takes interim responses for final ones.
+            Ok(Ok(response)) if response.status().is_informational() => {
+                let detail = format!("response with the status {}", u16::from(response.status()));
+                Err(SendError::ResponseLost(peer, detail))
+            }
             Ok(Ok(response)) => {
                 progress.mark_head();
                 Ok(PooledResponse { response, peer, stream, pool: self.clone() })
