Object store: keys are encoded in paths and queries

Cause: the client of the object API put keys and prefixes into URLs as they were, as the client of the users' store did with names. All keys are made of identifiers and hashes, so that callers saw nothing of it; but an identifier may be `..`, which a URL drops together with the segment before it, so that a branch of that name would have been written to another object.

Change: keys and prefixes are encoded with the percent-encoding library. A key with a segment `.` or `..` is refused, because a URL cannot hold it. The stand-in of the platform decodes the path.

--- a/crates/object-store/src/wire.rs
+++ b/crates/object-store/src/wire.rs
@@ -9,6 +9,7 @@
 };
 use ibissail_core::{ByteSize, Revision};
 use ibissail_transport::{Pool, PoolOptions, SendError};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use std::{net::SocketAddr, time::Duration};
@@ -20,6 +21,11 @@
 /// Path of the list of VMs.
 pub const VMS_PATH: &str = "/v1/vms";
 
+/// Bytes of a key that are encoded in a query: all but the unreserved characters of RFC 3986.
+const ENCODED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+/// The same in a path, of which a key may have several segments.
+const ENCODED_IN_PATHS: &AsciiSet = &ENCODED.remove(b'/');
+
 /// Maximum length of a response body.
 const MAX_RESPONSE_SIZE: ByteSize = ByteSize(64 << 20);
 /// Time added to the wait of a watch before the call times out.
@@ -126,21 +132,31 @@
     serde_json::from_slice(body).map_err(|error| error.to_string())
 }
 
-fn object_path(key: &str) -> String {
-    format!("{OBJECTS_PATH}/{key}")
+/// Path of an object; the slashes of its key separate segments.
+fn object_path(key: &str) -> Result<String, PlatformError> {
+    if let Some(segment) = key.split('/').find(|segment| matches!(*segment, "." | "..")) {
+        // A URL drops such a segment, even encoded, and would name another object.
+        let error = format!("key `{key}` has the segment `{segment}`, which a path cannot hold");
+        return Err(PlatformError::NotApplied(error));
+    }
+    Ok(format!("{OBJECTS_PATH}/{}", utf8_percent_encode(key, ENCODED_IN_PATHS)))
+}
+
+fn encode_prefix(prefix: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(prefix, ENCODED)
 }
 
 impl ObjectApi for HttpPlatformClient {
     fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Object>> {
         Box::pin(async move {
-            let body = self.read::<ObjectBody>(&object_path(key), self.timeout).await?;
+            let body = self.read::<ObjectBody>(&object_path(key)?, self.timeout).await?;
             Ok(body.and_then(|body| body.object))
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> PlatformFuture<'a, Listing> {
         Box::pin(async move {
-            let path = format!("{OBJECTS_PATH}?prefix={prefix}");
+            let path = format!("{OBJECTS_PATH}?prefix={}", encode_prefix(prefix));
             let body: Option<ListingBody> = self.read(&path, self.timeout).await?;
             let body = body.ok_or_else(|| PlatformError::NotApplied("no list".to_owned()))?;
             Ok(Listing { objects: body.objects, revision: body.revision })
@@ -149,7 +165,7 @@
 
     fn create<'a>(&'a self, key: &'a str, value: &'a str) -> PlatformFuture<'a, Revision> {
         Box::pin(async move {
-            let mut req = self.request(Method::Put, &object_path(key))?;
+            let mut req = self.request(Method::Put, &object_path(key)?)?;
             req.insert_header(IF_NONE_MATCH, "*");
             req.set_body(value);
             self.write(key, req).await
@@ -163,7 +179,7 @@
         value: &'a str,
     ) -> PlatformFuture<'a, Revision> {
         Box::pin(async move {
-            let mut req = self.request(Method::Put, &object_path(key))?;
+            let mut req = self.request(Method::Put, &object_path(key)?)?;
             req.insert_header(IF_MATCH, base.to_string());
             req.set_body(value);
             self.write(key, req).await
@@ -172,7 +188,7 @@
 
     fn delete<'a>(&'a self, key: &'a str, base: Revision) -> PlatformFuture<'a, Revision> {
         Box::pin(async move {
-            let mut req = self.request(Method::Delete, &object_path(key))?;
+            let mut req = self.request(Method::Delete, &object_path(key)?)?;
             req.insert_header(IF_MATCH, base.to_string());
             self.write(key, req).await
         })
@@ -185,6 +201,7 @@
         wait: Duration,
     ) -> PlatformFuture<'a, ChangeBatch> {
         Box::pin(async move {
+            let prefix = encode_prefix(prefix);
             let path =
                 format!("{WATCH_PATH}?prefix={prefix}&from={from}&wait_ms={}", wait.as_millis());
             let body: Option<ChangesBody> = self.read(&path, wait + WATCH_RESPONSE_MARGIN).await?;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,6 +16,7 @@
     ChangesBody, ListingBody, OBJECTS_PATH, ObjectBody, VMS_PATH, VmRecord, WATCH_PATH,
 };
 use ibissail_transport::{Caller, ServerOptions, ShutdownSignal, serve};
+use percent_encoding::percent_decode_str;
 use serde::{Deserialize, Serialize};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -149,7 +150,8 @@
 
 /// Key of the object at a path; `None` for any other path.
 fn object_key(path: &str) -> Option<String> {
-    path.strip_prefix(OBJECTS_PATH)?.strip_prefix('/').map(str::to_owned)
+    let key = path.strip_prefix(OBJECTS_PATH)?.strip_prefix('/')?;
+    Some(percent_decode_str(key).decode_utf8_lossy().into_owned())
 }
 
 /// Waits for changes below a prefix until the wait is over or the caller disconnects.
