Rollouts: an object of another name than its service is none

A rollout never began while an object under an odd name named the same service: the log showed the other's target, and requests went to all versions.

Cause: a rollout was known by the service that its content names, so that an object under any name replaced the one of that service; its status was then written to the true one, at a revision that is not its own.

Found while reading what else trusts the text of one object in a request for another; the calls that name a rollout were the only case.

--- a/crates/daemon/tests/odd_names.rs
+++ b/crates/daemon/tests/odd_names.rs
@@ -105,6 +105,27 @@
     }
 }
 
+/// Guards against a rollout that another record replaces, which only its name tells from one.
+#[test]
+fn rollout_of_another_name_is_none() {
+    for name in ["m", "z-1"].into_iter().map(str::to_owned).chain(odd_names("m").drain(..1)) {
+        let test = format!("odd_rollout_{}", name.len());
+        let entry = EntryFixture::start(&test, &configuration());
+        let _old = entry.add_replica("r-old", SERVICE, RESPOND);
+        let new = entry.add_version("r-new", SERVICE, "v2", RESPOND);
+        entry.wait_ready();
+        entry.store.put("rollouts", SERVICE, &rollout_spec(SERVICE, "v2", 4.0));
+        entry.store.put("rollouts", &name, &rollout_spec(SERVICE, "v3", 4.0));
+        let mut sent = 0;
+        wait_until("the rollout succeeds", || {
+            sent += 1;
+            assert_served(&entry, &format!("{name}-{sent}"));
+            entry.rollout_state(SERVICE) == "succeeded"
+        });
+        assert!(new.run_count() > 0, "{name:?}");
+    }
+}
+
 /// Guards against requests to a zone whose evacuation stands behind odd names.
 #[test]
 fn zone_is_evacuated_behind_odd_names() {
