--- a/crates/daemon/tests/odd_engine_heads.rs
+++ b/crates/daemon/tests/odd_engine_heads.rs
@@ -1,5 +1,5 @@
-//! A head of an engine with a status or a field that is none reaches no caller of an entry with
-//! sidecars, and neither does what stands behind it.
+//! A response of an engine with an invalid status or header field, and what follows it, reach no
+//! caller of an entry with sidecars.
 
 mod common;
 
@@ -49,7 +49,7 @@
     });
 }
 
-/// Fails unless the engine's responses with these texts are taken for none. Each follows a sound one,
+/// Fails unless none of these texts is taken for a response of the engine. Each follows a sound one,
 /// so that the entry does not eject the engine.
 fn assert_refused(test: &str, texts: &[String], is_stream: bool) {
     let mut cluster = Cluster::new(test);
--- a/crates/daemon/tests/odd_heads.rs
+++ b/crates/daemon/tests/odd_heads.rs
@@ -1,4 +1,4 @@
-//! A head with a status or a field that is none, and what stands behind it, reach no caller.
+//! A response with an invalid status or header field, and what follows it, reach no caller.
 
 mod direct;
 
--- a/crates/daemon/tests/odd_names.rs
+++ b/crates/daemon/tests/odd_names.rs
@@ -105,9 +105,9 @@
     }
 }
 
-/// Guards against a rollout that another record replaces, which only its name tells from one.
+/// Guards against a record that replaces the rollout of the service that it names.
 #[test]
-fn rollout_of_another_name_is_none() {
+fn rollout_under_another_name_is_invalid() {
     for name in ["m", "z-1"].into_iter().map(str::to_owned).chain(odd_names("m").drain(..1)) {
         let test = format!("odd_rollout_{}", name.len());
         let entry = EntryFixture::start(&test, &configuration());
--- a/crates/http1/src/connection.rs
+++ b/crates/http1/src/connection.rs
@@ -62,11 +62,27 @@
         &self.unread
     }
 
-    /// Whether the connection has failed, as after a reset. The error itself is reported only once, to
-    /// whichever read or write comes first; afterwards reads see a mere end.
+    /// Whether the connection has failed, for example by a reset. The system reports the error once, to
+    /// the read or write that comes first; later reads see the end of the stream.
+    ///
+    /// Meaningless once this side has closed its half.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use async_std::{net::{TcpListener, TcpStream}, task};
+    /// use ibissail_http1::Connection;
+    /// task::block_on(async {
+    ///     let listener = TcpListener::bind("127.0.0.1:0").await?;
+    ///     let connection = Connection::new(TcpStream::connect(listener.local_addr()?).await?);
+    ///     assert!(!connection.has_failed());
+    ///     Ok::<(), std::io::Error>(())
+    /// })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
     #[must_use]
     pub fn has_failed(&self) -> bool {
-        // Only a connection that has failed has lost its peer before this side has closed it.
+        // A socket loses its peer's address when its connection fails.
         self.stream.peer_addr().is_err()
     }
 
