--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,76 +1,97 @@
-"""Sound streams that end with their connection, with ids that increase by uneven steps."""
+"""A key that was taken away, at an entry that starts while the restored store is some seconds old."""
 
 import os
-import random
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
-from lab import Client, Replica, has_trouble, route, run  # noqa: E402
+from lab import Client, Replica, has_trouble, now, route, run  # noqa: E402
 
-STREAMS = 90
-# More than three connections that end without a whole answer break the rule.
-ALLOWED = 3
-
-
-def ids_of(attempt):
-    """Ids of a stream's events: the tokens so far, where an event holds one to nine tokens."""
-    draw = random.Random(attempt)
-    ids, last = [], 0
-    for _ in range(draw.randint(2, 6)):
-        last += draw.randint(1, 9)
-        ids.append(last)
-    return ids
+# Bound `revoke_ms` of the deployments, in seconds.
+REVOKE_S = 5.0
+# Time for which the store is away, and after which the operator has written its newest version again.
+AWAY_S = 0.3
+WRITTEN_AGAIN_S = 1.5
 
 
 def case(lab):
-    ended = set()
+    lab.store.era = 1
+    runs = {}
 
     def behave(replica, request):
         request.read_body()
-        if request.method == "GET":
-            request.succeed()
-            return
-        request.begin_stream(is_chunked=not has_trouble())
-        for number in ids_of(request.id):
-            request.send_event(number)
-            time.sleep(0.02)
-        ended.add(request.id)
-        request.end_stream()
-        lab.record.add("%s has run %s to its end, events %s, and closed in order" % (
-            replica.name, request.id, ids_of(request.id)))
+        runs[request.id] = (now(), request.headers.get("tenant"))
+        lab.record.add("%s runs %s for tenant %s" % (
+            replica.name, request.id, request.headers.get("tenant")))
+        request.succeed()
 
-    for number, zone in enumerate(["z-a", "z-b", "z-c"]):
-        Replica(lab.store, lab.host(), "i-%d" % number, "writers", zone=zone, behave=behave)
-    lab.configure([
-        route("draft", "writers", "streaming", timeout_ms=20000, target_latency_ms=4000,
-              target_gap_ms=1500, max_attempts=1, stream_resume=False),
-        route("look", "writers", "safe", max_attempts=2),
-    ], ["writers"])
-    entry = lab.entry("front-a")
-    entry.start()
-    entry.wait_ready()
-    time.sleep(0.5)
-    client = Client(entry.front)
-    without_answer = []
-    for number in range(STREAMS):
-        if client.sock is None:
-            # The connection is a kept one when the next stream is asked for.
-            client.ask("GET", "/look/x", "look-%d" % number, 1500)
-        attempt = "draft-%d" % number
-        answer = client.ask("POST", "/draft/x", attempt, 20000, body=b"notes")
-        pieces = 0 if answer is None else answer[2].count(b"data: ")
-        is_whole = answer is not None and answer[0] == 200 and pieces == len(ids_of(attempt))
-        lab.record.add("client of %s got %s" % (attempt, (
-            "no whole answer: its connection was closed" if answer is None else
-            "%d with %d events" % (answer[0], pieces))))
-        if not is_whole:
-            without_answer.append(attempt)
+    for number in range(2):
+        Replica(lab.store, lab.host(), "i-%d" % number, "app", behave=behave)
+    routes = [route("look", "app", "safe", max_attempts=2)]
+    lab.configure(routes, ["app"], {"t-1": ["key-kept", "key-gone"], "t-2": ["key-other"]})
+    first = lab.entry("front-a")
+    second = lab.entry("front-b", [first.control])
+    third = lab.entry("front-c", [first.control, second.control])
+    for entry in (first, second, third):
+        entry.start()
+    for entry in (first, second, third):
+        entry.wait_ready()
+    time.sleep(2.0)
+    copy = lab.store.snapshot()
+    revoked_at = lab.configure(routes, ["app"], {"t-1": ["key-kept"], "t-2": ["key-other"]})
+    lab.record.add("configuration %d, without key-gone, acknowledged" % lab.version)
+    sent = {}
+
+    def ask(number, key):
+        attempt = "%s-%d" % (key, number)
+        client = Client(second.front, 3.0)
+        sent[attempt] = now()
+        try:
+            answer = client.ask("GET", "/look/x", attempt, 1500, {"Api-Key": key})
+        except OSError:
+            answer = None
+        client.close()
+        lab.record.add("client sent %s to front-b and got %s" % (
+            attempt, "nothing" if answer is None else answer[0]))
+
+    time.sleep(REVOKE_S + 1.0)
+    for number in range(3):
+        ask(number, "key-gone")
+        ask(number, "key-kept")
+    if has_trouble():
+        lab.store.go_down()
+        lab.record.add("store away")
+        second.kill()
+        lab.record.add("process of front-b killed")
+    # The seeds of its settings are stale: machines that are gone.
+    second.set_seeds(["127.255.1.1:4000", "127.255.1.2:4000"])
+    time.sleep(AWAY_S)
+    if has_trouble():
+        lab.store.come_back(copy)
+        lab.record.add("store back from a copy of %.1f s before, era %d" % (
+            now() - revoked_at, lab.store.era))
+        second.start()
+        lab.record.add("process of front-b started")
+    back_at = now()
+    number = 10
+    while now() < back_at + WRITTEN_AGAIN_S:
+        ask(number, "key-gone")
+        ask(number, "key-kept")
+        number += 1
+        time.sleep(0.1)
+    lab.store.put("config", "main", lab.config)
+    lab.record.add("configuration %d written again" % lab.version)
     time.sleep(0.5)
-    lost = sum(attempt in ended for attempt in without_answer)
-    lab.record.add("%d of %d streams, each run to its end by a sound replica, ended without a "
-                   "whole answer; the rule allows %d" % (lost, STREAMS, ALLOWED))
-    return lost <= ALLOWED
+    for number in range(90, 93):
+        ask(number, "key-gone")
+        ask(number, "key-kept")
+    late = [attempt for attempt in runs
+            if attempt.startswith("key-gone") and sent[attempt] > revoked_at + REVOKE_S]
+    kept = [attempt for attempt in runs if attempt.startswith("key-kept-9")]
+    lab.record.add("%d requests with the key that was taken away ran though they were sent more "
+                   "than %.0f s after the acknowledgement; %d of the last 3 with a kept key ran" % (
+                       len(late), REVOKE_S, len(kept)))
+    return not late
 
 
 sys.exit(run(case, __file__))
