Streams without framing keep a last event that is far ahead

Cause: such an event waits for the next one, because foreign bytes may look like it. At the end of a response without framing it was dropped before anything was asked about the replica, and the request failed. Ids only have to increase. What was learned of usual ids could not help: each stream whose largest step is a new one was cut.

Change: the replica is checked first, as at the end of any response without framing. If it has ended, the event is not delivered, as before. Otherwise, on a route that may not be resumed, the event is the last one. A stream that may be resumed is kept open while one other replica is asked how it ends, which refutes a foreign event, and is taken for complete if none tells. The replica is no longer counted as one that has failed the request.

--- a/crates/daemon/src/direct/handover.rs
+++ b/crates/daemon/src/direct/handover.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use futures_lite::{FutureExt, future};
 use ibissail_core::Millis;
-use ibissail_http1::{EventSplitter, Framing, HttpError};
+use ibissail_http1::{EventSplitter, HttpError};
 use std::future::Future;
 
 /// Longest time for which successors may work on the request besides the replica of a kept attempt,
@@ -40,6 +40,9 @@
     /// The model is not confident in its response.
     #[display("unconfident")]
     Unconfident,
+    /// The stream has ended behind an event that is far ahead, and may be complete.
+    #[display("unconfirmed")]
+    Unconfirmed,
 }
 
 /// An attempt that is given up only for one that another replica has taken over.
@@ -102,11 +105,22 @@
         self.target.handover_left = self.target.handover_left.since(time);
     }
 
+    /// When the attempt is closed, after a successor was sent the request; `None` if its replica works
+    /// no more.
+    fn close_at(&self, sent_at: Millis) -> Option<Millis> {
+        match self.reason {
+            HandoverReason::Silent | HandoverReason::Unconfident => {
+                Some(sent_at.saturating_add(self.target.handover_left))
+            }
+            HandoverReason::Unconfirmed => None,
+        }
+    }
+
     /// Reads from a silent replica until it has gone on: with a successful head, a whole event or
     /// the end of its response. Does not return if the response has ended otherwise.
     async fn listen(&mut self, request: &AdmittedRequest) {
         let has_gone_on = match &mut self.pending {
-            _ if self.reason == HandoverReason::Unconfident => false,
+            _ if self.reason != HandoverReason::Silent => false,
             PendingResponse::Unanswered(exchange, received) => {
                 if received.is_none() {
                     let head = exchange.receive_head(request, StallLimits::UNBOUNDED).await;
@@ -144,7 +158,7 @@
     splitter: &mut EventSplitter,
     event_count: u64,
 ) -> Result<bool, HttpError> {
-    let UpstreamResponse { exchange, head, body, received, memory, .. } = upstream;
+    let UpstreamResponse { exchange, body, received, memory, .. } = upstream;
     while splitter.position().event_count() == event_count {
         if received.len() > MAX_BYTES_AHEAD {
             return Ok(false);
@@ -152,8 +166,7 @@
         let next = body.next_whole(&mut exchange.connection).await;
         memory.hold(received.len())?;
         let Some(data) = next? else {
-            let is_close = head.framing == Framing::UntilClose;
-            let is_cut = splitter.has_partial_event() || is_close && splitter.has_awaiting_event();
+            let is_cut = splitter.has_partial_event();
             return if is_cut { Err(HttpError::Truncated) } else { Ok(true) };
         };
         exchange.load_guard.record_bytes();
@@ -181,7 +194,7 @@
 {
     let listening = async {
         if let Some(attempt) = kept {
-            let close_at = sent_at.map(|at| at.saturating_add(attempt.target.handover_left));
+            let close_at = sent_at.and_then(|at| attempt.close_at(at));
             let listening = async {
                 // Rare, so that the future of every request need not have room for it.
                 Box::pin(attempt.listen(request)).await;
@@ -209,7 +222,7 @@
 {
     let closing = async {
         if let Some(attempt) = kept {
-            wait_until(Some(sent_at.saturating_add(attempt.target.handover_left))).await;
+            wait_until(attempt.close_at(sent_at)).await;
             *kept = None;
         }
         future::pending().await
--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -18,6 +18,16 @@
     CallerGone,
 }
 
+/// What to do about a stream that may be resumed and ends in order behind an event that is far ahead.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum FarEnd {
+    /// Ask another replica whether it goes on elsewhere.
+    #[default]
+    AskAnother,
+    /// Take it for complete.
+    Take,
+}
+
 /// The progress of a request over its attempts.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -43,6 +53,7 @@
     pub(super) outbox: Option<Outbox>,
     /// How far the caller has received a stream.
     pub(crate) position: StreamPosition,
+    pub(super) far_end: FarEnd,
     /// One entry per attempt for the log: replica, model, result, duration.
     pub(crate) attempt_log: Vec<String>,
     /// Connections that could not be opened.
@@ -92,6 +103,7 @@
             relayed_bytes: 0,
             outbox: None,
             position: StreamPosition::after(resume_after).with_usual_ids(usual_ids),
+            far_end: FarEnd::default(),
             attempt_log: Vec::new(),
             failed_connects: 0,
             has_reserved_retry: false,
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -2,13 +2,14 @@
 
 use super::{
     pace::PaceRecorder,
-    progress::Progress,
+    progress::{FarEnd, Progress},
     request::AdmittedRequest,
     response::{LAST_CHUNK, encode_chunk, forwarded_head},
     upstream::{Exchange, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
-use ibissail_http1::{Connection, Framing};
+use ibissail_http1::{Connection, Framing, HttpError};
+use slog::info;
 
 /// The outcome of a stream from one replica.
 #[derive(Debug)]
@@ -17,8 +18,9 @@
     Complete,
     /// The stream ended early, for this reason.
     Broken(String),
-    /// The stream ended with its connection behind an event that is far ahead and was not written.
-    Withheld,
+    /// The stream ended with its connection behind an event that is far ahead. It was not written, as
+    /// another replica may confirm it.
+    Unconfirmed,
     /// The replica has been silent for longer than the stall limits allow; it may go on.
     Stalled(String),
     /// The caller has disconnected.
@@ -35,15 +37,21 @@
     }
 }
 
-/// Checks a stream at the end of its response; returns the outcome unless it is complete.
+/// Checks a stream at the end of its response, before the last events are taken from the splitter;
+/// returns the outcome unless it is complete.
 async fn check_end(
     request: &AdmittedRequest,
     progress: &mut Progress,
     upstream: &UpstreamResponse,
 ) -> Option<StreamOutcome> {
-    let Exchange { trial, connection, .. } = &upstream.exchange;
+    let UpstreamResponse { exchange, splitter, .. } = upstream;
+    let Exchange { trial, connection, .. } = exchange;
     let framing = upstream.head.framing;
-    if trial.event_count() == 0 && may_not_be_empty(framing, progress.has_response_started()) {
+    if splitter.has_partial_event() {
+        return Some(StreamOutcome::Broken(HttpError::Truncated.to_string()));
+    }
+    let has_events = trial.event_count() > 0 || splitter.has_awaiting_event();
+    if !has_events && may_not_be_empty(framing, progress.has_response_started()) {
         return Some(StreamOutcome::Broken("the response ended without an event".to_owned()));
     }
     if framing != Framing::UntilClose {
@@ -55,12 +63,30 @@
         None => Ok(checking.await),
     };
     match checked {
-        Ok(end) if end.is_complete() => None,
+        Ok(end) if end.is_complete() => check_last_event(request, progress, upstream),
         Ok(end) => Some(StreamOutcome::Broken(end.to_string())),
         Err(_gone) => Some(StreamOutcome::CallerGone),
     }
 }
 
+/// Checks the last event of a stream that ended in order with its connection; returns the outcome
+/// unless the event is taken for the last one. Foreign bytes may look like an event that is far ahead,
+/// which only another replica can tell.
+fn check_last_event(
+    request: &AdmittedRequest,
+    progress: &Progress,
+    upstream: &UpstreamResponse,
+) -> Option<StreamOutcome> {
+    let position = upstream.splitter.position();
+    let distance = position.withheld_distance()?;
+    let is_taken = !request.route.kind.is_repeatable() || progress.far_end == FarEnd::Take;
+    info!(upstream.exchange.trial.shared.log, "attempt: ended behind an event that is far ahead";
+        "id" => &request.params.id, "replica" => %upstream.exchange.load_guard.replica,
+        "last_event_id" => position.last_id(), "distance" => distance,
+        "usual_distance" => position.usual_distance(), "is_taken" => is_taken);
+    (!is_taken).then_some(StreamOutcome::Unconfirmed)
+}
+
 /// Relays the stream of one replica, preceded by the head of the response unless the caller has
 /// received one already.
 pub(super) async fn relay_stream(
@@ -104,15 +130,12 @@
         let is_end = data.is_none();
         let split = match data {
             Some(data) => upstream.splitter.push(&data),
-            // A mere close does not show that the stream ends behind an event that is far ahead.
-            None if upstream.head.framing == Framing::UntilClose
-                && upstream.splitter.has_awaiting_event()
-                && !upstream.splitter.has_partial_event() =>
-            {
-                return StreamOutcome::Withheld;
-            }
-            None => upstream.splitter.finish(),
+            None => match check_end(request, progress, upstream).await {
+                Some(outcome) => return outcome,
+                None => upstream.splitter.finish(),
+            },
         };
+        let exchange = &mut upstream.exchange;
         let counted = upstream.memory.hold(upstream.splitter.buffered_bytes());
         let events = match counted.and(split) {
             Ok(events) => events,
@@ -132,9 +155,6 @@
             pace.record_events(event_count);
             bytes = encode_chunk(&events);
         }
-        if is_end && let Some(outcome) = check_end(request, progress, upstream).await {
-            return outcome;
-        }
         progress.position = position;
         if !progress.has_response_started() {
             let framing_header = "Transfer-Encoding: chunked\r\n";
--- a/crates/daemon/src/direct/retry.rs
+++ b/crates/daemon/src/direct/retry.rs
@@ -89,6 +89,11 @@
                 let kind = ErrorKind::OutcomeUnknown;
                 no_other = Some(request.error_reply(kind, "the replica has gone on"));
             }
+            NextStep::Unconfirmed(upstream) => {
+                let pending = PendingResponse::Answering(upstream);
+                let reason = HandoverReason::Unconfirmed;
+                kept = Some(KeptAttempt::new(target, pending, reason, progress));
+            }
             NextStep::Silent(pending) => {
                 let reason = HandoverReason::Silent;
                 kept = Some(KeptAttempt::new(target, *pending, reason, progress));
@@ -258,6 +263,7 @@
             NextStep::Retry(reason) => reason,
             NextStep::Escalate(_) => "unconfident",
             NextStep::GoBack => "abandoned",
+            NextStep::Unconfirmed(_) => "unconfirmed",
             NextStep::Silent(_) if target.has_been_silent => return,
             NextStep::Silent(_) => "stalled",
         };
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -142,6 +142,24 @@
         self.withheld_id.map(|id| id.saturating_sub(self.last_id.unwrap_or_default()))
     }
 
+    /// The largest distance that is usual for the next event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut splitter = ibissail_http1::EventSplitter::default();
+    /// splitter.push(b"id: 1\ndata: a\n\nid: 6\ndata: b\n\nid: 7\ndata: c\n\n")?;
+    /// assert_eq!(splitter.position().usual_distance(), 5);
+    /// # Ok::<(), ibissail_http1::HttpError>(())
+    /// ```
+    #[must_use]
+    pub fn usual_distance(&self) -> u64 {
+        match self.last_id {
+            None => self.usual.first,
+            Some(_) => self.usual.step.max(self.largest_step),
+        }
+    }
+
     pub(crate) fn with_withheld(self, id: Option<u64>) -> Self {
         Self { withheld_id: id.or(self.withheld_id), ..self }
     }
@@ -159,13 +177,10 @@
         if !self.is_followed_by(id) || has_gap {
             return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
         }
-        let usual = match self.last_id {
-            None => self.usual.first,
-            Some(_) => self.usual.step.max(self.largest_step),
-        };
+        let usual = self.usual_distance();
         match self.last_id {
             None => self.first_id = Some(id),
-            Some(_) if is_resumed => {}
+            Some(_) if is_resumed && !is_withheld => {}
             Some(_) => self.largest_step = self.largest_step.max(step),
         }
         self.last_id = Some(id);
