A stream with uneven ids goes on after a crash of its replica

Callers of a stream that may be resumed lost its rest if the replica crashed and the next event was further from the last than the events of this stream had been from each other.

Cause: the first event of a response that goes on with a stream is refused if it is further ahead than events were before, since events may be missing between them. Only the steps of this stream counted, however few it had, so that of a service with uneven ids each replica was refused in turn.

While none is known, or where ids rise by one, nothing changes: stream_successors, which refuses a response that leaves a gap, passes as it was.

Evidence: uneven_stream_goes_on_after_a_crash failed before, with the first of 8 streams cut behind its second event; now all are whole.

--- a/crates/daemon/tests/uneven_streams.rs
+++ b/crates/daemon/tests/uneven_streams.rs
@@ -145,3 +145,29 @@
         assert!(is_whole(&responses[0], &IDS), "{name}: {:?}", responses[0]);
     }
 }
+
+/// Guards against a stream that is cut because the replica that goes on with it begins further behind
+/// its last event than its own events were apart.
+#[test]
+fn uneven_stream_goes_on_after_a_crash() {
+    const WARM_UP: usize = 20;
+    let mut streams = draw_streams(4, WARM_UP, 5..=6, 9);
+    streams.extend(vec![vec![1, 2, 9, 10]; 8]);
+    let sent = streams.clone();
+    let count = streams.len();
+    let responses =
+        send_all("uneven_crash", "resumable", &["r-1", "r-2"], count, move |exchange| {
+            let stream = exchange.id.trim_start_matches("d-").parse::<usize>().expect("a number");
+            let rest: Vec<u64> =
+                sent[stream].iter().copied().filter(|id| *id > exchange.resume_after).collect();
+            exchange.send_stream_head();
+            if stream >= WARM_UP && exchange.resume_after == 0 {
+                return exchange.send_chunk(&events_text(&rest[..2]));
+            }
+            exchange.send_chunk(&events_text(&rest));
+            exchange.end_stream();
+        });
+    for (number, (response, ids)) in responses.iter().zip(&streams).enumerate() {
+        assert!(is_whole(response, ids), "{number}: {ids:?} {response:?}");
+    }
+}
--- a/crates/http1/src/position.rs
+++ b/crates/http1/src/position.rs
@@ -9,6 +9,9 @@
     pub first: u64,
     /// Largest difference between two ids that follow each other.
     pub step: u64,
+    /// Largest such difference in recent streams. A response may go on with a stream this far behind
+    /// its last event.
+    pub gap: u64,
 }
 
 /// How far a caller has received a stream, whichever responses its events came from.
@@ -37,7 +40,7 @@
 
 impl Default for UsualIds {
     fn default() -> Self {
-        Self { first: 1, step: 1 }
+        Self { first: 1, step: 1, gap: 1 }
     }
 }
 
@@ -56,7 +59,7 @@
     /// use ibissail_http1::{EventSplitter, StreamPosition, UsualIds};
     /// let event = b"id: 5\ndata: a\n\n";
     /// assert!(EventSplitter::default().push(event)?.is_empty());
-    /// let usual = UsualIds { first: 5, step: 1 };
+    /// let usual = UsualIds { first: 5, ..UsualIds::default() };
     /// let mut splitter = EventSplitter::new(StreamPosition::default().with_usual_ids(usual));
     /// assert_eq!(splitter.push(event)?, event);
     /// # Ok::<(), ibissail_http1::HttpError>(())
@@ -165,15 +168,16 @@
     }
 
     /// Moves behind the next event; fails if it does not follow. The first event of a response that
-    /// goes on with a stream may be no further away than events were before, unless another response
-    /// had the same one there.
+    /// goes on with a stream may be no further away than events were before, in this stream or in recent
+    /// ones, unless another response had the same one there.
     pub(crate) fn advance(&mut self, id: u64, is_resumed: bool) -> Result<Distance, HttpError> {
         let last = self.last_id.unwrap_or_default();
         let step = id.saturating_sub(last);
         let is_withheld = self.withheld_id.take() == Some(id);
         // Before the first step the distance between ids is unknown.
         let known = self.largest_step.max(self.first_id.unwrap_or_default());
-        let has_gap = is_resumed && known > 0 && step > known && !is_withheld;
+        let largest = known.max(self.usual.gap);
+        let has_gap = is_resumed && known > 0 && step > largest && !is_withheld;
         if !self.is_followed_by(id) || has_gap {
             return Err(HttpError::Malformed(format!("event {id} does not follow event {last}")));
         }
