An entry that starts on a restored store waits for what its peers know

Cause, in two parts. A read of the store confirmed the configuration if no peer had told of a newer version yet, and an entry that starts has heard none; with stale seeds it hears of one only when its peers report to it. And a newer version that a peer told later was stored, but took no confirmation back, so that keys were accepted for the rest of the age limit.

Change: what peers tell is a decision of its own (ToldConfigurations). An entry that has seeds accepts no key before a peer that does not wait itself has told its version, for 2 s at most; it reports to silent addresses in each round and to a peer at once that it discovers. First requests wait for this as for the first reads of the store; later ones are refused with the rest of the wait where peers wait as well. A newer version counts at once while an entry begins, later from a read of the store on that does not show it, and for 30 s at most, as a peer may be wrong. An entry whose configuration has expired while it was suspended or cut off from its peers waits again if the store was restored meanwhile. Without a limit on the age of keys, or without keys, nothing waits.

Entries without a peer that knows more accept keys within 4 s of their start (keys_are_accepted_soon_where_no_peer_knows_more).

Ruled out: to confirm only what a peer confirms, as an entry alone would never serve; to count any peer that is heard, as two restarted entries would believe each other; to refuse keys on each word of a newer version, as each change of the configuration reaches some entries before others.

--- a/crates/daemon/src/direct/epochs.rs
+++ b/crates/daemon/src/direct/epochs.rs
@@ -27,7 +27,7 @@
     ///
     /// After a restore the lists of replicas, rollouts and evacuations are no longer known to be
     /// current, so that they are read at once. The configuration stays as confirmed: its age limits
-    /// how long it counts.
+    /// how long it counts. If it has expired while this entry heard no peers, they may know a newer one.
     fn observe_epoch(&mut self, epoch: Option<Epoch>, now: Millis) -> EpochChange {
         let Some(epoch) = epoch else { return EpochChange::None };
         match self.epoch {
@@ -36,6 +36,9 @@
                 self.epoch = Some(epoch);
                 self.restored_at = Some(now);
                 self.replicas_confirmed_at = None;
+                if self.has_missed_peers(now) {
+                    self.told_configurations.wait_for_peers(now);
+                }
                 self.rollout_list.reset_confirmation();
                 if let Some(evacuations) = &mut self.zones.evacuations {
                     evacuations.mark_outdated();
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -104,11 +104,22 @@
 }
 
 impl Shared {
-    /// Starts a round of reports; returns the addresses of the receivers, and the report.
-    fn build_report(&self, now: Millis) -> (Vec<SocketAddr>, Report) {
+    /// Starts a round of reports; returns the addresses of the receivers.
+    fn start_round(&self, now: Millis) -> Vec<SocketAddr> {
         let mut state = self.state();
         // Few entries list the replicas; the others hear that their list is current.
         state.expire_signals(now);
+        let live = state.peers.live_entry_count(now) - 1;
+        self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
+        let entries = state.peers.entry_count(now);
+        self.metrics.entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
+        let is_waiting = !state.told_configurations.is_informed(now);
+        state.peers.start_round(is_waiting, now)
+    }
+
+    /// The report of this entry.
+    pub(super) fn build_report(&self, now: Millis) -> Report {
+        let state = self.state();
         let loads = state.loads.iter().filter(|(_, load)| load.running > 0);
         let loads = loads.map(|(id, load)| LoadReport {
             replica: replica_hash(id),
@@ -118,8 +129,7 @@
         let loads = loads.collect();
         let rollouts = state.rollouts.values().map(|progress| progress.controller.report(now));
         let rollouts = rollouts.collect();
-        let receivers = state.peers.start_round(now);
-        let report = Report {
+        Report {
             vm: state.peers.vm.clone(),
             incarnation: state.peers.incarnation,
             asked: now,
@@ -128,12 +138,7 @@
             loads,
             rollouts,
             held_sessions: state.held_sessions(self.settings.session_idle_timeout, now),
-        };
-        let live = state.peers.live_entry_count(now) - 1;
-        self.metrics.peers.set(i64::try_from(live).unwrap_or(i64::MAX));
-        let entries = state.peers.entry_count(now);
-        self.metrics.entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
-        (receivers, report)
+        }
     }
 
     /// Handles a message; returns the address of a peer that was not known to be alive.
@@ -221,7 +226,8 @@
     let now = since_boot();
     shared.review_cold(now);
     shared.measure_reported_load(now);
-    let (receivers, report) = shared.build_report(now);
+    shared.review_wait_for_peers(now);
+    let receivers = shared.start_round(now);
     if receivers.is_empty() {
         return;
     }
@@ -248,7 +254,7 @@
             }
         }
     }
-    match encode(report) {
+    match encode(shared.build_report(now)) {
         Ok(bytes) => {
             for receiver in receivers {
                 // A datagram that cannot be sent counts as lost.
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod attempt;
 mod cold;
+mod configuration_doubts;
 mod crash_checks;
 mod epochs;
 mod event_ids;
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -26,6 +26,7 @@
             incarnation: self.peers.incarnation,
             epoch: self.epoch,
             configuration: self.table.as_ref().map_or(0, |table| table.version),
+            is_provisional: !self.told_configurations.is_informed(since_boot()),
             leaving: Vec::new(),
             paused: Vec::new(),
             crashes: None,
@@ -78,8 +79,13 @@
         Some(Notice { fleet, ..state.empty_notice() })
     }
 
-    /// Tells a peer that has just been discovered what the reports do not say.
+    /// Tells a peer that has just been discovered what the reports do not say. An entry that waits for
+    /// what peers know reports to it at once, so that the peer introduces itself.
     pub(super) async fn introduce(&self, peer: SocketAddr, now: Millis) {
+        if !self.state().told_configurations.is_informed(now) {
+            let report = self.build_report(now);
+            self.send(&Message::Report(report), peer).await;
+        }
         let notice = {
             let mut state = self.state();
             Notice { fleet: state.peers.fleet_sample(now), ..state.empty_notice() }
@@ -102,7 +108,7 @@
         if let Some(held) = &notice.held {
             state.peer_held.store(notice.incarnation.0, held, now);
         }
-        state.peers.store_configuration(notice.incarnation, notice.configuration, now);
+        self.apply_told_configuration(&mut state, notice, now);
         if notice.epoch > state.epoch && state.epoch.is_some() {
             // The next read shows the restore to this entry itself.
             state.is_configuration_outdated = true;
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -14,6 +14,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
+    ops::Not,
 };
 
 /// Age from which the loads in a peer's report are ignored.
@@ -113,6 +114,9 @@
     /// Version of the sender's configuration.
     #[serde(default)]
     pub(super) configuration: u64,
+    /// Whether the sender waits for a peer that may know a newer one.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub(super) is_provisional: bool,
     #[serde(default)]
     pub(super) leaving: Vec<LeavingReplica>,
     #[serde(default)]
@@ -172,8 +176,6 @@
     pub(super) incarnation: Incarnation,
     own_address: SocketAddr,
     peers: BTreeMap<VmId, Peer>,
-    /// Newest configuration version of each run of a peer, and when it was last told.
-    configurations: BTreeMap<Incarnation, (u64, Millis)>,
     seeds: BTreeSet<SocketAddr>,
     /// Addresses of peers, known from reports, and when each was first mentioned or last sent a
     /// report.
@@ -208,7 +210,6 @@
             incarnation: Incarnation(rand::random()),
             own_address: settings.peers,
             peers: BTreeMap::new(),
-            configurations: BTreeMap::new(),
             seeds: BTreeSet::new(),
             contacts: BTreeMap::new(),
             demands: BTreeMap::new(),
@@ -234,6 +235,11 @@
         !self.seeds.is_empty()
     }
 
+    /// Whether this entry knows addresses where peers may be.
+    pub(super) fn has_contacts(&self) -> bool {
+        self.has_seeds() || !self.contacts.is_empty()
+    }
+
     /// Peers that have sent a report within `PEER_TIMEOUT`.
     fn live(&self, now: Millis) -> impl Iterator<Item = (&VmId, &Peer)> {
         self.peers.iter().filter(move |(_, peer)| now.since(peer.last_seen) < PEER_TIMEOUT)
@@ -404,19 +410,6 @@
         Tokens(here.fold(0, |sum, load| sum.saturating_add(load.pending_prefill.0)))
     }
 
-    /// Stores the configuration version that a peer has told.
-    pub(super) fn store_configuration(&mut self, peer: Incarnation, version: u64, now: Millis) {
-        self.configurations.retain(|_, (_, told)| now.since(*told) < CONTACT_TTL);
-        self.configurations.insert(peer, (version, now));
-    }
-
-    /// Newest configuration version that a peer has told lately; 0 if none has.
-    pub(super) fn newest_configuration(&self, now: Millis) -> u64 {
-        let recent = self.configurations.values();
-        let recent = recent.filter(|(_, told)| now.since(*told) < CONTACT_TTL);
-        recent.map(|(version, _)| *version).max().unwrap_or_default()
-    }
-
     /// Stores a report; returns whether its sender was not known to be alive. One that has restarted
     /// was not, as it has lost what it was told.
     pub(super) fn store_report(&mut self, report: Report, now: Millis) -> bool {
@@ -438,8 +431,9 @@
         is_new
     }
 
-    /// Starts the next round of reports; returns the addresses to send them to.
-    pub(super) fn start_round(&mut self, now: Millis) -> Vec<SocketAddr> {
+    /// Starts the next round of reports; returns the addresses to send them to. An entry that waits for
+    /// what peers know tries those that are silent in each round.
+    pub(super) fn start_round(&mut self, is_waiting: bool, now: Millis) -> Vec<SocketAddr> {
         self.round += 1;
         self.asked.retain(|asked| now.since(*asked) < CONTACT_TTL);
         self.asked.insert(now);
@@ -452,7 +446,7 @@
             receivers.rotate_left(from);
             receivers.truncate(MAX_RECEIVERS);
         }
-        if self.round % SILENT_CONTACT_INTERVAL == 1 {
+        if is_waiting || self.round % SILENT_CONTACT_INTERVAL == 1 {
             let known: BTreeSet<SocketAddr> = receivers.iter().copied().collect();
             let silent = self.seeds.iter().chain(self.contacts.keys());
             let silent: BTreeSet<SocketAddr> =
--- a/crates/daemon/src/direct/polling.rs
+++ b/crates/daemon/src/direct/polling.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    fn mark_configuration_outdated(&self, state: &mut State) {
+    pub(super) fn mark_configuration_outdated(&self, state: &mut State) {
         if !std::mem::replace(&mut state.is_configuration_outdated, true) {
             info!(self.log, "configuration: a peer has a newer one");
         }
@@ -93,6 +93,7 @@
             EpochConfirmed::Configuration(version) => {
                 let known = state.table.as_ref().map(|table| table.version);
                 if known == Some(version) {
+                    state.told_configurations.record_read(version, asked);
                     state.freshness.confirm(asked);
                 } else if known < Some(version) {
                     self.mark_configuration_outdated(&mut state);
@@ -169,10 +170,11 @@
                 shared.state().is_configuration_outdated = false;
                 polled_at = Some(sent_at);
                 backoff.reset();
-                if is_newest {
+                let is_informed = shared.state().told_configurations.is_informed(since_boot());
+                if is_newest && is_informed {
                     let confirmed = ReadResult::Configuration { version, revision };
                     shared.confirm(requests, confirmed, store.epoch()).await;
-                } else {
+                } else if !is_newest {
                     task::sleep(OUTDATED_READ_DELAY).await;
                 }
             }
--- a/crates/daemon/src/direct/readiness.rs
+++ b/crates/daemon/src/direct/readiness.rs
@@ -18,7 +18,8 @@
 
 impl Shared {
     /// Whether the load balancer should send new connections to this entry: it is not stopping,
-    /// knows a replica and the evacuated zones, and has a recently confirmed configuration.
+    /// knows a replica and the evacuated zones, and has a recently confirmed configuration that is not
+    /// in doubt.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state();
         let knows_evacuations = state.knows_evacuations(since_boot());
@@ -27,6 +28,7 @@
             && state.table.is_some()
             && is_fresh
             && !state.replicas.is_empty()
+            && state.configuration_doubt(since_boot()).is_none()
             && knows_evacuations
     }
 }
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -17,7 +17,7 @@
 use ibissail_core::{ErrorKind, Millis, OrganisationId, ServiceId};
 use ibissail_direct::{
     AllowedRegions, ContentHash, Organisation, OrganisationKey, PartHash, RequestKind, Route,
-    RoutingTable, retry_after, retry_elsewhere, stable_hash,
+    RoutingTable, retry_after, retry_after_pause, retry_elsewhere, stable_hash,
 };
 use ibissail_http1::{Connection, RequestHead};
 use ibissail_platform::{CallerRequest, decode_caller_request, invalid_request_reason};
@@ -201,6 +201,7 @@
             && !state.replicas.is_empty()
             && state.rollout_list.confirmed_at().is_some()
             && state.knows_evacuations(since_boot())
+            && state.configuration_doubt(since_boot()).is_none()
     }
 }
 
@@ -219,7 +220,10 @@
         let params = decode_caller_request(&head);
         let mut state = self.state();
         // Peers that have a newer configuration, or are not heard, can reach the store.
-        let is_behind = state.is_configuration_outdated || state.peers.is_isolated(now);
+        let is_behind = state.is_configuration_outdated
+            || state.peers.is_isolated(now)
+            || state.missing_configuration(now).is_some();
+        let rest_of_wait = state.rest_of_fleet_wait(now);
         let refuse = |kind: ErrorKind, detail: &str| {
             // Without a deadline of the caller, the retry time is limited as for one of 1.5 s.
             let time_left = params.time_left.unwrap_or(Millis(1_500));
@@ -227,12 +231,12 @@
             let has_retry_time = kind.response().status == 503;
             let can_others_serve =
                 kind == ErrorKind::Draining || is_behind && should_reconnect(kind);
-            let retry_after = has_retry_time.then(|| {
-                if can_others_serve {
-                    retry_elsewhere(jitter)
-                } else {
-                    retry_after(RETRY_AFTER_SPREAD, time_left, jitter)
+            let retry_after = has_retry_time.then(|| match rest_of_wait {
+                _ if can_others_serve => retry_elsewhere(jitter),
+                Some(rest) if kind == ErrorKind::SettingsStale => {
+                    retry_after_pause(rest, RETRY_AFTER_SPREAD, jitter)
                 }
+                _ => retry_after(RETRY_AFTER_SPREAD, time_left, jitter),
             });
             (params.id.clone(), ErrorReply { kind, detail: detail.to_owned(), retry_after })
         };
@@ -382,6 +386,9 @@
             let detail = format!("the configuration was last confirmed {age} ago");
             return Err((ErrorKind::SettingsStale, detail));
         }
+        if let Some(doubt) = self.configuration_doubt(now) {
+            return Err((ErrorKind::SettingsStale, doubt));
+        }
         let owner = key.and_then(|key| table.organisation(key));
         let owner = owner.ok_or_else(|| {
             let detail = format!("unknown key in configuration {}", table.version);
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -17,7 +17,7 @@
     CallerBuffers, ColdReplicas, CrashQuarantine, DirectSettings, Freshness, GivenUpAttempts,
     Health, LearnedWork, MessageBudget, ModelSelector, PartHash, PeerHeldTokens, PrefixCacheIndex,
     ReplicaLoads, ReplicaSet, ReplicaSignals, RetryBudget, RetryBudgetLimits, RolloutList,
-    RoutingTable, RunHash, SeenVersions, Shedding, UnsentBudget,
+    RoutingTable, RunHash, SeenVersions, Shedding, ToldConfigurations, UnsentBudget,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -74,6 +74,10 @@
     pub(super) given_up: GivenUpAttempts,
     /// Time as of which the list of replicas was last known to be current.
     pub(crate) replicas_confirmed_at: Option<Millis>,
+    /// What peers have told of the configuration.
+    pub(super) told_configurations: ToldConfigurations,
+    /// When the last poll of the configuration that failed was sent.
+    pub(super) store_failed_at: Option<Millis>,
     /// Whether a peer has read a newer configuration than this entry has.
     pub(super) is_configuration_outdated: bool,
     pub(crate) health: BTreeMap<InstanceId, Health>,
@@ -148,6 +152,8 @@
             pending_checks: PendingChecks::new(),
             given_up: GivenUpAttempts::default(),
             replicas_confirmed_at: None,
+            told_configurations: ToldConfigurations::new(peers.has_seeds(), since_boot()),
+            store_failed_at: None,
             is_configuration_outdated: false,
             health: BTreeMap::new(),
             event_ids: EventIds::default(),
--- a/crates/daemon/src/direct/watch.rs
+++ b/crates/daemon/src/direct/watch.rs
@@ -62,7 +62,8 @@
         self.apply_configuration(configuration, source);
         let mut state = self.state();
         let known = state.table.as_ref().map_or(0, |table| table.version);
-        let known = known.max(state.peers.newest_configuration(since_boot()));
+        let known = known.max(state.told_configurations.newest(since_boot()));
+        state.told_configurations.record_read(version, sent_at);
         let is_newest = version >= known;
         if is_newest {
             state.freshness.confirm(sent_at);
--- a/crates/daemon/src/direct/zones.rs
+++ b/crates/daemon/src/direct/zones.rs
@@ -343,6 +343,7 @@
 impl State {
     /// Takes note that a call to the store, sent at this time, has failed.
     pub(super) fn record_store_failure(&mut self, sent_at: Millis) {
+        self.store_failed_at = self.store_failed_at.max(Some(sent_at));
         if let Some(known) = &mut self.zones.evacuations {
             known.record_failure(sent_at);
         }
--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -134,6 +134,11 @@
         self.settings_edits.push((from.to_owned(), to.to_owned()));
     }
 
+    /// Replaces the seeds from the next start of the entry on.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// Prepares another entry on the same store, with this one as its seed, without starting it.
     pub fn prepare_peer(&self, test: &str) -> Self {
         let mut peer = Self::without_entry(test, self.store.clone());
--- a/crates/direct/src/freshness.rs
+++ b/crates/direct/src/freshness.rs
@@ -38,6 +38,12 @@
         self.confirmed_at.map(|confirmed| now.since(confirmed))
     }
 
+    /// Whether API keys are accepted only for a time after a confirmation.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.limit.is_some()
+    }
+
     /// Whether API keys may be accepted: the configuration is recent enough, or no limit is set.
     ///
     /// # Examples
--- /dev/null
+++ b/crates/direct/src/told_configurations.rs
@@ -0,0 +1,156 @@
+//! Whether the configuration in the store is the newest, from what peers know of it.
+//!
+//! A store that has been restored from an older copy shows a configuration that a newer one had
+//! replaced, until the operators have written that again. An entry that has lived through the restore
+//! remembers the newer one; one that has started since, or was suspended, knows it from peers only.
+
+use ibissail_core::Millis;
+use std::collections::BTreeMap;
+
+/// Time from the start in which an entry that has seeds waits for a peer that knows more than the
+/// store. Peers send reports to an address that has been silent every 1.6 s.
+const PEER_TIME: Millis = Millis(2_000);
+/// Time from the first mention of a version within which the store must show it. A peer may be wrong,
+/// and its version may never be written again.
+const MENTION_LIMIT: Millis = Millis(30_000);
+/// Time without another mention after which a version is forgotten.
+const MENTION_TTL: Millis = Millis(30_000);
+/// Most versions that are kept; the newest are.
+const MAX_MENTIONS: usize = 16;
+
+/// A peer's word on the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldConfiguration {
+    /// Version that the peer has; 0 if it has none.
+    pub version: u64,
+    /// Whether the peer itself still waits for one that knows more.
+    pub is_provisional: bool,
+}
+
+/// A version that a peer has, and the store has not shown to this entry.
+#[derive(Debug, Clone, Copy)]
+struct Mention {
+    first_told: Millis,
+    last_told: Millis,
+    /// Whether a later read of the store has returned an older version.
+    is_missed: bool,
+}
+
+/// What peers have told of the configuration.
+#[derive(Debug, Clone)]
+pub struct ToldConfigurations {
+    /// Until then, an entry waits for a peer that does not wait itself.
+    waits_until: Millis,
+    has_heard_peer: bool,
+    /// Whether the end of the wait has not been taken note of.
+    is_waiting: bool,
+    mentions: BTreeMap<u64, Mention>,
+}
+
+impl ToldConfigurations {
+    /// What an entry that starts now knows: nothing. Without seeds, there is no peer to wait for.
+    #[must_use]
+    pub fn new(has_seeds: bool, now: Millis) -> Self {
+        let wait = if has_seeds { PEER_TIME } else { Millis(0) };
+        Self {
+            waits_until: now.saturating_add(wait),
+            has_heard_peer: false,
+            is_waiting: has_seeds,
+            mentions: BTreeMap::new(),
+        }
+    }
+
+    /// Waits for peers from now on. What this entry knew may be outdated, and the store too: the entry
+    /// was cut off or suspended while the store was restored.
+    pub fn wait_for_peers(&mut self, now: Millis) {
+        self.waits_until = now.saturating_add(PEER_TIME);
+        self.has_heard_peer = false;
+        self.is_waiting = true;
+    }
+
+    /// Records what a peer has told, to an entry that has this version. Returns whether it is a newer
+    /// one that no peer has told lately.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ibissail_core::Millis;
+    /// use ibissail_direct::{ToldConfiguration, ToldConfigurations};
+    /// let mut told = ToldConfigurations::new(true, Millis(0));
+    /// assert!(!told.is_informed(Millis(10)));
+    /// let newer = ToldConfiguration { version: 6, is_provisional: false };
+    /// assert!(told.record(newer, 3, Millis(20)));
+    /// assert!(told.is_informed(Millis(20)));
+    /// assert_eq!(told.missing(3, Millis(20)), Some(6));
+    /// assert_eq!(told.missing(6, Millis(20)), None);
+    /// ```
+    pub fn record(&mut self, told: ToldConfiguration, known: u64, now: Millis) -> bool {
+        let ToldConfiguration { version, is_provisional } = told;
+        if version == 0 {
+            return false;
+        }
+        // All that this entry has read so far may come from a restored store.
+        let is_beginner = !self.has_heard_peer || now < self.waits_until;
+        self.has_heard_peer |= !is_provisional;
+        self.mentions.retain(|_, mention| now.since(mention.last_told) < MENTION_TTL);
+        if version <= known {
+            return false;
+        }
+        let is_new = !self.mentions.contains_key(&version);
+        let mention = Mention { first_told: now, last_told: now, is_missed: false };
+        let mention = self.mentions.entry(version).or_insert(mention);
+        mention.last_told = now;
+        mention.is_missed |= is_beginner;
+        while self.mentions.len() > MAX_MENTIONS {
+            self.mentions.pop_first();
+        }
+        is_new
+    }
+
+    /// Records a read of the store, sent at this time, that has returned this version.
+    pub fn record_read(&mut self, version: u64, sent_at: Millis) {
+        self.mentions.retain(|mentioned, _| *mentioned > version);
+        for mention in self.mentions.values_mut() {
+            mention.is_missed |= mention.first_told <= sent_at;
+        }
+    }
+
+    /// Whether this entry has heard a peer that knows more than the store, or has waited for one.
+    #[must_use]
+    pub fn is_informed(&self, now: Millis) -> bool {
+        self.has_heard_peer || now >= self.waits_until
+    }
+
+    /// Whether a peer was heard, once the wait for peers has ended; `None` before and afterwards.
+    pub fn take_end_of_wait(&mut self, now: Millis) -> Option<bool> {
+        if !self.is_waiting || !self.is_informed(now) {
+            return None;
+        }
+        self.is_waiting = false;
+        Some(self.has_heard_peer)
+    }
+
+    /// Time for which an entry still waits for peers.
+    #[must_use]
+    pub fn rest_of_wait(&self, now: Millis) -> Millis {
+        if self.has_heard_peer { Millis(0) } else { self.waits_until.since(now) }
+    }
+
+    /// Newest version that a peer has told lately; 0 if none has told one that the store lacks.
+    #[must_use]
+    pub fn newest(&self, now: Millis) -> u64 {
+        let recent = |mention: &Mention| now.since(mention.first_told) < MENTION_LIMIT;
+        let newest = self.mentions.iter().rev().find(|(_, mention)| recent(mention));
+        newest.map(|(version, _)| *version).unwrap_or_default()
+    }
+
+    /// Newest version above `known` that the store should have shown; `None` if there is none, so that
+    /// what this entry has read is the newest.
+    #[must_use]
+    pub fn missing(&self, known: u64, now: Millis) -> Option<u64> {
+        let is_missing =
+            |mention: &Mention| mention.is_missed && now.since(mention.first_told) < MENTION_LIMIT;
+        let above = self.mentions.range(known.saturating_add(1)..);
+        above.rev().find(|(_, mention)| is_missing(mention)).map(|(version, _)| *version)
+    }
+}
--- a/crates/http1/tests/event_fields.rs
+++ b/crates/http1/tests/event_fields.rs
@@ -96,7 +96,8 @@
         (9, 1, Some(7), 12, false),
         (1, 5, Some(7), 12, true),
     ] {
-        let position = StreamPosition::after(after).with_usual_ids(UsualIds { first, step, gap: 1 });
+        let position =
+            StreamPosition::after(after).with_usual_ids(UsualIds { first, step, gap: 1 });
         let mut splitter = EventSplitter::new(position);
         let events = splitter.push(format!("id: {id}\ndata: a\n\n").as_bytes());
         assert_eq!(!events.expect("an event").is_empty(), is_returned, "{id} after {after:?}");
