A fleet that has restarted as a whole waits half a second for what peers know

Change: the wait ends after 0.5 s if peers are at all seed addresses and each peer that is heard waits as well. First requests are held for 0.6 s instead of 0.4.

--- a/crates/daemon/src/direct/configuration_doubts.rs
+++ b/crates/daemon/src/direct/configuration_doubts.rs
@@ -55,8 +55,8 @@
     /// once.
     pub(super) fn apply_told_configuration(&self, state: &mut State, notice: &Notice, now: Millis) {
         let known = state.configuration_version();
-        let Notice { configuration: version, is_provisional, .. } = *notice;
-        let told = ToldConfiguration { version, is_provisional };
+        let Notice { incarnation: peer, configuration: version, is_provisional, .. } = *notice;
+        let told = ToldConfiguration { peer, version, is_provisional };
         if state.told_configurations.record(told, known, now) {
             self.mark_configuration_outdated(state);
             warn!(self.log, "configuration: told of a newer one"; "version" => version,
@@ -65,12 +65,17 @@
         }
     }
 
-    /// Logs the end of the wait for what peers know.
+    /// Ends the wait for what peers know if all of them wait, and logs its end.
     pub(super) fn review_wait_for_peers(&self, now: Millis) {
         let mut state = self.state();
+        let State { peers, told_configurations, .. } = &mut *state;
+        if !told_configurations.is_informed(now) && peers.are_seeds_live(now) {
+            told_configurations.review_peers(peers.live_incarnations(now), now);
+        }
         if let Some(has_heard) = state.told_configurations.take_end_of_wait(now) {
             info!(self.log, "configuration: peers waited for"; "has_heard" => has_heard,
                 "version" => state.configuration_version(),
+                "peers" => state.peers.live_entry_count(now) - 1,
                 "after_ms" => since_boot().since(self.started).0);
         }
     }
--- a/crates/daemon/src/direct/peers.rs
+++ b/crates/daemon/src/direct/peers.rs
@@ -245,6 +245,17 @@
         self.peers.iter().filter(move |(_, peer)| now.since(peer.last_seen) < PEER_TIMEOUT)
     }
 
+    /// Whether a live peer is at each of the seed addresses.
+    pub(super) fn are_seeds_live(&self, now: Millis) -> bool {
+        let live: BTreeSet<SocketAddr> = self.live(now).map(|(_, peer)| peer.address).collect();
+        self.seeds.is_subset(&live)
+    }
+
+    /// The runs of all live peers.
+    pub(super) fn live_incarnations(&self, now: Millis) -> impl Iterator<Item = Incarnation> {
+        self.live(now).map(|(_, peer)| peer.report.incarnation)
+    }
+
     /// Addresses of all live peers.
     pub(super) fn live_addresses(&self, now: Millis) -> Vec<SocketAddr> {
         self.live(now).map(|(_, peer)| peer.address).collect()
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -26,7 +26,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 /// Time after the start of the process in which requests wait for the first reads of the store.
-const INITIAL_STATE_TIMEOUT: Millis = Millis(400);
+const INITIAL_STATE_TIMEOUT: Millis = Millis(600);
 /// Interval at which such requests check for the results of these reads.
 const INITIAL_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval of the disconnect checks of a caller that has already sent bytes of its next request.
--- a/crates/direct/src/told_configurations.rs
+++ b/crates/direct/src/told_configurations.rs
@@ -4,12 +4,15 @@
 //! replaced, until the operators have written that again. An entry that has lived through the restore
 //! remembers the newer one; one that has started since, or was suspended, knows it from peers only.
 
-use ibissail_core::Millis;
-use std::collections::BTreeMap;
+use ibissail_core::{Incarnation, Millis};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time from the start in which an entry that has seeds waits for a peer that knows more than the
 /// store. Peers send reports to an address that has been silent every 1.6 s.
 const PEER_TIME: Millis = Millis(2_000);
+/// The same where every peer that the entry can reach waits as well, as when all have restarted: one
+/// that knows more reports every 400 ms, to entries that it has heard until lately.
+const FLEET_TIME: Millis = Millis(500);
 /// Time from the first mention of a version within which the store must show it. A peer may be wrong,
 /// and its version may never be written again.
 const MENTION_LIMIT: Millis = Millis(30_000);
@@ -21,6 +24,8 @@
 /// A peer's word on the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ToldConfiguration {
+    /// Run of the peer.
+    pub peer: Incarnation,
     /// Version that the peer has; 0 if it has none.
     pub version: u64,
     /// Whether the peer itself still waits for one that knows more.
@@ -39,9 +44,12 @@
 /// What peers have told of the configuration.
 #[derive(Debug, Clone)]
 pub struct ToldConfigurations {
-    /// Until then, an entry waits for a peer that does not wait itself.
+    /// Since when, and until when, an entry waits for a peer that does not wait itself.
+    waits_since: Millis,
     waits_until: Millis,
     has_heard_peer: bool,
+    /// Peers that wait as well.
+    waiting_peers: BTreeSet<Incarnation>,
     /// Whether the end of the wait has not been taken note of.
     is_waiting: bool,
     mentions: BTreeMap<u64, Mention>,
@@ -53,8 +61,10 @@
     pub fn new(has_seeds: bool, now: Millis) -> Self {
         let wait = if has_seeds { PEER_TIME } else { Millis(0) };
         Self {
+            waits_since: now,
             waits_until: now.saturating_add(wait),
             has_heard_peer: false,
+            waiting_peers: BTreeSet::new(),
             is_waiting: has_seeds,
             mentions: BTreeMap::new(),
         }
@@ -63,8 +73,10 @@
     /// Waits for peers from now on. What this entry knew may be outdated, and the store too: the entry
     /// was cut off or suspended while the store was restored.
     pub fn wait_for_peers(&mut self, now: Millis) {
+        self.waits_since = now;
         self.waits_until = now.saturating_add(PEER_TIME);
         self.has_heard_peer = false;
+        self.waiting_peers.clear();
         self.is_waiting = true;
     }
 
@@ -78,14 +90,18 @@
     /// use ibissail_direct::{ToldConfiguration, ToldConfigurations};
     /// let mut told = ToldConfigurations::new(true, Millis(0));
     /// assert!(!told.is_informed(Millis(10)));
-    /// let newer = ToldConfiguration { version: 6, is_provisional: false };
+    /// let peer = ibissail_core::Incarnation(5);
+    /// let newer = ToldConfiguration { peer, version: 6, is_provisional: false };
     /// assert!(told.record(newer, 3, Millis(20)));
     /// assert!(told.is_informed(Millis(20)));
     /// assert_eq!(told.missing(3, Millis(20)), Some(6));
     /// assert_eq!(told.missing(6, Millis(20)), None);
     /// ```
     pub fn record(&mut self, told: ToldConfiguration, known: u64, now: Millis) -> bool {
-        let ToldConfiguration { version, is_provisional } = told;
+        let ToldConfiguration { peer, version, is_provisional } = told;
+        if is_provisional && !self.is_informed(now) {
+            self.waiting_peers.insert(peer);
+        }
         if version == 0 {
             return false;
         }
@@ -115,6 +131,19 @@
         }
     }
 
+    /// Ends the wait early if all these peers wait as well, which are all that there may be.
+    pub fn review_peers<I>(&mut self, peers: I, now: Millis)
+    where
+        I: IntoIterator<Item = Incarnation>,
+    {
+        let mut peers = peers.into_iter().peekable();
+        let are_all_waiting =
+            peers.peek().is_some() && peers.all(|peer| self.waiting_peers.contains(&peer));
+        if are_all_waiting && now.since(self.waits_since) >= FLEET_TIME {
+            self.waits_until = self.waits_until.min(now);
+        }
+    }
+
     /// Whether this entry has heard a peer that knows more than the store, or has waited for one.
     #[must_use]
     pub fn is_informed(&self, now: Millis) -> bool {
--- a/crates/direct/tests/told_configurations.rs
+++ b/crates/direct/tests/told_configurations.rs
@@ -1,6 +1,6 @@
 //! What peers tell of the configuration decides whether that of the store is believed.
 
-use ibissail_core::Millis;
+use ibissail_core::{Incarnation, Millis};
 use ibissail_direct::{ToldConfiguration, ToldConfigurations};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -8,7 +8,8 @@
 const PROVISIONAL: bool = true;
 
 fn told(version: u64, is_provisional: bool) -> ToldConfiguration {
-    ToldConfiguration { version, is_provisional }
+    let peer = Incarnation(u64::from(is_provisional));
+    ToldConfiguration { peer, version, is_provisional }
 }
 
 /// Whether keys may be checked against this version.
@@ -114,3 +115,21 @@
         }
     }
 }
+
+#[test]
+fn fleet_that_has_restarted_waits_for_half_a_second() {
+    let waiting = Incarnation(1);
+    let mut peers = ToldConfigurations::new(true, Millis(0));
+    peers.review_peers([], Millis(600));
+    assert!(!is_believed(&peers, 1, 600), "nobody is heard");
+    peers.record(told(1, PROVISIONAL), 1, Millis(610));
+    peers.review_peers([waiting, Incarnation(9)], Millis(620));
+    assert!(!is_believed(&peers, 1, 620), "one of them has told nothing");
+    peers.review_peers([waiting], Millis(630));
+    assert!(is_believed(&peers, 1, 630));
+
+    let mut early = ToldConfigurations::new(true, Millis(0));
+    early.record(told(1, PROVISIONAL), 1, Millis(10));
+    early.review_peers([waiting], Millis(499));
+    assert!(!is_believed(&early, 1, 499));
+}
