An entry that starts on a restored store waits longer for lost evacuations

Callers' requests reached an evacuated zone from an entry that had restarted with stale seeds after the store was restored from a copy without the evacuation: the same belief in a restored store as that of configurations.

Cause: the wait for a peer ended after 0.4 s, while peers report to an address that was silent every 1.6 s only; and the word of a peer ended it that had not listed since the restore itself, whose list is of the earlier epoch and is not adopted.

Change: both waits have one length, 2 s, and end together for a fleet that has restarted as a whole. A list of an earlier epoch, or of a peer that waits itself, does not end the wait; an entry whose wait has ended tells its peers at once.

--- a/crates/daemon/src/direct/configuration_doubts.rs
+++ b/crates/daemon/src/direct/configuration_doubts.rs
@@ -68,11 +68,18 @@
     /// Ends the wait for what peers know if all of them wait, and logs its end.
     pub(super) fn review_wait_for_peers(&self, now: Millis) {
         let mut state = self.state();
-        let State { peers, told_configurations, .. } = &mut *state;
-        if !told_configurations.is_informed(now) && peers.are_seeds_live(now) {
-            told_configurations.review_peers(peers.live_incarnations(now), now);
+        let State { peers, told_configurations, zones, .. } = &mut *state;
+        if !told_configurations.is_informed(now)
+            && peers.are_seeds_live(now)
+            && told_configurations.review_peers(peers.live_incarnations(now), now)
+            && let Some(evacuations) = &mut zones.evacuations
+        {
+            evacuations.end_wait(now);
         }
         if let Some(has_heard) = state.told_configurations.take_end_of_wait(now) {
+            if let Some(evacuations) = &mut state.zones.evacuations {
+                evacuations.tell_peers();
+            }
             info!(self.log, "configuration: peers waited for"; "has_heard" => has_heard,
                 "version" => state.configuration_version(),
                 "peers" => state.peers.live_entry_count(now) - 1,
--- a/crates/daemon/src/direct/zones.rs
+++ b/crates/daemon/src/direct/zones.rs
@@ -62,6 +62,16 @@
         self.is_outdated = true;
     }
 
+    /// Ends the wait for what peers know: all of them wait as well.
+    pub(super) fn end_wait(&mut self, now: Millis) {
+        self.gate.end_wait(now);
+    }
+
+    /// Lets peers that wait know that there are no other evacuations.
+    pub(super) fn tell_peers(&mut self) {
+        self.untold_receivers = self.untold_receivers.max(READ_RECEIVERS);
+    }
+
     /// Takes note of a call to the store, sent at this time, that has failed.
     pub(super) fn record_failure(&mut self, sent_at: Millis) {
         self.gate.record_failure(sent_at);
@@ -249,10 +259,12 @@
         self.record_zone_changes(state, &changes, origin, FORWARD_RECEIVERS);
     }
 
-    /// Notice with the evacuations; `None` if they are not known or zones are not evacuated.
+    /// Notice with the evacuations; `None` if they are not known or zones are not evacuated. There may be
+    /// more of them while this entry itself waits for what peers know.
     pub(super) fn build_evacuations(&self, now: Millis) -> Option<Notice> {
         let state = self.state();
-        let evacuations = state.zones.evacuations.as_ref()?.set.told(now)?;
+        let mut evacuations = state.zones.evacuations.as_ref()?.set.told(now)?;
+        evacuations.is_complete &= state.told_configurations.is_informed(now);
         Some(Notice { evacuations: Some(Box::new(evacuations)), ..state.empty_notice() })
     }
 
--- a/crates/direct/src/told_configurations.rs
+++ b/crates/direct/src/told_configurations.rs
@@ -9,7 +9,7 @@
 
 /// Time from the start in which an entry that has seeds waits for a peer that knows more than the
 /// store. Peers send reports to an address that has been silent every 1.6 s.
-const PEER_TIME: Millis = Millis(2_000);
+pub(crate) const PEER_TIME: Millis = Millis(2_000);
 /// The same where every peer that the entry can reach waits as well, as when all have restarted: one
 /// that knows more reports every 400 ms, to entries that it has heard until lately.
 const FLEET_TIME: Millis = Millis(500);
@@ -131,17 +131,20 @@
         }
     }
 
-    /// Ends the wait early if all these peers wait as well, which are all that there may be.
-    pub fn review_peers<I>(&mut self, peers: I, now: Millis)
+    /// Ends the wait early if all these peers wait as well, which are all that there may be; returns
+    /// whether it does.
+    pub fn review_peers<I>(&mut self, peers: I, now: Millis) -> bool
     where
         I: IntoIterator<Item = Incarnation>,
     {
         let mut peers = peers.into_iter().peekable();
         let are_all_waiting =
             peers.peek().is_some() && peers.all(|peer| self.waiting_peers.contains(&peer));
-        if are_all_waiting && now.since(self.waits_since) >= FLEET_TIME {
+        let ends = are_all_waiting && now.since(self.waits_since) >= FLEET_TIME;
+        if ends {
             self.waits_until = self.waits_until.min(now);
         }
+        ends
     }
 
     /// Whether this entry has heard a peer that knows more than the store, or has waited for one.
--- a/crates/direct/src/zones/serving.rs
+++ b/crates/direct/src/zones/serving.rs
@@ -1,7 +1,7 @@
 //! When an entry knows enough about evacuations to serve requests, and how often it asks.
 
 use super::EvacuationSet;
-use crate::ReadSchedule;
+use crate::{ReadSchedule, told_configurations::PEER_TIME};
 use ibissail_core::Millis;
 
 /// Longest interval between the listings of the entry that lists for its peers.
@@ -14,9 +14,6 @@
 const MARGIN: Millis = Millis(600);
 /// The age limit is not below this: two listings and the longest response time of the store.
 const MIN_AGE_LIMIT: Millis = Millis(2_500);
-/// Time after the start in which an entry that has seeds waits for what a peer knows. A peer
-/// responds to the first report within milliseconds, and first requests wait for as long.
-const PEER_TIME: Millis = Millis(400);
 
 /// Schedule of the listings of evacuations. Each interval is at most about a third of the time in
 /// which an evacuation must take effect.
@@ -68,6 +65,11 @@
         }
     }
 
+    /// Ends the wait for what peers know: all of them wait as well.
+    pub fn end_wait(&mut self, now: Millis) {
+        self.waits_for_peers_until = self.waits_for_peers_until.min(now);
+    }
+
     /// Records that a call to the store, sent at this time, has failed.
     pub fn record_failure(&mut self, sent_at: Millis) {
         self.failed_at = self.failed_at.max(Some(sent_at));
--- a/crates/direct/src/zones/set.rs
+++ b/crates/direct/src/zones/set.rs
@@ -97,7 +97,9 @@
             let newer = listed.filter(|(_, shown_at)| is_unknown(*shown_at));
             self.show_all(newer.collect(), now)
         };
-        self.has_heard_peer |= *is_complete;
+        // A peer that has not listed since a restore does not know yet what the store has lost.
+        let is_current = self.applied.is_none_or(|applied| at.epoch >= applied.epoch);
+        self.has_heard_peer |= *is_complete && is_current;
         if self.applied.is_some_and(|applied| applied.epoch == at.epoch) {
             let missing = zones.iter().filter(|(_, shown_at)| shown_at.epoch < at.epoch);
             let missing = missing.filter(|(zone, _)| !self.zones.contains_key(zone)).cloned();
