An entry that waits for its peers reports faster for half a second only

Cause: an entry reported every 100 ms for as long as it waited, up to 2 s. Where a large fleet restarts as a whole, the seeds get ten reports a second from each entry (by reading; 3,000 a second at 300 entries).

Change: it does so for the 0.5 s in which entries that all wait discover each other, five more reports in all, and then every 400 ms as others do.

--- a/crates/daemon/src/direct/configuration_doubts.rs
+++ b/crates/daemon/src/direct/configuration_doubts.rs
@@ -7,8 +7,8 @@
 use ibissail_direct::ToldConfiguration;
 use slog::{info, warn};
 
-/// Time without a poll of the store after which this entry was suspended, whatever has become of its
-/// polls since.
+/// Age of the last failed poll from which it does not explain why the configuration has expired, as
+/// polls are repeated within a second: this entry was suspended.
 const SUSPENDED_TIME: Millis = Millis(3_000);
 
 impl State {
@@ -44,8 +44,9 @@
     /// Whether the configuration has expired while this entry was suspended or cut off from its peers,
     /// so that they may have told of a newer one in vain.
     pub(super) fn has_missed_peers(&self, now: Millis) -> bool {
-        let has_polled = self.store_failed_at.is_some_and(|at| now.since(at) < SUSPENDED_TIME);
-        let is_cut_off = !has_polled || self.peers.is_isolated(now);
+        let failed_at = self.store_failed_at;
+        let was_suspended = failed_at.is_none_or(|at| now.since(at) >= SUSPENDED_TIME);
+        let is_cut_off = was_suspended || self.peers.is_isolated(now);
         self.peers.has_contacts() && !self.freshness.allows_keys(now) && is_cut_off
     }
 }
--- a/crates/daemon/src/direct/messages.rs
+++ b/crates/daemon/src/direct/messages.rs
@@ -21,8 +21,8 @@
 /// Interval between reports. Loads that are older than the prefill time of a prompt would lead to a
 /// wrong selection of replicas.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// The same while this entry waits for what its peers know.
-const WAITING_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while this entry has just begun to wait for what its peers know.
+const SEEKING_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest encoded report, in bytes, that fits in one datagram.
 const MAX_REPORT_BYTES: usize = 1_400;
 
@@ -202,8 +202,8 @@
     let sending = async {
         loop {
             send_report(&shared, socket).await;
-            let is_waiting = !shared.state().told_configurations.is_informed(since_boot());
-            let interval = if is_waiting { WAITING_REPORT_INTERVAL } else { REPORT_INTERVAL };
+            let is_seeking = shared.state().told_configurations.is_seeking_peers(since_boot());
+            let interval = if is_seeking { SEEKING_REPORT_INTERVAL } else { REPORT_INTERVAL };
             task::sleep(interval).await;
         }
     };
--- a/crates/direct/src/told_configurations.rs
+++ b/crates/direct/src/told_configurations.rs
@@ -37,7 +37,8 @@
 struct Mention {
     first_told: Millis,
     last_told: Millis,
-    /// Whether a later read of the store has returned an older version.
+    /// Whether the store should have shown it: a later read has returned an older version, or the
+    /// entry had not heard of its peers for long enough to rely on what it has read before.
     is_missed: bool,
 }
 
@@ -50,7 +51,7 @@
     has_heard_peer: bool,
     /// Peers that wait as well.
     waiting_peers: BTreeSet<Incarnation>,
-    /// Whether the end of the wait has not been taken note of.
+    /// Whether `take_end_of_wait` has yet to report the end of the wait.
     is_waiting: bool,
     mentions: BTreeMap<u64, Mention>,
 }
@@ -168,6 +169,12 @@
         if self.has_heard_peer { Millis(0) } else { self.waits_until.since(now) }
     }
 
+    /// Whether the wait has begun so lately that peers which wait as well may still discover each other.
+    #[must_use]
+    pub fn is_seeking_peers(&self, now: Millis) -> bool {
+        !self.is_informed(now) && now.since(self.waits_since) < FLEET_TIME
+    }
+
     /// Newest version that a peer has told lately; 0 if none has told one that the store lacks.
     #[must_use]
     pub fn newest(&self, now: Millis) -> u64 {
--- a/crates/direct/tests/told_configurations.rs
+++ b/crates/direct/tests/told_configurations.rs
@@ -132,4 +132,5 @@
     early.record(told(1, PROVISIONAL), 1, Millis(10));
     early.review_peers([waiting], Millis(499));
     assert!(!is_believed(&early, 1, 499));
+    assert!(early.is_seeking_peers(Millis(499)) && !early.is_seeking_peers(Millis(500)));
 }
