A replica that has nothing further to send refutes a last event far ahead

Callers of a stream that may be resumed got an event that no run had made, where the first replica ended behind it, and the one that was asked what follows the event before ended in order without any.

Change: such an end, of a replica that runs on, contradicts the event.

Evidence: replica_without_further_events_refutes_a_foreign_last_event failed before (the stream ended as complete with the event). Where the others fail or refuse, the event is taken as before.

--- a/crates/daemon/src/direct/progress.rs
+++ b/crates/daemon/src/direct/progress.rs
@@ -24,8 +24,10 @@
     /// Ask another replica whether it goes on elsewhere.
     #[default]
     AskAnother,
-    /// Take it for complete.
+    /// Take it for complete, unless the replica that is asked contradicts.
     Take,
+    /// Another replica has ended in order without the event.
+    Refuse,
 }
 
 /// The progress of a request over its attempts.
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -51,11 +51,12 @@
         return Some(StreamOutcome::Broken(HttpError::Truncated.to_string()));
     }
     let has_events = trial.event_count() > 0 || splitter.has_awaiting_event();
-    if !has_events && may_not_be_empty(framing, progress.has_response_started()) {
-        return Some(StreamOutcome::Broken("the response ended without an event".to_owned()));
-    }
-    if framing != Framing::UntilClose {
-        return None;
+    let is_empty = !has_events && may_not_be_empty(framing, progress.has_response_started());
+    let may_refute = is_empty && progress.far_end == FarEnd::Take;
+    let without_event =
+        is_empty.then(|| StreamOutcome::Broken("the response ended without an event".to_owned()));
+    if framing != Framing::UntilClose || is_empty && !may_refute {
+        return without_event;
     }
     let checking = trial.check_unframed_end(&request.params.id, connection);
     let checked = match &mut progress.outbox {
@@ -63,6 +64,10 @@
         None => Ok(checking.await),
     };
     match checked {
+        Ok(end) if end.is_complete() && may_refute => {
+            progress.far_end = FarEnd::Refuse;
+            without_event
+        }
         Ok(end) if end.is_complete() => check_last_event(request, progress, upstream),
         Ok(end) => Some(StreamOutcome::Broken(end.to_string())),
         Err(_gone) => Some(StreamOutcome::CallerGone),
@@ -79,12 +84,20 @@
 ) -> Option<StreamOutcome> {
     let position = upstream.splitter.position();
     let distance = position.withheld_distance()?;
-    let is_taken = !request.route.kind.is_repeatable() || progress.far_end == FarEnd::Take;
+    let outcome = match progress.far_end {
+        _ if !request.route.kind.is_repeatable() => None,
+        FarEnd::Take => None,
+        FarEnd::AskAnother => Some(StreamOutcome::Unconfirmed),
+        FarEnd::Refuse => {
+            let error = "another replica has ended without the event that is far ahead";
+            Some(StreamOutcome::Broken(error.to_owned()))
+        }
+    };
     info!(upstream.exchange.trial.shared.log, "attempt: ended behind an event that is far ahead";
         "id" => &request.params.id, "replica" => %upstream.exchange.load_guard.replica,
         "last_event_id" => position.last_id(), "distance" => distance,
-        "usual_distance" => position.usual_distance(), "is_taken" => is_taken);
-    (!is_taken).then_some(StreamOutcome::Unconfirmed)
+        "usual_distance" => position.usual_distance(), "is_taken" => outcome.is_none());
+    outcome
 }
 
 /// Relays the stream of one replica, preceded by the head of the response unless the caller has
