Relay: one function for each end of a stream

check_end had come to decide on an empty response, one that contradicts an event far ahead and the check of the replica in one body.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -1,10 +1,12 @@
 //! Relays a stream to its caller, in whole events.
 
 use super::{
+    outbox::CallerGone,
     pace::PaceRecorder,
     progress::{FarEnd, Progress},
     request::AdmittedRequest,
     response::{LAST_CHUNK, encode_chunk, forwarded_head},
+    unframed_ends::UnframedEnd,
     upstream::{Exchange, StallLimits, UpstreamResponse},
 };
 use crate::clock::since_boot;
@@ -45,35 +47,58 @@
     upstream: &UpstreamResponse,
 ) -> Option<StreamOutcome> {
     let UpstreamResponse { exchange, splitter, .. } = upstream;
-    let Exchange { trial, connection, .. } = exchange;
     let framing = upstream.head.framing;
     if splitter.has_partial_event() {
         return Some(StreamOutcome::Broken(HttpError::Truncated.to_string()));
     }
-    let has_events = trial.event_count() > 0 || splitter.has_awaiting_event();
-    let is_empty = !has_events && may_not_be_empty(framing, progress.has_response_started());
-    let may_refute = is_empty && progress.far_end == FarEnd::Take;
-    let without_event =
-        is_empty.then(|| StreamOutcome::Broken("the response ended without an event".to_owned()));
-    if framing != Framing::UntilClose || is_empty && !may_refute {
-        return without_event;
+    let has_events = exchange.trial.event_count() > 0 || splitter.has_awaiting_event();
+    if !has_events && may_not_be_empty(framing, progress.has_response_started()) {
+        return Some(check_empty_end(request, progress, upstream).await);
     }
-    let checking = trial.check_unframed_end(&request.params.id, connection);
-    let checked = match &mut progress.outbox {
-        Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
-        None => Ok(checking.await),
-    };
-    match checked {
-        Ok(end) if end.is_complete() && may_refute => {
-            progress.far_end = FarEnd::Refuse;
-            without_event
-        }
+    if framing != Framing::UntilClose {
+        return None;
+    }
+    match check_close(request, progress, upstream).await {
         Ok(end) if end.is_complete() => check_last_event(request, progress, upstream),
         Ok(end) => Some(StreamOutcome::Broken(end.to_string())),
         Err(_gone) => Some(StreamOutcome::CallerGone),
     }
 }
 
+/// Checks the end of a response that should have had an event. If it has ended in order, it contradicts
+/// the event far ahead that its replica was to confirm.
+async fn check_empty_end(
+    request: &AdmittedRequest,
+    progress: &mut Progress,
+    upstream: &UpstreamResponse,
+) -> StreamOutcome {
+    let may_refute =
+        progress.far_end == FarEnd::Take && upstream.head.framing == Framing::UntilClose;
+    if may_refute {
+        match check_close(request, progress, upstream).await {
+            Ok(end) if end.is_complete() => progress.far_end = FarEnd::Refuse,
+            Ok(_) => {}
+            Err(_gone) => return StreamOutcome::CallerGone,
+        }
+    }
+    StreamOutcome::Broken("the response ended without an event".to_owned())
+}
+
+/// Checks whether the replica of a response that ended with its connection runs on, while the caller is
+/// written to.
+async fn check_close(
+    request: &AdmittedRequest,
+    progress: &mut Progress,
+    upstream: &UpstreamResponse,
+) -> Result<UnframedEnd, CallerGone> {
+    let Exchange { trial, connection, .. } = &upstream.exchange;
+    let checking = trial.check_unframed_end(&request.params.id, connection);
+    match &mut progress.outbox {
+        Some(outbox) => Box::pin(outbox.write_beside(checking)).await,
+        None => Ok(checking.await),
+    }
+}
+
 /// Checks the last event of a stream that ended in order with its connection; returns the outcome
 /// unless the event is taken for the last one. Foreign bytes may look like an event that is far ahead,
 /// which only another replica can tell.
