Usual ids are those of a route, not of all routes of its service

Callers of a stream that rises by one, on a route beside another with uneven ids of the same service, could lose events in the middle: after a crash, a response that left some out was taken for the rest.

Cause: since the largest step of the service's recent streams says how far ahead a response may go on with a stream, and two routes of one service may number differently. Found by reading the change.

Change: usual ids are kept for each route of a service, 1,024 routes a service at most.

Evidence: gap_is_found_beside_a_route_with_uneven_ids failed before, with a stream that ended as complete without event 4; it is refused as on. routes_of_a_service_may_number_differently passes before and after: 30 streams of each kind on two routes, none cut. unnumbered_events, first_ids and stream_successors pass as they were.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -373,8 +373,8 @@
                 upstream.exchange.trial.complete();
                 self.record_response(ResponseOutcome::Success);
                 self.record_output(progress.position.event_count());
-                let service = &self.request.service;
-                self.shared.state().event_ids.record(service, progress.position);
+                let (service, route) = (&self.request.service, &self.request.route.name);
+                self.shared.state().event_ids.record(service, route, progress.position);
                 let status = upstream.response.status;
                 // The replica is released before a slow caller has read the response.
                 upstream.exchange.finish(progress);
--- a/crates/daemon/src/direct/event_ids.rs
+++ b/crates/daemon/src/direct/event_ids.rs
@@ -7,22 +7,25 @@
 /// Complete streams over which the largest step is taken before it is forgotten with the next as many.
 const RECENT_STREAMS: u32 = 32;
 
-/// The ids that are usual in the streams of each service.
+/// Most routes of a service whose ids are kept. Routes that were removed are not told from others.
+const MAX_ROUTES: usize = 1_024;
+
+/// The ids that are usual in the streams of each route of a service. Routes may number differently.
 #[derive(Debug, Clone, Default)]
 pub(super) struct EventIds {
-    by_service: BTreeMap<ServiceId, ServiceIds>,
+    by_service: BTreeMap<ServiceId, BTreeMap<String, RouteIds>>,
 }
 
-/// The ids of the last complete stream of a service, and the largest step of recent ones.
+/// The ids of the last complete stream of a route, and the largest step of recent ones.
 #[derive(Debug, Clone, Copy, Default)]
-struct ServiceIds {
+struct RouteIds {
     usual: UsualIds,
     /// Largest steps of the streams that are being counted, and of as many before.
     recent_steps: [u64; 2],
     recent_streams: u32,
 }
 
-impl ServiceIds {
+impl RouteIds {
     fn record(&mut self, end: StreamPosition) {
         if let Some(first) = end.first_id() {
             self.usual.first = first.max(1);
@@ -43,14 +46,20 @@
 }
 
 impl EventIds {
-    /// The ids that are usual for a service.
-    pub(super) fn usual(&self, service: &ServiceId) -> UsualIds {
-        self.by_service.get(service).map(|ids| ids.usual).unwrap_or_default()
+    /// The ids that are usual for a route of a service.
+    pub(super) fn usual(&self, service: &ServiceId, route: &str) -> UsualIds {
+        let ids = self.by_service.get(service).and_then(|routes| routes.get(route));
+        ids.map(|ids| ids.usual).unwrap_or_default()
     }
 
     /// Records the end of a complete stream.
-    pub(super) fn record(&mut self, service: &ServiceId, end: StreamPosition) {
-        self.by_service.entry(service.clone()).or_default().record(end);
+    pub(super) fn record(&mut self, service: &ServiceId, route: &str, end: StreamPosition) {
+        let routes = self.by_service.entry(service.clone()).or_default();
+        if !routes.contains_key(route) && routes.len() >= MAX_ROUTES {
+            // The routes in use are learned again with their next streams.
+            routes.clear();
+        }
+        routes.entry(route.to_owned()).or_default().record(end);
     }
 
     /// Forgets the services that `is_listed` rejects.
--- a/crates/daemon/src/direct/serve.rs
+++ b/crates/daemon/src/direct/serve.rs
@@ -60,7 +60,7 @@
         }
     };
     let may_resume = request.route.kind == RequestKind::ResumableStream;
-    let usual_ids = shared.state().event_ids.usual(&request.service);
+    let usual_ids = shared.state().event_ids.usual(&request.service, &request.route.name);
     let mut progress = Progress::new(request.params.resume_after.filter(|_| may_resume), usual_ids);
     if request.route.kind.is_stream() && shared.state().is_adaptive(&request.service) {
         let caller = connection.stream().clone();
--- a/crates/daemon/tests/uneven_streams.rs
+++ b/crates/daemon/tests/uneven_streams.rs
@@ -30,9 +30,23 @@
 where
     F: Fn(&mut ScriptedExchange) + Send + Sync + 'static,
 {
-    let route = RouteSpec::new("/drafts/", kind, "writers");
-    let configuration =
-        ConfigurationSpec { version: 1, routes: vec![route], organisations: Vec::new() };
+    send_in_turn(test, kind, &["/drafts/"], replica_ids, count, script)
+}
+
+/// Sends requests like `send_all`, in turn to routes of one service with these prefixes.
+fn send_in_turn<F>(
+    test: &str,
+    kind: &str,
+    prefixes: &[&str],
+    replica_ids: &[&str],
+    count: usize,
+    script: F,
+) -> Vec<CallerResponse>
+where
+    F: Fn(&mut ScriptedExchange) + Send + Sync + 'static,
+{
+    let routes = prefixes.iter().map(|prefix| RouteSpec::new(prefix, kind, "writers")).collect();
+    let configuration = ConfigurationSpec { version: 1, routes, organisations: Vec::new() };
     let fixture = EntryFixture::start(test, &configuration);
     let replicas = ScriptedReplicas::new(script);
     for id in replica_ids {
@@ -40,10 +54,18 @@
         wait_until("the entry knows the replica", || fixture.log().contains(id));
     }
     fixture.wait_ready();
-    let requests = (0..count).map(|n| CallerRequest::new("POST", "/drafts/1", &format!("d-{n}")));
+    let paths = prefixes.iter().map(|prefix| format!("{prefix}1")).cycle().take(count);
+    let requests = paths
+        .enumerate()
+        .map(|(number, path)| CallerRequest::new("POST", &path, &format!("d-{number}")));
     requests.map(|request| fixture.send(&request)).collect()
 }
 
+/// Number of the request that a replica responds to.
+fn request_number(exchange: &ScriptedExchange) -> usize {
+    exchange.id.trim_start_matches("d-").parse().expect("a number")
+}
+
 fn is_whole(response: &CallerResponse, ids: &[u64]) -> bool {
     response.status == 200 && response.is_complete && response.body == events_text(ids)
 }
@@ -80,8 +102,7 @@
             let (count, sent) = (streams.len(), streams.clone());
             let test = format!("uneven_{kind}_{name}");
             let responses = send_all(&test, kind, &["r-1", "r-2"], count, move |exchange| {
-                let stream = exchange.id.trim_start_matches("d-").parse::<usize>();
-                let ids = &sent[stream.expect("a number")];
+                let ids = &sent[request_number(exchange)];
                 let rest = ids.iter().position(|id| *id > exchange.resume_after);
                 send_unframed(exchange, &ids[rest.unwrap_or(ids.len())..]);
             });
@@ -172,7 +193,7 @@
     let count = streams.len();
     let responses =
         send_all("uneven_crash", "resumable", &["r-1", "r-2"], count, move |exchange| {
-            let stream = exchange.id.trim_start_matches("d-").parse::<usize>().expect("a number");
+            let stream = request_number(exchange);
             let rest: Vec<u64> =
                 sent[stream].iter().copied().filter(|id| *id > exchange.resume_after).collect();
             exchange.send_stream_head();
@@ -186,3 +207,48 @@
         assert!(is_whole(response, ids), "{number}: {ids:?} {response:?}");
     }
 }
+
+/// Guards against streams of one route that are judged by the ids of another of the same service.
+#[test]
+fn routes_of_a_service_may_number_differently() {
+    let uneven = draw_streams(5, 15, 2..=6, 200);
+    let streams: Vec<Vec<u64>> =
+        uneven.into_iter().flat_map(|ids| [vec![1, 2, 3, 4, 5], ids]).collect();
+    for kind in ["stream", "resumable"] {
+        let (test, sent) = (format!("uneven_routes_{kind}"), streams.clone());
+        let prefixes = ["/drafts/", "/notes/"];
+        let (ids, count) = (["r-1", "r-2"], streams.len());
+        let responses = send_in_turn(&test, kind, &prefixes, &ids, count, move |exchange| {
+            let due = sent[request_number(exchange)].iter().copied();
+            let rest: Vec<u64> = due.filter(|id| *id > exchange.resume_after).collect();
+            send_unframed(exchange, &rest);
+        });
+        for (number, (response, ids)) in responses.iter().zip(&streams).enumerate() {
+            assert!(is_whole(response, ids), "{kind} {number}: {ids:?} {response:?}");
+        }
+    }
+}
+
+/// Guards against a response that leaves out events of a stream whose ids rise by one, because they
+/// do not on another route of its service.
+#[test]
+fn gap_is_found_beside_a_route_with_uneven_ids() {
+    const STREAMS: usize = 12;
+    let prefixes = ["/drafts/", "/notes/"];
+    let ids = ["r-1", "r-2"];
+    let responses = send_in_turn("uneven_gap", "resumable", &prefixes, &ids, STREAMS, |exchange| {
+        exchange.send_stream_head();
+        let (is_even, is_last) =
+            (request_number(exchange) % 2 == 0, request_number(exchange) == STREAMS - 2);
+        match (is_even, exchange.resume_after) {
+            (false, _) => exchange.send_chunk(&events_text(&[60, 150, 200, 390])),
+            (true, 0) if is_last => return exchange.send_chunk(&events_text(&[1, 2, 3])),
+            (true, 3) => exchange.send_chunk(&events_text(&[5, 6, 7])),
+            (true, _) => exchange.send_chunk(&events_text(&[1, 2, 3, 4, 5, 6, 7])),
+        }
+        exchange.end_stream();
+    });
+    let response = &responses[STREAMS - 2];
+    assert_eq!((response.status, response.is_complete), (200, false), "{response:?}");
+    assert_eq!(response.body, events_text(&[1, 2, 3]));
+}
