--- a/crates/daemon/tests/uneven_streams.rs
+++ b/crates/daemon/tests/uneven_streams.rs
@@ -238,8 +238,8 @@
     let ids = ["r-1", "r-2"];
     let responses = send_in_turn("uneven_gap", "resumable", &prefixes, &ids, STREAMS, |exchange| {
         exchange.send_stream_head();
-        let (is_even, is_last) =
-            (request_number(exchange) % 2 == 0, request_number(exchange) == STREAMS - 2);
+        let number = request_number(exchange);
+        let (is_even, is_last) = (number.is_multiple_of(2), number == STREAMS - 2);
         match (is_even, exchange.resume_after) {
             (false, _) => exchange.send_chunk(&events_text(&[60, 150, 200, 390])),
             (true, 0) if is_last => return exchange.send_chunk(&events_text(&[1, 2, 3])),
