An entry without seeds waits for peers that know it

Callers with a key that was taken away were served at an entry that restarts without seeds on a restored store, though its peers knew it and had the newer configuration.

Cause: an entry without seeds was taken for one without peers. Peers report to an address that they have heard until lately, whoever knows them.

Change: such an entry waits for 1 s, in which they report twice; the same for evacuations.

--- a/crates/direct/src/told_configurations.rs
+++ b/crates/direct/src/told_configurations.rs
@@ -9,7 +9,10 @@
 
 /// Time from the start in which an entry that has seeds waits for a peer that knows more than the
 /// store. Peers send reports to an address that has been silent every 1.6 s.
-pub(crate) const PEER_TIME: Millis = Millis(2_000);
+const PEER_TIME: Millis = Millis(2_000);
+/// The same without seeds: only peers that know the entry from before its start can reach it. They
+/// report every 400 ms, and one report may be lost.
+const UNSEEDED_TIME: Millis = Millis(1_000);
 /// The same where every peer that the entry can reach waits as well, as when all have restarted: one
 /// that knows more reports every 400 ms, to entries that it has heard until lately.
 const FLEET_TIME: Millis = Millis(500);
@@ -56,17 +59,22 @@
     mentions: BTreeMap<u64, Mention>,
 }
 
+/// Time for which an entry that starts waits for what its peers know.
+pub(crate) fn peer_wait(has_seeds: bool) -> Millis {
+    if has_seeds { PEER_TIME } else { UNSEEDED_TIME }
+}
+
 impl ToldConfigurations {
-    /// What an entry that starts now knows: nothing. Without seeds, there is no peer to wait for.
+    /// What an entry that starts now knows: nothing. Without seeds there may be peers that know it from
+    /// before its start.
     #[must_use]
     pub fn new(has_seeds: bool, now: Millis) -> Self {
-        let wait = if has_seeds { PEER_TIME } else { Millis(0) };
         Self {
             waits_since: now,
-            waits_until: now.saturating_add(wait),
+            waits_until: now.saturating_add(peer_wait(has_seeds)),
             has_heard_peer: false,
             waiting_peers: BTreeSet::new(),
-            is_waiting: has_seeds,
+            is_waiting: true,
             mentions: BTreeMap::new(),
         }
     }
--- a/crates/direct/src/zones/serving.rs
+++ b/crates/direct/src/zones/serving.rs
@@ -1,7 +1,7 @@
 //! When an entry knows enough about evacuations to serve requests, and how often it asks.
 
 use super::EvacuationSet;
-use crate::{ReadSchedule, told_configurations::PEER_TIME};
+use crate::{ReadSchedule, told_configurations::peer_wait};
 use ibissail_core::Millis;
 
 /// Longest interval between the listings of the entry that lists for its peers.
@@ -57,10 +57,9 @@
     /// take effect, `has_seeds` whether the entry knows addresses where peers may be.
     #[must_use]
     pub fn new(delay: Millis, has_seeds: bool, now: Millis) -> Self {
-        let wait = if has_seeds { PEER_TIME } else { Millis(0) };
         Self {
             age_limit: delay.since(MARGIN).max(MIN_AGE_LIMIT),
-            waits_for_peers_until: now.saturating_add(wait),
+            waits_for_peers_until: now.saturating_add(peer_wait(has_seeds)),
             failed_at: None,
         }
     }
