A peer's word on a newer configuration counts from the return of the store

Cause: it counted for 30 s from when it was told first. An entry that starts while the store is away for longer, and whose store comes back older, would have believed it again (found by reading).

Change: the 30 s begin with the first read that does not show the version.

Evidence: word_counts_from_the_return_of_the_store failed before, when the store was back at 60 s and the word had been told at 0.1 s; the other tests pass as they were. key_stays_away_at_an_entry_that_starts_while_the_store_is_away, 4 s, passes before and after.

--- a/crates/daemon/tests/restarted_keys.rs
+++ b/crates/daemon/tests/restarted_keys.rs
@@ -4,7 +4,9 @@
 
 use direct::{EntryFixture, wait_until};
 use ibissail_core::{Epoch, Incarnation};
-use ibissail_platform_standin::{Behaviour, CallerRequest, ConfigurationSpec, RouteSpec};
+use ibissail_platform_standin::{
+    Behaviour, CallerRequest, ConfigurationSpec, RouteSpec, StoreFault,
+};
 use serde::Serialize;
 use std::{
     net::{SocketAddr, UdpSocket},
@@ -125,6 +127,31 @@
     restart_on_a_restored_store("restarted_late", 1, &stale_seeds(), Duration::from_secs(4));
 }
 
+/// Guards against a wait for peers that is over when the store returns.
+#[test]
+fn key_stays_away_at_an_entry_that_starts_while_the_store_is_away() {
+    let test = "away_keys";
+    let mut fleet = EntryFixture::start_fleet(test, &configuration(1, &["key-kept", "key-gone"]));
+    let replica = fleet[0].add_replica("r-1", "records", OK_RESPONSE);
+    EntryFixture::wait_for_fleet(&fleet);
+    let copy = fleet[0].store.copy();
+    configuration(2, &["key-kept"]).apply(&fleet[0].store);
+    for entry in &fleet {
+        wait_until("the key is refused", || status(entry, "key-gone") == 401);
+    }
+    fleet[0].store.set_fault(StoreFault::Unavailable);
+    fleet[2].kill();
+    fleet[2].set_seeds(stale_seeds());
+    fleet[2].start_entry();
+    thread::sleep(Duration::from_secs(4));
+    let runs = replica.run_count();
+    fleet[0].store.restore(&copy);
+    fleet[0].store.set_fault(StoreFault::None);
+    assert_refused_until_written(test, &fleet, Instant::now());
+    assert_eq!(replica.run_count(), runs);
+    assert_accepted_once_written(test, &fleet);
+}
+
 /// Guards against an entry that was suspended while the key was taken away and the store restored.
 #[test]
 fn key_stays_away_at_an_entry_that_was_suspended() {
--- a/crates/direct/src/told_configurations.rs
+++ b/crates/direct/src/told_configurations.rs
@@ -16,8 +16,8 @@
 /// The same where every peer that the entry can reach waits as well, as when all have restarted: one
 /// that knows more reports every 400 ms, to entries that it has heard until lately.
 const FLEET_TIME: Millis = Millis(500);
-/// Time from the first mention of a version within which the store must show it. A peer may be wrong,
-/// and its version may never be written again.
+/// Time within which the store must show a version, from the first read on that does not. A peer may be
+/// wrong, and its version may never be written again.
 const MENTION_LIMIT: Millis = Millis(30_000);
 /// Time without another mention after which a version is forgotten.
 const MENTION_TTL: Millis = Millis(30_000);
@@ -40,9 +40,18 @@
 struct Mention {
     first_told: Millis,
     last_told: Millis,
-    /// Whether the store should have shown it: a later read has returned an older version, or the
-    /// entry had not heard of its peers for long enough to rely on what it has read before.
-    is_missed: bool,
+    /// Whether it counts before a read has missed it: the entry had not heard of its peers for long
+    /// enough to rely on what it has read before.
+    counts_at_once: bool,
+    /// When the first read was sent that has returned an older version.
+    missed_at: Option<Millis>,
+}
+
+impl Mention {
+    /// Whether the store may still show the version. While the store cannot be read, it may.
+    fn is_credible(&self, now: Millis) -> bool {
+        self.missed_at.is_none_or(|at| now.since(at) < MENTION_LIMIT)
+    }
 }
 
 /// What peers have told of the configuration.
@@ -122,10 +131,14 @@
             return false;
         }
         let is_new = !self.mentions.contains_key(&version);
-        let mention = Mention { first_told: now, last_told: now, is_missed: false };
-        let mention = self.mentions.entry(version).or_insert(mention);
+        let mention = self.mentions.entry(version).or_insert(Mention {
+            first_told: now,
+            last_told: now,
+            counts_at_once: false,
+            missed_at: None,
+        });
         mention.last_told = now;
-        mention.is_missed |= is_beginner;
+        mention.counts_at_once |= is_beginner;
         while self.mentions.len() > MAX_MENTIONS {
             self.mentions.pop_first();
         }
@@ -136,7 +149,9 @@
     pub fn record_read(&mut self, version: u64, sent_at: Millis) {
         self.mentions.retain(|mentioned, _| *mentioned > version);
         for mention in self.mentions.values_mut() {
-            mention.is_missed |= mention.first_told <= sent_at;
+            if mention.first_told <= sent_at {
+                mention.missed_at.get_or_insert(sent_at);
+            }
         }
     }
 
@@ -186,8 +201,7 @@
     /// Newest version that a peer has told lately; 0 if none has told one that the store lacks.
     #[must_use]
     pub fn newest(&self, now: Millis) -> u64 {
-        let recent = |mention: &Mention| now.since(mention.first_told) < MENTION_LIMIT;
-        let newest = self.mentions.iter().rev().find(|(_, mention)| recent(mention));
+        let newest = self.mentions.iter().rev().find(|(_, mention)| mention.is_credible(now));
         newest.map(|(version, _)| *version).unwrap_or_default()
     }
 
@@ -195,8 +209,9 @@
     /// what this entry has read is the newest.
     #[must_use]
     pub fn missing(&self, known: u64, now: Millis) -> Option<u64> {
-        let is_missing =
-            |mention: &Mention| mention.is_missed && now.since(mention.first_told) < MENTION_LIMIT;
+        let is_missing = |mention: &Mention| {
+            (mention.counts_at_once || mention.missed_at.is_some()) && mention.is_credible(now)
+        };
         let above = self.mentions.range(known.saturating_add(1)..);
         above.rev().find(|(_, mention)| is_missing(mention)).map(|(version, _)| *version)
     }
--- a/crates/direct/tests/told_configurations.rs
+++ b/crates/direct/tests/told_configurations.rs
@@ -135,3 +135,16 @@
     assert!(!is_believed(&early, 1, 499));
     assert!(early.is_seeking_peers(Millis(499)) && !early.is_seeking_peers(Millis(500)));
 }
+
+/// Guards against a peer's word that is given up because the store was away for long.
+#[test]
+fn word_counts_from_the_return_of_the_store() {
+    let mut peers = ToldConfigurations::new(true, Millis(0));
+    peers.record(told(6, INFORMED), 0, Millis(100));
+    let back_at = 60_000;
+    assert!(!is_believed(&peers, 3, back_at), "the store is back");
+    for at in (back_at..100_000).step_by(500) {
+        peers.record_read(3, Millis(at));
+        assert_eq!(is_believed(&peers, 3, at), at >= back_at + 30_000, "{at}");
+    }
+}
