Tests: entries that restart beside evacuations have a file of their own

Change: they move to restarted_zones, and what both files use to direct/zones.rs; no check is changed.

--- a/crates/daemon/tests/direct/mod.rs
+++ b/crates/daemon/tests/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod traffic;
 #[path = "../common/wait.rs"]
 mod wait;
+pub mod zones;
 
 pub use wait::wait_until;
 
--- a/crates/daemon/tests/zone_evacuation.rs
+++ b/crates/daemon/tests/zone_evacuation.rs
@@ -6,109 +6,18 @@
     EntryFixture,
     traffic::{Exchange, Traffic},
     wait_until,
+    zones::{
+        EVACUATION_DELAY_MS, EXPECTED_DELAY, OK_RESPONSE, add_replica, add_zones, assert_avoided,
+        configuration, look, prepare, received, start, wait_for_evacuation, wait_for_log,
+        wait_until_used,
+    },
 };
-use ibissail_platform_standin::{
-    Behaviour, CallerRequest, ConfigurationSpec, ReplicaStandin, RouteSpec, StoreFault,
-    StoreStandin, StreamEnding, replica_spec, set_zone,
-};
+use ibissail_platform_standin::{Behaviour, CallerRequest, StoreFault, StreamEnding};
 use std::{
     thread,
     time::{Duration, Instant},
 };
 
-const OK_RESPONSE: Behaviour = Behaviour::Respond(200, Duration::ZERO);
-/// Time in which an evacuation must take effect, in milliseconds.
-const EVACUATION_DELAY_MS: u64 = 5_000;
-/// A third of it, within which it is expected to.
-const EXPECTED_DELAY: Duration = Duration::from_millis(1_700);
-
-fn configuration() -> ConfigurationSpec {
-    let mut draft = RouteSpec::new("/draft/", "resumable", "writers");
-    draft.request_timeout_ms = 10_000;
-    let mut south = RouteSpec::new("/south/", "safe", "records");
-    south.regions = vec!["south".into()];
-    let mut nowhere = RouteSpec::new("/nowhere/", "safe", "records");
-    nowhere.regions = vec!["west".into()];
-    let routes = vec![RouteSpec::new("/look/", "safe", "records"), draft, south, nowhere];
-    ConfigurationSpec { version: 1, routes, organisations: Vec::new() }
-}
-
-fn look(number: usize) -> CallerRequest {
-    CallerRequest::new("GET", "/look/1", &format!("id-{number}"))
-}
-
-fn prepare(test: &str) -> EntryFixture {
-    let store = StoreStandin::start();
-    configuration().apply(&store);
-    let mut fixture = EntryFixture::without_entry(test, store);
-    fixture.evacuation_delay_ms = Some(EVACUATION_DELAY_MS);
-    fixture
-}
-
-fn start(test: &str) -> EntryFixture {
-    let mut fixture = prepare(test);
-    fixture.start_entry();
-    fixture
-}
-
-fn add_replica(
-    fixture: &EntryFixture,
-    id: &str,
-    (service, zone): (&str, &str),
-    behaviour: Behaviour,
-) -> ReplicaStandin {
-    let replica = ReplicaStandin::start(id, behaviour);
-    let mut spec = replica_spec(&replica, service, "v1", false);
-    set_zone(&mut spec, zone);
-    fixture.store.put("servers", id, &spec);
-    replica
-}
-
-/// Adds a replica of the service `records` in each of the three zones.
-fn add_zones(fixture: &EntryFixture) -> [ReplicaStandin; 3] {
-    ["1", "2", "3"].map(|number| {
-        let (id, zone) = (format!("r-{number}"), format!("az-{number}"));
-        add_replica(fixture, &id, ("records", &zone), OK_RESPONSE)
-    })
-}
-
-/// Waits until requests to the entry reach all of these replicas.
-fn wait_until_used(fixture: &EntryFixture, replicas: &[ReplicaStandin]) {
-    let counts: Vec<usize> = replicas.iter().map(received).collect();
-    let mut number = 0;
-    wait_until("the replicas are used", || {
-        number += 1;
-        let _response = fixture.send(&look(number));
-        replicas.iter().zip(&counts).all(|(replica, before)| received(replica) > *before)
-    });
-}
-
-fn received(replica: &ReplicaStandin) -> usize {
-    replica.received_requests().len()
-}
-
-/// Asserts that requests are served, and none of them by this replica.
-fn assert_avoided(fixture: &EntryFixture, replica: &ReplicaStandin, time: Duration) {
-    let (started, before) = (Instant::now(), received(replica));
-    let mut number = 0;
-    while started.elapsed() < time || number < 20 {
-        number += 1;
-        let response = fixture.send(&look(number));
-        assert_eq!(response.status, 200, "{response:?}");
-        thread::sleep(Duration::from_millis(5));
-    }
-    assert_eq!(received(replica), before, "requests to an evacuated zone");
-}
-
-fn wait_for_evacuation(fixture: &EntryFixture, zones: i64) {
-    wait_until("the evacuation is known", || fixture.metric("evacuated_zones") == zones);
-}
-
-/// Waits for a log line, as another thread of the entry writes them.
-fn wait_for_log(entry: &EntryFixture, text: &str) {
-    wait_until("the line is logged", || entry.log().contains(text));
-}
-
 /// Guards against requests that go on to an evacuated zone, and against a zone that stays unused
 /// after its evacuation.
 #[test]
@@ -350,83 +259,6 @@
     assert!(restored.elapsed() < Duration::from_secs(7), "{:?}", restored.elapsed());
 }
 
-/// Guards against an entry that restarts right after a restore and uses a zone whose evacuation only
-/// its peers still know.
-#[test]
-fn entry_that_restarts_after_a_restore_learns_from_its_peer() {
-    let first = start("restart_restored_a");
-    let replicas = add_zones(&first);
-    let copy = first.store.copy();
-    let mut fleet = [first.start_peer("restart_restored_b"), first];
-    EntryFixture::wait_for_fleet(&fleet);
-    fleet[1].store.evacuate("az-2");
-    for entry in &fleet {
-        wait_for_evacuation(entry, 1);
-    }
-    fleet[1].store.restore(&copy);
-    let restored = Instant::now();
-    wait_for_log(&fleet[1], "store: restored from an older copy");
-    // The peer has listed since, so that its list is not of the earlier epoch.
-    thread::sleep(Duration::from_millis(300));
-    fleet[0].kill();
-    fleet[0].start_entry();
-    fleet[0].wait_ready();
-    let left = Duration::from_millis(3_500).saturating_sub(restored.elapsed());
-    assert_avoided(&fleet[0], &replicas[1], left);
-}
-
-/// Guards against a fleet whose entries wait for each other after they have all restarted.
-#[test]
-fn fleet_that_restarts_serves_soon() {
-    let first = start("restart_all_a");
-    add_zones(&first);
-    let mut fleet = [first.start_peer("restart_all_b"), first];
-    EntryFixture::wait_for_fleet(&fleet);
-    fleet.iter_mut().for_each(EntryFixture::kill);
-    let seeds = vec![fleet[0].callers, fleet[1].callers];
-    let restarted = Instant::now();
-    for entry in &mut fleet {
-        entry.set_seeds(seeds.clone());
-        entry.start_entry();
-    }
-    for entry in &fleet {
-        wait_until("requests are served", || entry.send(&look(1)).status == 200);
-    }
-    assert!(restarted.elapsed() < Duration::from_millis(1_500), "{:?}", restarted.elapsed());
-}
-
-/// Guards against an entry that believes a restored store because its seeds are gone.
-#[test]
-fn entry_with_stale_seeds_waits_for_its_peers_after_a_restore() {
-    for (name, down) in [("soon", 300), ("late", 4_000)] {
-        let first = start(&format!("stale_restored_{name}_a"));
-        let replicas = add_zones(&first);
-        let copy = first.store.copy();
-        let mut fleet = [first.start_peer(&format!("stale_restored_{name}_b")), first];
-        EntryFixture::wait_for_fleet(&fleet);
-        fleet[1].store.evacuate("az-2");
-        for entry in &fleet {
-            wait_for_evacuation(entry, 1);
-        }
-        fleet[0].kill();
-        thread::sleep(Duration::from_millis(down));
-        fleet[1].store.restore(&copy);
-        let seeds = ["127.255.1.1:4000", "127.255.1.2:4000"];
-        fleet[0].set_seeds(seeds.map(|seed| seed.parse().expect("an address")).into());
-        fleet[0].start_entry();
-        let (restored, before) = (Instant::now(), received(&replicas[1]));
-        let mut statuses = Vec::new();
-        // The time for which the fleet holds what a restore has lost.
-        while restored.elapsed() < Duration::from_millis(3_500) {
-            statuses.push(fleet[0].send(&look(statuses.len())).status);
-            thread::sleep(Duration::from_millis(5));
-        }
-        assert_eq!(received(&replicas[1]), before, "{name}: requests to an evacuated zone");
-        assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{name}: {statuses:?}");
-        assert_eq!(statuses.last(), Some(&200), "{name}");
-    }
-}
-
 /// Guards against a suspended entry that goes on with what it knew before.
 #[test]
 fn suspended_entry_sends_nothing_on_old_knowledge() {
