Tests: two entries that restart on a restored store and are each other's seeds

Cause: the wait of a fleet that restarts as a whole ends after 0.5 s, and no test showed that a third entry which remembers is heard by then.

--- a/crates/daemon/tests/restarted_keys.rs
+++ b/crates/daemon/tests/restarted_keys.rs
@@ -22,6 +22,16 @@
 /// Time in which a change of the configuration must be applied.
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 
+/// The seeds of entries that restart.
+#[derive(Debug, Clone, Copy)]
+enum Seeds {
+    None,
+    /// Addresses of VMs that are gone.
+    Stale,
+    /// The entries that restart.
+    Restarted,
+}
+
 /// The fields of a notice that tell a configuration.
 #[derive(Debug, Serialize)]
 struct Notice {
@@ -54,7 +64,7 @@
 
 /// Takes a key away, restores the store from a copy with the key while some of three entries restart
 /// with these seeds, and asks them with that key until the operators have written again.
-fn restart_on_a_restored_store(test: &str, restarted: usize, seeds: &[SocketAddr], down: Duration) {
+fn restart_on_a_restored_store(test: &str, restarted: usize, seeds: Seeds, down: Duration) {
     let keys = ["key-kept", "key-gone"];
     let mut fleet = EntryFixture::start_fleet(test, &configuration(1, &keys));
     let replica = fleet[0].add_replica("r-1", "records", OK_RESPONSE);
@@ -72,8 +82,13 @@
     let runs = replica.run_count();
     remaining[0].store.restore(&copy);
     let restored = Instant::now();
+    let seeds = match seeds {
+        Seeds::None => Vec::new(),
+        Seeds::Stale => stale_seeds(),
+        Seeds::Restarted => restarting.iter().map(|entry| entry.callers).collect(),
+    };
     for entry in restarting.iter_mut() {
-        entry.set_seeds(seeds.to_vec());
+        entry.set_seeds(seeds.clone());
         entry.start_entry();
     }
     assert_refused_until_written(test, restarting, restored);
@@ -106,25 +121,32 @@
 /// Guards against a key that was taken away and runs at an entry that has started since the restore.
 #[test]
 fn key_stays_away_at_an_entry_that_restarts() {
-    restart_on_a_restored_store("restarted_one", 1, &stale_seeds(), Duration::from_millis(300));
+    restart_on_a_restored_store("restarted_one", 1, Seeds::Stale, Duration::from_millis(300));
 }
 
 /// Guards against restarted entries that take each other's word for what only a third remembers.
 #[test]
 fn key_stays_away_at_two_entries_that_restart() {
-    restart_on_a_restored_store("restarted_two", 2, &stale_seeds(), Duration::from_millis(300));
+    restart_on_a_restored_store("restarted_two", 2, Seeds::Stale, Duration::from_millis(300));
+}
+
+/// Guards against restarted entries that end the wait for each other before the third reports to them.
+#[test]
+fn key_stays_away_at_two_entries_that_are_their_seeds() {
+    let down = Duration::from_millis(300);
+    restart_on_a_restored_store("restarted_pair", 2, Seeds::Restarted, down);
 }
 
 /// Guards against an entry that believes the store because it has no seeds, though peers know it.
 #[test]
 fn key_stays_away_at_an_entry_without_seeds_that_restarts() {
-    restart_on_a_restored_store("restarted_unseeded", 1, &[], Duration::from_millis(300));
+    restart_on_a_restored_store("restarted_unseeded", 1, Seeds::None, Duration::from_millis(300));
 }
 
 /// Guards against a wait that ends before peers send to an address that has been silent.
 #[test]
 fn key_stays_away_at_an_entry_that_was_down_for_long() {
-    restart_on_a_restored_store("restarted_late", 1, &stale_seeds(), Duration::from_secs(4));
+    restart_on_a_restored_store("restarted_late", 1, Seeds::Stale, Duration::from_secs(4));
 }
 
 /// Guards against a wait for peers that is over when the store returns.
